--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+SEEDS ?= 100
+
+.PHONY: setup test lint demo measure capacity soak gen format
+
+$(VENV)/ready: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -e '.[dev]'
+	touch $@
+
+setup: $(VENV)/ready
+
+lint: setup
+	$(BIN)/black -q --check src standins features
+	$(BIN)/ruff check -q src standins features
+
+format: setup
+	$(BIN)/black -q src standins features
+	$(BIN)/ruff check -q --fix src standins features
+
+test: lint
+	$(BIN)/python -m features.run
+
+demo: setup
+	$(BIN)/python -m standins.demo
+
+measure: setup
+	$(BIN)/python -m standins.load measure
+
+capacity: setup
+	$(BIN)/python -m standins.slopes
+
+soak: setup
+	$(BIN)/python -m standins.soak run --seeds $(SEEDS)
+
+gen:
+	thrift --gen py:slots,package_prefix=wagtailloft.gen. -out src/wagtailloft/gen src/wagtailloft/idl/peer.thrift && rm -f src/wagtailloft/gen/peer/Peer-remote
--- /dev/null
+++ b/features/path.feature
@@ -0,0 +1,16 @@
+Feature: A request is served from one end to the other by separate processes
+
+  Scenario: A write and a read of it through other daemons
+    Given a fleet of 3 daemons with one group
+    When a caller writes a row through daemon 1
+    Then the row is read through daemon 2 and through daemon 3
+    And the read was served by a replica
+    And no target received the caller's key
+
+  Scenario: The primary dies and nobody orders a promotion
+    Given a fleet of 3 daemons with one group
+    When a caller writes a row through daemon 1
+    And the primary is killed
+    Then the next write is acknowledged
+    And the row is read through daemon 2 and through daemon 3
+    And the fleet explains the promotion
--- /dev/null
+++ b/features/steps/path.py
@@ -0,0 +1,58 @@
+"""Steps of the whole path."""
+
+from behave import given, then, when
+
+from features.world import GROUP, world_of
+
+INSERT = "INSERT INTO slots VALUES (?, ?)"
+
+
+@given("a fleet of {count:d} daemons with one group")
+def step_fleet(context, count):
+    world_of(context, count)
+
+
+@when("a caller writes a row through daemon {number:d}")
+def step_write(context, number):
+    context.session = context.world.session()
+    context.session.write(INSERT, "first", "Zofia", host=context.world.url(number))
+
+
+@then("the row is read through daemon {one:d} and through daemon {two:d}")
+def step_read(context, one, two):
+    context.reads = []
+    for number in (one, two):
+        sql = "SELECT who FROM slots WHERE id = 'first'"
+        read = context.session.read(sql, host=context.world.url(number))
+        assert read.result.rows == (("Zofia",),), read
+        context.reads.append(read)
+
+
+@then("the read was served by a replica")
+def step_replica(context):
+    assert any(read.role == "replica" for read in context.reads), context.reads
+
+
+@then("no target received the caller's key")
+def step_no_key(context):
+    for log in context.world.fleet.folder.glob("*.log"):
+        assert context.world.key not in log.read_text(), log
+    assert context.world.key not in str(context.world.log_of())
+
+
+@when("the primary is killed")
+def step_kill_primary(context):
+    context.killed = context.world.fleet.primary(GROUP)
+    context.killed.process.kill()
+
+
+@then("the next write is acknowledged")
+def step_next_write(context):
+    answer = context.session.write(INSERT, "second", "Stefan", deadline=20.0)
+    assert answer.served_by != context.killed.name
+
+
+@then("the fleet explains the promotion")
+def step_explained(context):
+    decisions = context.world.fleet.tool("explain", GROUP, host="host-3")
+    assert any(d["what"] == "promoted" for d in decisions), decisions
--- /dev/null
+++ b/src/wagtailloft/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Edges to callers, operators, peers, members and the platform."""
--- /dev/null
+++ b/src/wagtailloft/adapters/peers.py
@@ -0,0 +1,270 @@
+"""Peers over thrift: a pool of connections to each host, and the server of this one."""
+
+import threading
+from collections import defaultdict, deque
+from typing import Protocol
+
+import msgspec
+from result import Err, Ok, Result
+from thrift.protocol.TBinaryProtocol import (
+    TBinaryProtocolAccelerated,
+    TBinaryProtocolAcceleratedFactory,
+)
+from thrift.server.TServer import TThreadedServer
+from thrift.Thrift import TException
+from thrift.transport import TSocket, TTransport
+from urllib3.util.wait import wait_for_read
+
+from wagtailloft.adapters.sockets import tune
+from wagtailloft.controllers.limits import Ask, Grant
+from wagtailloft.controllers.spread import Delta
+from wagtailloft.errors import Kind, NotSent, Refusal, Silent
+from wagtailloft.gen.peer import Peer, ttypes
+from wagtailloft.models import REMOVED, Answer, Call, Change, Host, Record
+
+CONNECT_TIMEOUT_S = 0.5
+CALL_TIMEOUT_S = 0.8
+ANSWER_GRACE_S = 0.25
+IDLE_LINKS = 64
+
+
+class Digest(Record):
+    """Hold what a host tells its peers about itself and others."""
+
+    sender: str
+    revision: int
+    platform_age: float
+    fresh: bool
+    news: tuple[Host, ...]
+
+
+class Peers(Protocol):
+    """Call other hosts of the fleet."""
+
+    def exchange(self, host: Host, digest: Digest) -> Digest:
+        """Trade digests; raise NotSent or Silent."""
+
+    def pull(self, host: Host, after: int) -> Delta:
+        """Return the changes after a revision; raise NotSent or Silent."""
+
+    def probe(self, host: Host, other: str) -> bool:
+        """Ask a host whether it reaches another; raise NotSent or Silent."""
+
+    def work(self, host: Host, call: Call) -> Result[Answer, Refusal]:
+        """Run a call at the group's owner; raise NotSent or Silent."""
+
+    def tokens(self, host: Host, ask: Ask) -> Result[Grant, Refusal]:
+        """Ask the limit owner for tokens; raise NotSent or Silent."""
+
+    def explain(self, host: Host, subject: str) -> str:
+        """Return a host's decisions about a subject as JSON; raise NotSent or Silent."""
+
+    def describe(self, host: Host) -> str:
+        """Return a host's status as JSON; raise NotSent or Silent."""
+
+
+class _Connection:
+    def __init__(self, *, host: Host) -> None:
+        self._socket = TSocket.TSocket(host.ip, host.peer_port)
+        self._socket.setTimeout(CONNECT_TIMEOUT_S * 1000)
+        transport = TTransport.TBufferedTransport(self._socket)
+        self.client = Peer.Client(TBinaryProtocolAccelerated(transport))
+        try:
+            transport.open()
+        except TException as exc:
+            raise NotSent(f"connect to {host.name}") from exc
+        tune(self._socket.handle)
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether the other side has kept the connection open and quiet."""
+        return not wait_for_read(self._socket.handle, timeout=0)
+
+    def limit(self, timeout: float) -> None:
+        self._socket.setTimeout(timeout * 1000)
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+class ThriftPeers:
+    """Call peers over pooled thrift connections; one that failed is never used again."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._idle: dict[str, deque[_Connection]] = defaultdict(deque)
+
+    def exchange(self, host: Host, digest: Digest) -> Digest:
+        """Trade digests; raise NotSent or Silent."""
+        return read_digest(self._call(host, "exchange", write_digest(digest)))
+
+    def pull(self, host: Host, after: int) -> Delta:
+        """Return the changes after a revision; raise NotSent or Silent."""
+        return read_delta(self._call(host, "pull", after))
+
+    def probe(self, host: Host, other: str) -> bool:
+        """Ask a host whether it reaches another; raise NotSent or Silent."""
+        return self._call(host, "probe", other)
+
+    def work(self, host: Host, call: Call) -> Result[Answer, Refusal]:
+        """Run a call at the group's owner; raise NotSent or Silent."""
+        work = ttypes.Work(call.request_id, msgspec.json.encode(call))
+        result = self._call(host, "work", work, timeout=call.budget + ANSWER_GRACE_S)
+        if result.request_id != call.request_id:
+            raise Silent("the answer belongs to another request")
+        if result.kind is not None:
+            return Err(Refusal(kind=Kind(result.kind), detail=result.detail or ""))
+        return Ok(msgspec.json.decode(result.body, type=Answer))
+
+    def tokens(self, host: Host, ask: Ask) -> Result[Grant, Refusal]:
+        """Ask the limit owner for tokens; raise NotSent or Silent."""
+        value = ttypes.TokenAsk(
+            team=ask.team,
+            host=ask.host,
+            number=ask.number,
+            held=ask.held,
+            wanted=ask.wanted,
+        )
+        grant = self._call(host, "tokens", value)
+        if grant.kind is not None:
+            return Err(Refusal(kind=Kind(grant.kind)))
+        return Ok(Grant(number=grant.number, tokens=grant.tokens, wait=grant.wait))
+
+    def explain(self, host: Host, subject: str) -> str:
+        """Return a host's decisions about a subject as JSON; raise NotSent or Silent."""
+        return self._call(host, "explain", subject)
+
+    def describe(self, host: Host) -> str:
+        """Return a host's status as JSON; raise NotSent or Silent."""
+        return self._call(host, "describe")
+
+    def forget(self, host: Host) -> None:
+        """Close the idle connections to a host."""
+        with self._lock:
+            links = self._idle.pop(_key(host), deque())
+        for link in links:
+            link.close()
+
+    def _call(self, host: Host, method: str, *args: object, timeout: float = CALL_TIMEOUT_S):
+        link = self._take(host)
+        link.limit(timeout)
+        try:
+            answer = getattr(link.client, method)(*args)
+        except (TException, OSError, EOFError) as exc:
+            link.close()
+            self.forget(host)
+            raise Silent(f"{host.name}: {type(exc).__name__}") from exc
+        self._give_back(host, link)
+        return answer
+
+    def _take(self, host: Host) -> _Connection:
+        while True:
+            with self._lock:
+                idle = self._idle[_key(host)]
+                link = idle.pop() if idle else None
+            if link is None:
+                return _Connection(host=host)
+            if link.usable:
+                return link
+            link.close()
+
+    def _give_back(self, host: Host, link: _Connection) -> None:
+        with self._lock:
+            idle = self._idle[_key(host)]
+            if len(idle) < IDLE_LINKS:
+                idle.append(link)
+                return
+        link.close()
+
+
+class PeerServer:
+    """Serve this host's peers on a port."""
+
+    def __init__(self, *, ip: str, port: int, handler: object) -> None:
+        socket = TSocket.TServerSocket(host=ip, port=port)
+        self._socket = socket
+        self._server = TThreadedServer(
+            Peer.Processor(handler),
+            _TunedServerSocket(inner=socket),
+            TTransport.TBufferedTransportFactory(),
+            TBinaryProtocolAcceleratedFactory(),
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Serve in the background."""
+        threading.Thread(target=self._server.serve, name="peers", daemon=True).start()
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        self._socket.close()
+
+
+class _TunedServerSocket:
+    def __init__(self, *, inner: TSocket.TServerSocket) -> None:
+        self._inner = inner
+
+    def listen(self) -> None:
+        self._inner.listen()
+
+    def accept(self) -> TSocket.TSocket:
+        client = self._inner.accept()
+        if client is not None:
+            tune(client.handle)
+        return client
+
+    def close(self) -> None:
+        self._inner.close()
+
+
+def write_digest(digest: Digest) -> ttypes.Digest:
+    """Return a digest as it travels."""
+    news = [
+        ttypes.HostNews(h.name, h.incarnation, h.state.value, msgspec.json.encode(h))
+        for h in digest.news
+    ]
+    return ttypes.Digest(
+        sender=digest.sender,
+        revision=digest.revision,
+        platform_age=digest.platform_age,
+        news=news,
+        fresh=digest.fresh,
+    )
+
+
+def read_digest(value: ttypes.Digest) -> Digest:
+    """Return a digest that came from a peer."""
+    return Digest(
+        sender=value.sender,
+        revision=value.revision,
+        platform_age=value.platform_age,
+        fresh=value.fresh,
+        news=tuple(msgspec.json.decode(n.body, type=Host) for n in value.news),
+    )
+
+
+def write_delta(delta: Delta) -> ttypes.Changes:
+    """Return changes as they travel."""
+    changes = [
+        ttypes.ObjectChange(c.kind, c.name, c.revision, None if c.removed else bytes(c.value))
+        for c in delta.changes
+    ]
+    return ttypes.Changes(delta.revision, changes, delta.whole)
+
+
+def read_delta(value: ttypes.Changes) -> Delta:
+    """Return changes that came from a peer."""
+    changes = tuple(
+        Change(
+            kind=c.kind,
+            name=c.name,
+            revision=c.revision,
+            value=REMOVED if c.value is None else msgspec.Raw(c.value),
+        )
+        for c in value.changes
+    )
+    return Delta(revision=value.revision, changes=changes, whole=value.whole)
+
+
+def _key(host: Host) -> str:
+    return f"{host.ip}:{host.peer_port}"
--- /dev/null
+++ b/src/wagtailloft/adapters/sockets.py
@@ -0,0 +1,23 @@
+"""Socket options that find connections gone silent."""
+
+import socket
+
+USER_TIMEOUT_MS = 5_000
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_COUNT = 3
+
+OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+)
+
+
+def tune(sock: socket.socket) -> None:
+    """Set the options on a connected socket."""
+    for option in OPTIONS:
+        sock.setsockopt(*option)
--- /dev/null
+++ b/src/wagtailloft/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: board and time in, entries and intents out."""
--- /dev/null
+++ b/src/wagtailloft/controllers/limits.py
@@ -0,0 +1,160 @@
+"""Share a team's rate over all hosts: a bucket at the limit owner, a purse at each entry."""
+
+import math
+from dataclasses import dataclass
+
+from wagtailloft.models import Record, Team
+
+LIFETIME_S = 1.0
+BATCH_TIME_S = 0.1
+BATCH_SHARE = 0.5
+USE_MEMORY_S = 1.0
+WHOLE = 1e-9
+
+
+class Ask(Record):
+    """Ask for tokens; held counts those the host still has."""
+
+    team: str
+    host: str
+    number: int
+    held: float
+    wanted: float
+
+
+class Grant(Record):
+    """Give tokens; wait tells after how many seconds another ask may succeed."""
+
+    number: int
+    tokens: float
+    wait: float = 0.0
+
+
+@dataclass(kw_only=True)
+class _Out:
+    number: int = -1
+    tokens: float = 0.0
+    expires: float = 0.0
+
+
+class Bucket:
+    """Hold a team's tokens at the limit owner.
+
+    Tokens here and tokens out never exceed the burst together.
+    """
+
+    def __init__(self, *, team: Team, now: float, blocked_until: float = 0.0) -> None:
+        self.team = team
+        self._blocked_until = blocked_until
+        self._tokens = 0.0 if blocked_until else team.burst
+        self._updated = blocked_until or now
+        self._out: dict[str, _Out] = {}
+
+    @property
+    def out(self) -> float:
+        """Return how many tokens hosts may still hold."""
+        return sum(o.tokens for o in self._out.values())
+
+    def change(self, team: Team, now: float) -> None:
+        """Take a new rate and burst."""
+        self._refill(now)
+        self.team = team
+        self._cap()
+
+    def take(self, ask: Ask, now: float) -> Grant | None:
+        """Grant tokens; return None for an ask that came late."""
+        self._refill(now)
+        out = self._out.setdefault(ask.host, _Out())
+        if ask.number <= out.number:
+            return None
+        out.number = ask.number
+        out.tokens = min(out.tokens, ask.held)
+        self._cap()
+        if now < self._blocked_until:
+            return Grant(number=ask.number, tokens=0.0, wait=self._blocked_until - now)
+        tokens = float(math.floor(min(self._batch(ask.wanted), self._tokens + WHOLE)))
+        if tokens > 0:
+            self._tokens = max(0.0, self._tokens - tokens)
+            out.tokens += tokens
+            out.expires = now + LIFETIME_S
+        wait = 0.0 if tokens or not ask.wanted else self._wait()
+        return Grant(number=ask.number, tokens=tokens, wait=wait)
+
+    def _batch(self, wanted: float) -> float:
+        holders = max(1, len(self._out))
+        share = max(1.0, self.team.burst * BATCH_SHARE / holders)
+        return min(wanted, share)
+
+    def _wait(self) -> float:
+        return max(0.001, (1.0 - self._tokens) / self.team.rate)
+
+    def _refill(self, now: float) -> None:
+        self._expire(now)
+        if now <= self._updated:
+            return
+        self._tokens += self.team.rate * (now - self._updated)
+        self._updated = now
+        self._cap()
+
+    def _cap(self) -> None:
+        self._tokens = max(0.0, min(self._tokens, self.team.burst - self.out))
+
+    def _expire(self, now: float) -> None:
+        for host in [h for h, o in self._out.items() if o.expires <= now]:
+            out = self._out[host]
+            out.tokens = 0.0
+            if now - out.expires > USE_MEMORY_S * 60:
+                del self._out[host]
+
+
+class Purse:
+    """Hold a team's tokens at one entry."""
+
+    def __init__(self, *, team: str, host: str) -> None:
+        self.team = team
+        self.host = host
+        self._batches: list[tuple[float, float]] = []
+        self._number = 0
+        self._used = 0.0
+        self._used_at = 0.0
+        self.unreported = 0.0
+
+    def spend(self, now: float) -> bool:
+        """Use one token that has not expired; return False if there is none."""
+        self._drop(now)
+        self._decay(now)
+        if not self._batches:
+            return False
+        tokens, expires = self._batches[0]
+        if tokens > 1:
+            self._batches[0] = (tokens - 1, expires)
+        else:
+            del self._batches[0]
+        self._used += 1
+        self.unreported += 1
+        return True
+
+    def ask(self, waiting: int, now: float) -> Ask:
+        """Return the next ask: for those that wait and for the use expected soon."""
+        self._drop(now)
+        self._decay(now)
+        self._number += 1
+        self.unreported = 0.0
+        wanted = 0.0
+        if waiting:
+            wanted = waiting + math.floor(self._used / USE_MEMORY_S * BATCH_TIME_S)
+        held = sum(tokens for tokens, _ in self._batches)
+        return Ask(team=self.team, host=self.host, number=self._number, held=held, wanted=wanted)
+
+    def add(self, grant: Grant, asked: float) -> None:
+        """Take granted tokens; their lifetime started when they were asked for."""
+        if grant.tokens > 0:
+            self._batches.append((grant.tokens, asked + LIFETIME_S))
+
+    def _drop(self, now: float) -> None:
+        self._batches = [b for b in self._batches if b[1] > now]
+
+    def _decay(self, now: float) -> None:
+        passed = now - self._used_at
+        self._used *= math.exp(-passed / USE_MEMORY_S)
+        self._used_at = now
--- /dev/null
+++ b/src/wagtailloft/election.py
@@ -0,0 +1,203 @@
+"""Carry out a promotion: claim a term, fence a majority, promote, publish, let the rest follow."""
+
+import threading
+import time
+import uuid
+from concurrent.futures import Future, ThreadPoolExecutor, as_completed
+from concurrent.futures import TimeoutError as FutureTimeout
+
+from result import Err, Ok
+
+from wagtailloft import logs
+from wagtailloft.adapters.members import Control, MemberRefused
+from wagtailloft.adapters.platform import Conflict, Platform
+from wagtailloft.controllers.failover import best
+from wagtailloft.decisions import Decisions
+from wagtailloft.errors import Silent
+from wagtailloft.models import Group, Leadership, Member, Progress, Record
+from wagtailloft.watch import GroupWatch, MakeControl
+
+CLAIM_TIMEOUT_S = 0.4
+FENCE_TIMEOUT_S = 0.5
+FENCE_GRACE_S = 0.05
+
+
+class Fence(Record):
+    """Order a member to take a term for one claimant."""
+
+    term: int
+    claimant: str
+
+
+class Follow(Record):
+    """Order a member to replicate from the primary of a term."""
+
+    term: int
+    source: str
+
+
+class Election:
+    """Promote a member of one group."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        watch: GroupWatch,
+        controls: MakeControl,
+        platform: Platform,
+        decisions: Decisions,
+    ) -> None:
+        self._host = host
+        self._watch = watch
+        self._controls = controls
+        self._platform = platform
+        self._decisions = decisions
+        self._publishing = threading.Lock()
+        self._claimant = host
+        self.published = Leadership()
+
+    @property
+    def group(self) -> Group:
+        """Return the group as it is described now."""
+        return self._watch.group
+
+    def run(self, why: str, alone: bool) -> bool:
+        """Promote the best member; return False if the election did not succeed."""
+        started = time.monotonic()
+        self._claimant = f"{self._host}/{uuid.uuid4().hex[:8]}"
+        self._watch.note_election(started)
+        term = self._watch.view().term + 1
+        self._note("election started", f"term {term}: {why}")
+        term = self._claim(term, alone)
+        if term == 0:
+            return False
+        reports = self._fence(term)
+        majority = len(self.group.members) // 2 + 1
+        if len(reports) < majority:
+            self._note("election given up", f"{len(reports)} members took term {term}")
+            return False
+        leaving = frozenset(m.name for m in self.group.members if m.leaving)
+        chosen = best(reports, leaving)
+        if not self._promote(chosen.name, term):
+            return False
+        took = time.monotonic() - started
+        why = f"{chosen.name} leads term {term} from {chosen.received} after {took:.3f} s"
+        self._note("promoted", why)
+        self.follow(tuple(m.name for m in self.group.members if m.name != chosen.name))
+        return True
+
+    def follow(self, names: tuple[str, ...]) -> None:
+        """Point members at the present primary."""
+        view = self._watch.view()
+        if view.primary is None:
+            return
+        leader = view.primary.member
+        order = Follow(term=view.term, source=f"{leader.ip}:{leader.control_port}")
+        members = [m for m in self.group.members if m.name in names]
+        with ThreadPoolExecutor(max(1, len(members))) as executor:
+            for report in executor.map(lambda m: self._order(m, "follow", order), members):
+                if report is not None:
+                    self._watch.report(report)
+
+    def publish(self) -> None:
+        """Write the present term and primary to the platform if it shows older ones."""
+        view = self._watch.view()
+        if view.primary is None or view.term <= self.published.term:
+            return
+        if not self._publishing.acquire(blocking=False):
+            return
+        try:
+            name = view.primary.member.name
+            wanted = Leadership(term=view.term, primary=name, claimant=self._host)
+            self._write(wanted, CLAIM_TIMEOUT_S * 2)
+        finally:
+            self._publishing.release()
+
+    def _claim(self, term: int, alone: bool) -> int:
+        claim = Leadership(term=term, claimant=self._claimant)
+        written = self._write(claim, CLAIM_TIMEOUT_S)
+        if isinstance(written, Ok):
+            return written.ok_value.term
+        if isinstance(written.err_value, Conflict):
+            self._note("claim lost", "another host claimed a term first")
+            return 0
+        if not alone:
+            self._note("claim waits", "the platform does not answer")
+            return 0
+        self._note("claim by members alone", "the platform does not answer")
+        return term
+
+    def _write(self, wanted: Leadership, timeout: float) -> Ok[Leadership] | Err:
+        found = self._platform.get("leadership", self.group.name, timeout)
+        if isinstance(found, Err):
+            return found
+        version, known = 0, Leadership()
+        if found.ok_value is not None:
+            version = found.ok_value.revision
+            known = found.ok_value.decode(Leadership)
+        wanted = _after(wanted, known)
+        if wanted is None:
+            return Ok(known)
+        put = self._platform.put("leadership", self.group.name, wanted, version, timeout)
+        if isinstance(put, Err):
+            return put
+        if wanted.primary:
+            self.published = wanted
+        return Ok(wanted)
+
+    def _fence(self, term: int) -> tuple[Progress, ...]:
+        order = Fence(term=term, claimant=self._claimant)
+        members = self.group.members
+        executor = ThreadPoolExecutor(len(members))
+        futs = [executor.submit(self._order, m, "fence", order) for m in members]
+        executor.shutdown(wait=False)
+        return tuple(_gather(futs, len(members) // 2 + 1))
+
+    def _promote(self, name: str, term: int) -> bool:
+        member = next(m for m in self.group.members if m.name == name)
+        report = self._order(member, "promote", Fence(term=term, claimant=self._claimant))
+        if report is None:
+            self._note("election given up", f"{name} was not promoted in term {term}")
+            return False
+        self._watch.report(report)
+        return True
+
+    def _order(self, member: Member, action: str, order: Record) -> Progress | None:
+        control: Control = self._controls(member)
+        try:
+            return control.order(action, order)
+        except (Silent, MemberRefused) as exc:
+            logs.event("order_failed", member=member.name, action=action, why=exc)
+            return None
+
+    def _note(self, what: str, why: str) -> None:
+        logs.event("failover", group=self.group.name, what=what, why=why)
+        self._decisions.add(self.group.name, what, why)
+
+
+def _after(wanted: Leadership, known: Leadership) -> Leadership | None:
+    if wanted.primary:
+        return wanted if (wanted.term, 1) > (known.term, bool(known.primary)) else None
+    term = max(wanted.term, known.term + 1)
+    return Leadership(term=term, claimant=wanted.claimant)
+
+
+def _gather(futs: list[Future], enough: int) -> list[Progress]:
+    reports: list[Progress] = []
+    limit = FENCE_TIMEOUT_S
+    started = time.monotonic()
+    pending = set(futs)
+    while pending:
+        left = started + limit - time.monotonic()
+        try:
+            fut = next(as_completed(pending, timeout=max(0.0, left)))
+        except FutureTimeout:
+            break
+        pending.discard(fut)
+        report = fut.result()
+        if report is not None:
+            reports.append(report)
+        if len(reports) >= enough:
+            limit = min(limit, time.monotonic() - started + FENCE_GRACE_S)
+    return reports
--- /dev/null
+++ b/src/wagtailloft/errors.py
@@ -0,0 +1,146 @@
+"""The closed list of error kinds, the answer to each, and the exceptions of the edges."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Ran(Enum):
+    """Say whether a refused or failed request ran."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class Kind(Enum):
+    """Name every way in which a request can fail."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    BAD_SESSION = "bad_session"
+    KEY_MISSING = "key_missing"
+    KEY_UNKNOWN = "key_unknown"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_TRANSACTION = "unknown_transaction"
+    CONFLICT = "conflict"
+    OVER_RATE = "over_rate"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    NO_PRIMARY = "no_primary"
+    NO_REPLICA = "no_replica"
+    NO_OWNER = "no_owner"
+    LIMITS_UNAVAILABLE = "limits_unavailable"
+    SETTINGS_STALE = "settings_stale"
+    STOPPING = "stopping"
+    LOCK_BUSY = "lock_busy"
+    STALE_TERM = "stale_term"
+    SQL_ERROR = "sql_error"
+    TRANSACTION_LOST = "transaction_lost"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_BROKEN = "answer_broken"
+    PLATFORM_DOWN = "platform_down"
+    NO_MAJORITY = "no_majority"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reply:
+    """Hold the answer to one error kind."""
+
+    status: int
+    ran: Ran
+    retry: bool
+    meaning: str
+
+
+def _reply(status: int, ran: Ran, retry: bool, meaning: str) -> Reply:
+    return Reply(status=status, ran=ran, retry=retry, meaning=meaning)
+
+
+REPLIES: dict[Kind, Reply] = {
+    Kind.BAD_REQUEST: _reply(400, Ran.NO, False, "the request is malformed"),
+    Kind.TOO_LARGE: _reply(413, Ran.NO, False, "the body is over the limit"),
+    Kind.BAD_SESSION: _reply(400, Ran.NO, False, "the session token is not one of ours"),
+    Kind.KEY_MISSING: _reply(401, Ran.NO, False, "the route needs a key and none came"),
+    Kind.KEY_UNKNOWN: _reply(401, Ran.NO, False, "the key is unknown or withdrawn"),
+    Kind.FORBIDDEN: _reply(403, Ran.NO, False, "the team may not use this route"),
+    Kind.NOT_FOUND: _reply(404, Ran.NO, False, "no such object or path"),
+    Kind.UNKNOWN_ROUTE: _reply(404, Ran.NO, False, "no such route"),
+    Kind.UNKNOWN_TRANSACTION: _reply(409, Ran.NO, False, "no such open transaction"),
+    Kind.CONFLICT: _reply(409, Ran.NO, False, "the object changed meanwhile"),
+    Kind.OVER_RATE: _reply(429, Ran.NO, True, "the team is over its rate and burst"),
+    Kind.QUEUE_FULL: _reply(429, Ran.NO, True, "the team's queue is full"),
+    Kind.DEADLINE: _reply(504, Ran.NO, True, "the deadline would pass before it could start"),
+    Kind.NO_PRIMARY: _reply(503, Ran.NO, True, "the group has no primary at present"),
+    Kind.NO_REPLICA: _reply(503, Ran.NO, True, "no member can serve this read in time"),
+    Kind.NO_OWNER: _reply(503, Ran.NO, True, "no host that owns the group could be reached"),
+    Kind.LIMITS_UNAVAILABLE: _reply(503, Ran.NO, True, "no host may grant the team's rate now"),
+    Kind.SETTINGS_STALE: _reply(503, Ran.NO, True, "this host can't tell if its keys are current"),
+    Kind.STOPPING: _reply(503, Ran.NO, True, "this host is stopping; connect again"),
+    Kind.LOCK_BUSY: _reply(503, Ran.NO, True, "another transaction holds the lock"),
+    Kind.STALE_TERM: _reply(503, Ran.NO, True, "the member refused an older term"),
+    Kind.SQL_ERROR: _reply(422, Ran.NO, False, "the target refused the statement; no effect"),
+    Kind.TRANSACTION_LOST: _reply(409, Ran.NO, True, "the transaction was rolled back"),
+    Kind.OUTCOME_UNKNOWN: _reply(504, Ran.UNKNOWN, False, "sent, and no answer can be trusted"),
+    Kind.ANSWER_BROKEN: _reply(502, Ran.YES, True, "it ran; its answer did not arrive whole"),
+    Kind.PLATFORM_DOWN: _reply(503, Ran.NO, True, "the platform's object API does not answer"),
+    Kind.NO_MAJORITY: _reply(503, Ran.NO, True, "this host hears too few hosts to accept changes"),
+    Kind.INTERNAL: _reply(500, Ran.UNKNOWN, False, "a fault of wagtailloft itself"),
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """Carry one error kind with its detail to the caller."""
+
+    kind: Kind
+    detail: str = ""
+
+    @property
+    def reply(self) -> Reply:
+        """Return the answer that the table gives for this kind."""
+        return REPLIES[self.kind]
+
+
+class WagtailError(Exception):
+    """Base of every exception that the package raises; kind is the refusal's, if there was one."""
+
+    kind: Kind | None = None
+
+
+class ChangeRequest(WagtailError):
+    """Raised when the caller has to change the request before another try."""
+
+
+class TryAgain(WagtailError):
+    """Raised when the same request may be sent again: it did not run."""
+
+
+class CheckOutcome(WagtailError):
+    """Raised when the caller has to find out whether the request ran."""
+
+
+class FixSettings(WagtailError):
+    """Raised when a settings file has faults; one line for each."""
+
+
+class NotSent(WagtailError):
+    """Raised by a transport that knows the request did not leave or was not started."""
+
+
+class Silent(WagtailError):
+    """Raised by a transport that sent the request and got no whole answer."""
+
+
+def exception_for(refusal: Refusal) -> WagtailError:
+    """Return the exception for a refusal, named for what the caller can do about it."""
+    text = f"{refusal.kind.value}: {refusal.detail or refusal.reply.meaning}"
+    exc: WagtailError = ChangeRequest(text)
+    if refusal.reply.ran is not Ran.NO:
+        exc = CheckOutcome(text)
+    elif refusal.reply.retry:
+        exc = TryAgain(text)
+    exc.kind = refusal.kind
+    return exc
--- /dev/null
+++ b/src/wagtailloft/gate.py
@@ -0,0 +1,112 @@
+"""Admit requests to a member's slots in fair order."""
+
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from result import Err, Ok, Result
+
+from wagtailloft.controllers.fairness import FairQueue, Ticket
+from wagtailloft.errors import Kind, Refusal
+from wagtailloft.models import Record
+from wagtailloft.timers import Clock
+
+
+class Place(Record):
+    """Hold who wants a slot and until when."""
+
+    team: str
+    weight: float
+    deadline: float
+    limit: int
+
+
+class Gate:
+    """Hold the slots of one member."""
+
+    def __init__(self, *, slots: int, clock: Clock = time.monotonic) -> None:
+        self._slots = slots
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._queue = FairQueue(slots=slots)
+        self._granted: dict[int, threading.Event] = {}
+        self._busy = 0
+        self._paused = False
+
+    @property
+    def busy(self) -> int:
+        """Return how many slots are in use."""
+        return self._busy
+
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait."""
+        return len(self._queue)
+
+    def expected_wait(self) -> float:
+        """Return the expected wait for a slot in seconds."""
+        with self._lock:
+            return 0.0 if self._busy < self._slots else self._queue.wait(self._slots)
+
+    def pause(self, paused: bool) -> None:
+        """Hold back or let go the requests that wait."""
+        with self._lock:
+            self._paused = paused
+            self._admit()
+
+    @contextmanager
+    def slot(self, place: Place) -> Iterator[Result[float, Refusal]]:
+        """Wait for a slot and hold it; yields the time waited in seconds or a refusal."""
+        admitted = self._enter(place)
+        if isinstance(admitted, Err):
+            yield admitted
+            return
+        ticket = admitted.ok_value
+        started = self._clock()
+        try:
+            yield Ok(started - ticket.queued)
+        finally:
+            self._leave(ticket, self._clock() - started)
+
+    def _enter(self, place: Place) -> Result[Ticket, Refusal]:
+        granted = threading.Event()
+        with self._lock:
+            now = self._clock()
+            pushed = self._queue.push(
+                team=place.team,
+                weight=place.weight,
+                deadline=place.deadline,
+                limit=place.limit,
+                now=now,
+            )
+            if isinstance(pushed, Err):
+                return pushed
+            ticket = pushed.ok_value
+            self._granted[ticket.number] = granted
+            self._admit()
+        if granted.wait(max(0.0, place.deadline - now)):
+            return Ok(ticket)
+        return self._give_up(ticket, granted)
+
+    def _give_up(self, ticket: Ticket, granted: threading.Event) -> Result[Ticket, Refusal]:
+        with self._lock:
+            if granted.is_set():
+                return Ok(ticket)
+            self._granted.pop(ticket.number)
+            self._queue.remove(ticket)
+        return Err(Refusal(kind=Kind.DEADLINE, detail="no slot came free in time"))
+
+    def _leave(self, ticket: Ticket, used: float) -> None:
+        with self._lock:
+            self._busy -= 1
+            self._queue.finish(ticket, used)
+            self._admit()
+
+    def _admit(self) -> None:
+        while self._busy < self._slots and not self._paused:
+            ticket = self._queue.pop()
+            if ticket is None:
+                return
+            self._busy += 1
+            self._granted.pop(ticket.number).set()
--- /dev/null
+++ b/src/wagtailloft/gossip.py
@@ -0,0 +1,186 @@
+"""Trade digests with peers: who lives, which settings are in force, how fresh they are."""
+
+import threading
+import time
+from concurrent.futures import Executor
+
+import msgspec
+
+from wagtailloft import logs
+from wagtailloft.adapters.peers import Digest, Peers
+from wagtailloft.controllers.membership import Membership
+from wagtailloft.controllers.spread import Freshness, Heard, Objects, State
+from wagtailloft.decisions import Decisions
+from wagtailloft.errors import NotSent, Silent
+from wagtailloft.models import Change, Host, HostState
+
+INTERVAL_S = 0.5
+FANOUT = 3
+HELPERS = 2
+
+
+class Gossip:
+    """Keep membership and settings in step with the peers."""
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        objects: Objects,
+        freshness: Freshness,
+        peers: Peers,
+        executor: Executor,
+        decisions: Decisions,
+    ) -> None:
+        self._membership = membership
+        self._objects = objects
+        self._freshness = freshness
+        self._peers = peers
+        self._executor = executor
+        self._decisions = decisions
+        self._lock = threading.RLock()
+        objects.watch("host", self._host_changed)
+
+    def hosts(self) -> tuple[Host, ...]:
+        """Return every known host."""
+        with self._lock:
+            return self._membership.hosts()
+
+    def find(self, name: str) -> Host | None:
+        """Return a host by name."""
+        with self._lock:
+            return self._membership.find(name)
+
+    def own(self) -> Host:
+        """Return this host as its peers should see it."""
+        with self._lock:
+            return self._membership.own
+
+    def listed(self) -> frozenset[str]:
+        """Return the names of the hosts that the platform's objects list, and our own."""
+        names = {c.name for c in self._objects.all("host")}
+        return frozenset(names | {self.own().name})
+
+    def state(self) -> State:
+        """Return how far this host's settings can be trusted."""
+        return self._freshness.state(self.listed(), time.monotonic())
+
+    def hears_majority(self) -> bool:
+        """Tell whether this host hears a majority of the listed hosts."""
+        return self._freshness.majority(self.listed(), time.monotonic())
+
+    def tick(self) -> None:
+        """Trade digests with the next few peers."""
+        with self._lock:
+            targets = self._membership.targets(FANOUT)
+            died = self._membership.tick(time.monotonic())
+        for host in died:
+            logs.warn("host_dead", host=host.name)
+            self._decisions.add(host.name, "dead", "no answer to us nor to those we asked")
+        for host in targets:
+            self._executor.submit(self.exchange, host)
+
+    def push(self) -> None:
+        """Tell a few peers at once that something changed here."""
+        with self._lock:
+            targets = self._membership.targets(FANOUT)
+        for host in targets:
+            self._executor.submit(self.exchange, host)
+
+    def leave(self) -> None:
+        """Tell every live peer that this host is stopping."""
+        with self._lock:
+            self._membership.leave(time.monotonic())
+            live = [h for h in self._membership.hosts() if h.state is HostState.ALIVE]
+        for host in live:
+            self._executor.submit(self.exchange, host)
+
+    def digest(self) -> Digest:
+        """Return what this host tells its peers."""
+        now = time.monotonic()
+        with self._lock:
+            news = self._membership.news()
+        return Digest(
+            sender=self.own().name,
+            revision=self._objects.revision,
+            platform_age=min(self._freshness.age(now), 1e9),
+            fresh=self._freshness.fresh(now),
+            news=news,
+        )
+
+    def answer(self, digest: Digest) -> Digest:
+        """Take a peer's digest and return ours."""
+        self._merge(digest)
+        sender = self.find(digest.sender)
+        reply = self.digest()
+        if sender is None:
+            return reply
+        if digest.revision > reply.revision:
+            self._executor.submit(self._catch_up, sender)
+        if sender.state in (HostState.SUSPECT, HostState.DEAD):
+            return msgspec.structs.replace(reply, news=(*reply.news, sender))
+        return reply
+
+    def exchange(self, host: Host) -> bool:
+        """Trade digests with one peer; suspect it if nobody reaches it."""
+        asked = time.monotonic()
+        try:
+            digest = self._peers.exchange(host, self.digest())
+        except (NotSent, Silent):
+            self._unanswered(host)
+            return False
+        with self._lock:
+            self._membership.heard(host.name, time.monotonic())
+        self._merge(digest)
+        if digest.revision > self._objects.revision:
+            self._catch_up(host)
+        heard = Heard(asked=asked, platform_age=digest.platform_age, fresh=digest.fresh)
+        caught_up = self._objects.revision >= digest.revision
+        self._freshness.heard(host.name, heard, caught_up)
+        return True
+
+    def reaches(self, name: str) -> bool:
+        """Tell whether a host answers us now, on behalf of a peer."""
+        host = self.find(name)
+        if host is None:
+            return False
+        try:
+            self._peers.exchange(host, self.digest())
+        except (NotSent, Silent):
+            return False
+        return True
+
+    def _merge(self, digest: Digest) -> None:
+        now = time.monotonic()
+        with self._lock:
+            fresh = [h for h in digest.news if self._membership.merge(h, now)]
+        for host in fresh:
+            logs.event("host_news", host=host.name, state=host.state.value, via=digest.sender)
+
+    def _catch_up(self, host: Host) -> None:
+        try:
+            delta = self._peers.pull(host, self._objects.revision)
+        except (NotSent, Silent):
+            return
+        if self._objects.apply(delta):
+            logs.event("settings_applied", revision=delta.revision, via=host.name)
+            self.push()
+
+    def _unanswered(self, host: Host) -> None:
+        with self._lock:
+            helpers = self._membership.helpers(host.name, HELPERS)
+        for helper in helpers:
+            try:
+                if self._peers.probe(helper, host.name):
+                    return
+            except (NotSent, Silent):
+                continue
+        with self._lock:
+            self._membership.missed(host.name, time.monotonic())
+
+    def _host_changed(self, change: Change) -> None:
+        with self._lock:
+            if change.removed:
+                self._membership.forget(change.name)
+                return
+            self._membership.merge(change.decode(Host), time.monotonic())
--- /dev/null
+++ b/src/wagtailloft/leases.py
@@ -0,0 +1,186 @@
+"""Hold the leases that allow this host to grant rates."""
+
+import threading
+import time
+from dataclasses import dataclass
+
+from result import Err
+
+from wagtailloft import logs
+from wagtailloft.adapters.platform import Conflict, Platform
+from wagtailloft.catalog import Catalog
+from wagtailloft.controllers.limits import LIFETIME_S
+from wagtailloft.controllers.ownership import LIMIT_SHARDS, owners
+from wagtailloft.controllers.spread import STALE_S, State
+from wagtailloft.decisions import Decisions
+from wagtailloft.gossip import Gossip
+from wagtailloft.models import Epoch, Lease
+
+DURATION_S = 3.0
+RENEW_S = 1.0
+MARGIN_S = 0.2
+SPREAD_S = 1.0
+CALL_TIMEOUT_S = 0.8
+
+
+class Right:
+    """Name the right to grant within one epoch, and from when."""
+
+    def __init__(self, *, epoch: int, since: float) -> None:
+        self.epoch = epoch
+        self.since = since
+
+
+@dataclass(kw_only=True)
+class _Shard:
+    name: str
+    version: int = 0
+    lease: Lease | None = None
+    seen: float = 0.0
+    held_until: float = 0.0
+    grants_from: float = 0.0
+    renewed: float = 0.0
+
+
+class Leases:
+    """Take, renew and release the leases of the shards that this host should own."""
+
+    def __init__(
+        self,
+        *,
+        holder: str,
+        platform: Platform,
+        gossip: Gossip,
+        catalog: Catalog,
+        decisions: Decisions,
+    ) -> None:
+        self._holder = holder
+        self._platform = platform
+        self._gossip = gossip
+        self._catalog = catalog
+        self._decisions = decisions
+        self._lock = threading.Lock()
+        self._shards = {f"shard-{i}": _Shard(name=f"shard-{i}") for i in range(LIMIT_SHARDS)}
+
+    def right(self, shard: str) -> Right | None:
+        """Return the right to grant for a shard now, or None."""
+        state = self._shards[shard]
+        lease = state.lease
+        if lease is None or lease.holder != self._holder:
+            return None
+        if time.monotonic() >= state.held_until and not self._goes_on(state):
+            return None
+        return Right(epoch=lease.epoch, since=state.grants_from)
+
+    def held(self) -> tuple[str, ...]:
+        """Return the shards that this host may grant for."""
+        return tuple(name for name in self._shards if self.right(name) is not None)
+
+    def tick(self) -> None:
+        """Take, renew or release what is due."""
+        if not self._lock.acquire(blocking=False):
+            return
+        try:
+            for shard in self._shards.values():
+                self._tick(shard, time.monotonic())
+        finally:
+            self._lock.release()
+
+    def release(self) -> None:
+        """Release every lease that this host holds."""
+        with self._lock:
+            for shard in self._shards.values():
+                if shard.lease is not None and shard.lease.holder == self._holder:
+                    self._release(shard)
+
+    def _tick(self, shard: _Shard, now: float) -> None:
+        mine = self._is_mine(shard.name)
+        holds = shard.lease is not None and shard.lease.holder == self._holder
+        if holds and not mine:
+            self._release(shard)
+        elif holds and now - shard.renewed >= RENEW_S:
+            self._renew(shard)
+        elif mine and not holds:
+            self._approach(shard, now)
+
+    def _is_mine(self, name: str) -> bool:
+        first = owners(name, self._gossip.hosts())[:1]
+        return bool(first) and first[0].name == self._gossip.own().name
+
+    def _goes_on(self, shard: _Shard) -> bool:
+        """Tell whether the platform is down for all, so that nobody can have followed us."""
+        if self._gossip.state() is not State.OUTAGE:
+            return False
+        epoch = self._catalog.find(Epoch, shard.name)
+        return epoch is not None and epoch.epoch == shard.lease.epoch
+
+    def _approach(self, shard: _Shard, now: float) -> None:
+        found = self._platform.get("lease", shard.name, CALL_TIMEOUT_S)
+        if isinstance(found, Err):
+            return
+        change = found.ok_value
+        if change is None:
+            self._take(shard, 0, Lease(name=shard.name), 0.0)
+            return
+        lease = change.decode(Lease)
+        if change.revision != shard.version:
+            shard.version, shard.lease, shard.seen = change.revision, lease, now
+        if not lease.holder:
+            self._take(shard, change.revision, lease, LIFETIME_S)
+        elif now - shard.seen >= DURATION_S and self._gossip.hears_majority():
+            self._take(shard, change.revision, lease, STALE_S + SPREAD_S + LIFETIME_S)
+
+    def _take(self, shard: _Shard, version: int, old: Lease, wait: float) -> None:
+        lease = Lease(name=shard.name, holder=self._holder, epoch=old.epoch + 1)
+        if not self._write(shard, lease, version):
+            return
+        if not self._announce(shard, lease):
+            return
+        shard.grants_from = time.monotonic() + wait if wait else 0.0
+        why = f"epoch {lease.epoch}, grants after {wait:.1f} s, before it {old.holder or 'nobody'}"
+        logs.event("lease_taken", shard=shard.name, why=why)
+        self._decisions.add(shard.name, "lease taken", why)
+
+    def _renew(self, shard: _Shard) -> None:
+        lease = shard.lease
+        renewed = Lease(
+            name=lease.name,
+            holder=lease.holder,
+            epoch=lease.epoch,
+            renewals=lease.renewals + 1,
+        )
+        self._write(shard, renewed, shard.version)
+
+    def _release(self, shard: _Shard) -> None:
+        shard.held_until = 0.0
+        lease = Lease(name=shard.name, epoch=shard.lease.epoch)
+        self._write(shard, lease, shard.version)
+        shard.held_until = 0.0
+        shard.lease = None
+        logs.event("lease_released", shard=shard.name)
+
+    def _write(self, shard: _Shard, lease: Lease, version: int) -> bool:
+        asked = time.monotonic()
+        put = self._platform.put("lease", shard.name, lease, version, CALL_TIMEOUT_S)
+        if isinstance(put, Err):
+            if isinstance(put.err_value, Conflict):
+                shard.lease = None
+            return False
+        shard.version = put.ok_value.revision
+        shard.lease = lease
+        shard.renewed = asked
+        shard.held_until = asked + DURATION_S - MARGIN_S
+        return True
+
+    def _announce(self, shard: _Shard, lease: Lease) -> bool:
+        epoch = Epoch(name=shard.name, holder=lease.holder, epoch=lease.epoch)
+        found = self._platform.get("epoch", shard.name, CALL_TIMEOUT_S)
+        version = 0
+        if found.is_ok() and found.ok_value is not None:
+            version = found.ok_value.revision
+        put = self._platform.put("epoch", shard.name, epoch, version, CALL_TIMEOUT_S)
+        if isinstance(put, Err):
+            shard.held_until = 0.0
+            shard.lease = None
+            return False
+        return True
--- /dev/null
+++ b/src/wagtailloft/limits.py
@@ -0,0 +1,167 @@
+"""Keep each team within its rate and burst over all hosts."""
+
+import threading
+import time
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from wagtailloft.adapters.peers import Peers
+from wagtailloft.catalog import Catalog
+from wagtailloft.controllers.limits import Ask, Bucket, Grant, Purse
+from wagtailloft.controllers.ownership import owners, shard
+from wagtailloft.errors import Kind, NotSent, Refusal, Silent
+from wagtailloft.gossip import Gossip
+from wagtailloft.leases import Leases
+from wagtailloft.metrics import Metrics
+from wagtailloft.models import Team
+
+PATIENCE_S = 0.25
+RETRY_S = 0.05
+REPORT_S = 0.05
+TOKEN_TIMEOUT_S = 0.5
+
+
+@dataclass(kw_only=True)
+class _Held:
+    bucket: Bucket
+    epoch: int
+
+
+class LimitOwner:
+    """Grant tokens for the teams whose lease this host holds."""
+
+    def __init__(self, *, leases: Leases, catalog: Catalog, metrics: Metrics) -> None:
+        self._leases = leases
+        self._catalog = catalog
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._buckets: dict[str, _Held] = {}
+
+    def grant(self, ask: Ask) -> Result[Grant, Refusal]:
+        """Grant tokens, or refuse while this host may not."""
+        right = self._leases.right(shard(ask.team))
+        if right is None:
+            return Err(Refusal(kind=Kind.LIMITS_UNAVAILABLE, detail="no lease"))
+        now = time.monotonic()
+        if now < right.since:
+            return Err(Refusal(kind=Kind.LIMITS_UNAVAILABLE, detail="the lease is new"))
+        team = self._catalog.find(Team, ask.team) or Team(name=ask.team)
+        with self._lock:
+            bucket = self._bucket(team, right.epoch, right.since, now)
+            grant = bucket.take(ask, now)
+            self._metrics.tokens_out.labels(team.name).set(bucket.out)
+        if grant is None:
+            return Err(Refusal(kind=Kind.LIMITS_UNAVAILABLE, detail="the ask came late"))
+        return Ok(grant)
+
+    def _bucket(self, team: Team, epoch: int, since: float, now: float) -> Bucket:
+        held = self._buckets.get(team.name)
+        if held is None or held.epoch != epoch:
+            bucket = Bucket(team=team, now=now, blocked_until=since)
+            held = _Held(bucket=bucket, epoch=epoch)
+            self._buckets[team.name] = held
+        if held.bucket.team != team:
+            held.bucket.change(team, now)
+        return held.bucket
+
+
+@dataclass(kw_only=True)
+class _Account:
+    purse: Purse
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    asking: threading.Lock = field(default_factory=threading.Lock)
+    waiting: int = 0
+
+
+class Limits:
+    """Admit requests at an entry against tokens from the limit owner."""
+
+    def __init__(self, *, holder: str, gossip: Gossip, peers: Peers, owner: LimitOwner) -> None:
+        self._holder = holder
+        self._gossip = gossip
+        self._peers = peers
+        self._owner = owner
+        self._lock = threading.Lock()
+        self._accounts: dict[str, _Account] = {}
+
+    def admit(self, team: str, deadline: float) -> Result[None, Refusal]:
+        """Use one of a team's tokens, asking for more if need be."""
+        account = self._account(team)
+        if self._spend(account):
+            return Ok(None)
+        with account.lock:
+            account.waiting += 1
+        try:
+            return self._wait(account, deadline)
+        finally:
+            with account.lock:
+                account.waiting -= 1
+
+    def report(self) -> None:
+        """Tell limit owners what was spent, so that their buckets can refill."""
+        for account in list(self._accounts.values()):
+            if account.purse.unreported and account.asking.acquire(blocking=False):
+                try:
+                    self._ask(account)
+                finally:
+                    account.asking.release()
+
+    def _wait(self, account: _Account, deadline: float) -> Result[None, Refusal]:
+        patience = time.monotonic() + PATIENCE_S
+        while True:
+            if not account.asking.acquire(timeout=max(0.0, deadline - time.monotonic())):
+                return Err(Refusal(kind=Kind.DEADLINE, detail="no rate token came in time"))
+            try:
+                if self._spend(account):
+                    return Ok(None)
+                asked = self._ask(account)
+                if self._spend(account):
+                    return Ok(None)
+            finally:
+                account.asking.release()
+            refusal, pause = self._judge(asked)
+            until = deadline if refusal.kind is Kind.LIMITS_UNAVAILABLE else min(deadline, patience)
+            if time.monotonic() + pause >= until:
+                return Err(refusal)
+            time.sleep(pause)
+
+    def _judge(self, asked: Result[Grant, Refusal]) -> tuple[Refusal, float]:
+        if isinstance(asked, Err):
+            return asked.err_value, RETRY_S
+        wait = asked.ok_value.wait
+        detail = f"the next token comes in {wait:.3f} s"
+        return Refusal(kind=Kind.OVER_RATE, detail=detail), max(0.001, wait)
+
+    def _spend(self, account: _Account) -> bool:
+        with account.lock:
+            return account.purse.spend(time.monotonic())
+
+    def _ask(self, account: _Account) -> Result[Grant, Refusal]:
+        asked = time.monotonic()
+        with account.lock:
+            ask = account.purse.ask(account.waiting, asked)
+        granted = self._send(ask)
+        if isinstance(granted, Ok):
+            with account.lock:
+                account.purse.add(granted.ok_value, asked)
+        return granted
+
+    def _send(self, ask: Ask) -> Result[Grant, Refusal]:
+        hosts = owners(shard(ask.team), self._gossip.hosts())
+        if not hosts:
+            return Err(Refusal(kind=Kind.LIMITS_UNAVAILABLE, detail="no live host"))
+        if hosts[0].name == self._gossip.own().name:
+            return self._owner.grant(ask)
+        try:
+            return self._peers.tokens(hosts[0], ask)
+        except (NotSent, Silent) as exc:
+            return Err(Refusal(kind=Kind.LIMITS_UNAVAILABLE, detail=str(exc)))
+
+    def _account(self, team: str) -> _Account:
+        with self._lock:
+            account = self._accounts.get(team)
+            if account is None:
+                account = _Account(purse=Purse(team=team, host=self._holder))
+                self._accounts[team] = account
+            return account
--- /dev/null
+++ b/src/wagtailloft/member.py
@@ -0,0 +1,59 @@
+"""One member as its owner uses it: connections and slots."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from result import Err, Ok, Result
+
+from wagtailloft.adapters.members import HttpLink, Link
+from wagtailloft.errors import Refusal
+from wagtailloft.gate import Gate, Place
+from wagtailloft.models import Group, Member
+from wagtailloft.pool import Pool
+from wagtailloft.timers import Clock
+
+OWN_SHARE = 2
+
+MakeLink = Callable[[Member], Link]
+
+
+def http_link(member: Member) -> Link:
+    """Return a new open connection to a member; raise NotSent."""
+    link = HttpLink(member=member)
+    link.connect()
+    return link
+
+
+class MemberDesk:
+    """Hold one member's connections, at most half of what it accepts, and its slots."""
+
+    def __init__(self, *, group: Group, member: Member, connect: MakeLink, clock: Clock) -> None:
+        limit = max(1, group.connections // OWN_SHARE)
+        self.member = member
+        self.pool = Pool(connect=lambda: connect(member), limit=limit)
+        self.gate = Gate(slots=group.slots, clock=clock)
+        self.slots = group.slots
+        self._clock = clock
+
+    def warm(self) -> None:
+        """Connect ahead of need, one connection a slot."""
+        self.pool.warm(self.slots)
+
+    @contextmanager
+    def session(self, place: Place) -> Iterator[Result[Link, Refusal]]:
+        """Wait for a slot, take a connection, and give both back; raise NotSent."""
+        with self.gate.slot(place) as admitted:
+            if isinstance(admitted, Err):
+                yield admitted
+                return
+            link = self.pool.take(max(0.0, place.deadline - self._clock()))
+            clean = False
+            try:
+                yield Ok(link)
+                clean = True
+            finally:
+                self.pool.give_back(link, clean or link.usable)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self.pool.close()
--- /dev/null
+++ b/src/wagtailloft/owner.py
@@ -0,0 +1,302 @@
+"""The group owner: one group's members, statements, transactions and failover."""
+
+import random
+import threading
+import time
+from dataclasses import dataclass
+
+from result import Err, Result
+
+from wagtailloft import logs
+from wagtailloft.adapters.platform import Platform
+from wagtailloft.board import Board
+from wagtailloft.catalog import OPEN_TEAM, Catalog
+from wagtailloft.controllers import failover
+from wagtailloft.controllers.failover import Move
+from wagtailloft.decisions import Decisions
+from wagtailloft.election import Election
+from wagtailloft.errors import Kind, Refusal
+from wagtailloft.gate import Gate
+from wagtailloft.member import MakeLink, MemberDesk
+from wagtailloft.metrics import Metrics
+from wagtailloft.models import Action, Answer, Call, Group, Member, Team
+from wagtailloft.statements import Attempt, Statements
+from wagtailloft.transactions import Transactions
+from wagtailloft.watch import GroupWatch, MakeControl
+
+HAND_OVER_LIMIT_S = 3.0
+IDLE_LIMIT_S = 30.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Surroundings:
+    """Hold what every group owner of a daemon shares."""
+
+    host: str
+    board: Board
+    catalog: Catalog
+    platform: Platform
+    metrics: Metrics
+    decisions: Decisions
+    connect: MakeLink
+    controls: MakeControl
+
+
+class GroupOwner:
+    """Serve one group."""
+
+    def __init__(self, *, group: Group, around: Surroundings) -> None:
+        self.group = group
+        self._around = around
+        rng = random.Random()
+        self.watch = GroupWatch(group=group, board=around.board, controls=around.controls)
+        self.desks = {
+            m.name: MemberDesk(group=group, member=m, connect=around.connect, clock=time.monotonic)
+            for m in group.members
+        }
+        self.statements = Statements(
+            watch=self.watch,
+            desks=self.desks,
+            catalog=around.catalog,
+            metrics=around.metrics,
+            decisions=around.decisions,
+            rng=rng,
+        )
+        self.transactions = Transactions(
+            host=around.host,
+            watch=self.watch,
+            desks=self.desks,
+            statements=self.statements,
+            decisions=around.decisions,
+            rng=rng,
+        )
+        self.election = Election(
+            host=around.host,
+            watch=self.watch,
+            controls=around.controls,
+            platform=around.platform,
+            decisions=around.decisions,
+        )
+        self.used = time.monotonic()
+        self.calls = 0
+        self._counting = threading.Lock()
+        self._ticking = threading.Lock()
+
+    def start(self) -> None:
+        """Start heartbeats."""
+        self.watch.start()
+
+    def change(self, group: Group) -> bool:
+        """Take a new description; return False if the members are others than before."""
+        if [_place(m) for m in group.members] != [_place(m) for m in self.group.members]:
+            return False
+        self.group = group
+        self.watch.change(group)
+        return True
+
+    def serve(self, call: Call) -> Result[Answer, Refusal]:
+        """Serve one call of an entry."""
+        with self._counting:
+            self.calls += 1
+        try:
+            return self._serve(call)
+        finally:
+            with self._counting:
+                self.calls -= 1
+
+    def _serve(self, call: Call) -> Result[Answer, Refusal]:
+        self.used = time.monotonic()
+        if self._cut_off():
+            detail = "this host reaches no majority of the members"
+            return Err(Refusal(kind=Kind.NO_OWNER, detail=detail))
+        attempt = self._attempt(call)
+        if call.action is Action.BEGIN:
+            return self.transactions.begin(attempt)
+        if call.action is Action.COMMIT:
+            return self.transactions.commit(attempt)
+        if call.action is Action.ROLLBACK:
+            return self.transactions.rollback(attempt)
+        if call.action is Action.FIND_OUT:
+            refusal = Refusal(kind=Kind.OUTCOME_UNKNOWN, detail="nothing is known of it yet")
+            return self.statements.look_up(attempt, refusal)
+        if call.transaction:
+            return self.transactions.run(attempt)
+        return self.statements.run(attempt)
+
+    def tick(self) -> None:
+        """Do what the group needs now."""
+        if not self._ticking.acquire(blocking=False):
+            return
+        try:
+            self._tick()
+        finally:
+            self._ticking.release()
+
+    def close(self) -> None:
+        """Roll back what is open and let go of the members."""
+        self.transactions.close()
+        self.watch.stop()
+        for desk in self.desks.values():
+            desk.close()
+
+    def _cut_off(self) -> bool:
+        view = self.watch.view()
+        gone = sum(1 for m in view.members if m.misses >= failover.MISSES_TO_FAIL)
+        return len(view.members) - gone < view.majority
+
+    def _attempt(self, call: Call) -> Attempt:
+        catalog = self._around.catalog
+        team = catalog.find(Team, call.team) or OPEN_TEAM
+        return Attempt(
+            call=call,
+            options=catalog.options(call.route, call.group),
+            deadline=time.monotonic() + call.budget,
+            weight=max(0.001, team.weight),
+        )
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        view = self.watch.view()
+        plan = failover.plan(view, now)
+        if plan.move is Move.ELECT:
+            self._elect(plan.why)
+        elif plan.move is Move.FOLLOW:
+            self.election.follow(plan.members)
+        elif plan.move is Move.HAND_OVER:
+            self._hand_over(plan.why)
+        self.transactions.sweep(now)
+        self._measure()
+        self.election.publish()
+        for desk in self.desks.values():
+            if self.watch.reaches(desk.member.name):
+                desk.warm()
+
+    def _elect(self, why: str) -> None:
+        self._around.metrics.elections.labels(self.group.name, why).inc()
+        options = self._around.catalog.options("", self.group.name)
+        self.election.run(why, options.claim_alone)
+
+    def _hand_over(self, why: str) -> None:
+        """Hold new work, let running work end and a replica catch up, then change the term."""
+        primary = self.watch.view().primary
+        if primary is None:
+            return
+        gate = self.desks[primary.member.name].gate
+        gate.pause(True)
+        try:
+            until = time.monotonic() + HAND_OVER_LIMIT_S
+            self._settle(gate, until)
+            self._elect(why)
+        finally:
+            gate.pause(False)
+
+    def _settle(self, gate: Gate, until: float) -> None:
+        while time.monotonic() < until:
+            if gate.busy == 0 and self.transactions.count == 0 and self._level():
+                return
+            time.sleep(0.01)
+
+    def _level(self) -> bool:
+        view = self.watch.view()
+        primary = view.primary
+        if primary is None:
+            return False
+        position = self.watch.ask(primary.member.name).received
+        return any(
+            m.progress.received == position and not m.member.leaving for m in view.reachable()
+        )
+
+    def _measure(self) -> None:
+        metrics, name = self._around.metrics, self.group.name
+        view = self.watch.view()
+        metrics.term.labels(name).set(view.term)
+        head = max((m.progress.received.index for m in view.members if m.progress), default=0)
+        for member in view.members:
+            label = member.member.name
+            desk = self.desks[label]
+            metrics.queued.labels(name, label).set(desk.gate.queued)
+            metrics.busy.labels(name, label).set(desk.gate.busy)
+            metrics.links.labels(name, label).set(desk.pool.open)
+            if member.progress:
+                metrics.lag.labels(name, label).set(head - member.progress.applied.index)
+
+
+class Owners:
+    """Hold the owners of the groups that this daemon serves."""
+
+    def __init__(self, *, around: Surroundings) -> None:
+        self._around = around
+        self._lock = threading.Lock()
+        self._owners: dict[str, GroupOwner] = {}
+
+    def serve(self, call: Call) -> Result[Answer, Refusal]:
+        """Serve a call as the owner of its group, becoming it if need be."""
+        owner = self.find(call.group)
+        if owner is None:
+            return Err(Refusal(kind=Kind.NOT_FOUND, detail="no such group"))
+        return owner.serve(call)
+
+    def find(self, name: str) -> GroupOwner | None:
+        """Return the owner of a group, made if need be, or None if there is no such group."""
+        owner = self._owners.get(name)
+        if owner is not None:
+            return owner
+        group = self._around.catalog.find(Group, name)
+        if group is None:
+            return None
+        with self._lock:
+            if name not in self._owners:
+                logs.event("owns_group", group=name)
+                owner = GroupOwner(group=group, around=self._around)
+                owner.start()
+                self._owners[name] = owner
+            return self._owners[name]
+
+    def held(self) -> tuple[GroupOwner, ...]:
+        """Return the owners that this daemon holds."""
+        return tuple(self._owners.values())
+
+    def active(self) -> int:
+        """Return how many calls and transactions are under way here."""
+        return sum(o.calls + o.transactions.count for o in self.held())
+
+    def change(self, name: str) -> None:
+        """Take a group's new description, or let go of a group that is gone."""
+        owner = self._owners.get(name)
+        if owner is None:
+            return
+        group = self._around.catalog.find(Group, name)
+        if group is None or not owner.change(group):
+            self.drop(name)
+
+    def withdraw(self, key_digest: str) -> None:
+        """End the transactions of a withdrawn key."""
+        for owner in self.held():
+            owner.transactions.withdraw(key_digest)
+
+    def tick(self, mine: frozenset[str]) -> None:
+        """Hold the groups that are this daemon's, and drop others once they are not used."""
+        for name in mine:
+            self.find(name)
+        now = time.monotonic()
+        for name, owner in list(self._owners.items()):
+            idle = now - owner.used > IDLE_LIMIT_S and owner.transactions.count == 0
+            if name not in mine and idle:
+                self.drop(name)
+
+    def drop(self, name: str) -> None:
+        """Let go of a group."""
+        with self._lock:
+            owner = self._owners.pop(name, None)
+        if owner is not None:
+            logs.event("drops_group", group=name)
+            owner.close()
+
+    def close(self) -> None:
+        """Let go of all groups."""
+        for name in list(self._owners):
+            self.drop(name)
+
+
+def _place(member: Member) -> tuple[str, str, int, int]:
+    return member.name, member.ip, member.port, member.control_port
--- /dev/null
+++ b/src/wagtailloft/pool.py
@@ -0,0 +1,96 @@
+"""The connections of one owner to one member."""
+
+import threading
+from collections import deque
+from collections.abc import Callable
+
+from wagtailloft.adapters.members import Link
+from wagtailloft.errors import NotSent, Silent
+
+Connect = Callable[[], Link]
+
+
+class Pool:
+    """Lend connections, at most so many at once, and connect ahead of need."""
+
+    def __init__(self, *, connect: Connect, limit: int) -> None:
+        self._connect = connect
+        self._limit = limit
+        self._changed = threading.Condition()
+        self._idle: deque[Link] = deque()
+        self._open = 0
+        self._closed = False
+
+    @property
+    def limit(self) -> int:
+        """Return how many connections may be open at once."""
+        return self._limit
+
+    @property
+    def open(self) -> int:
+        """Return how many connections are open or being opened."""
+        return self._open
+
+    def warm(self, count: int) -> None:
+        """Connect until so many connections are idle or the limit is reached."""
+        while True:
+            with self._changed:
+                if self._closed or len(self._idle) >= count or self._open >= self._limit:
+                    return
+                self._open += 1
+            try:
+                self._give(self._connect_counted())
+            except (NotSent, Silent):
+                return
+
+    def take(self, timeout: float) -> Link:
+        """Return a connection, waiting for one so many seconds; raise NotSent if none comes."""
+        with self._changed:
+            ready = self._changed.wait_for(self._can_take, timeout=timeout)
+            if not ready or self._closed:
+                raise NotSent("no connection is free")
+            while self._idle:
+                link = self._idle.pop()
+                if link.usable:
+                    return link
+                self._drop(link)
+            self._open += 1
+        return self._connect_counted()
+
+    def give_back(self, link: Link, clean: bool) -> None:
+        """Take a connection back; one that may not be clean is closed."""
+        if clean and link.usable and not self._closed:
+            self._give(link)
+            return
+        with self._changed:
+            self._drop(link)
+            self._changed.notify()
+
+    def close(self) -> None:
+        """Close all idle connections and lend no more."""
+        with self._changed:
+            self._closed = True
+            while self._idle:
+                self._drop(self._idle.pop())
+            self._changed.notify_all()
+
+    def _can_take(self) -> bool:
+        return self._closed or bool(self._idle) or self._open < self._limit
+
+    def _give(self, link: Link) -> None:
+        with self._changed:
+            self._idle.append(link)
+            self._changed.notify()
+
+    def _drop(self, link: Link) -> None:
+        self._open -= 1
+        link.close()
+
+    def _connect_counted(self) -> Link:
+        try:
+            return self._connect()
+        except (NotSent, Silent):
+            with self._changed:
+                self._open -= 1
+                self._changed.notify()
+            raise
--- /dev/null
+++ b/src/wagtailloft/transactions.py
@@ -0,0 +1,266 @@
+"""Open transactions of one group: each holds one connection until commit or rollback."""
+
+import random
+import threading
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from wagtailloft import logs, requests_table
+from wagtailloft.adapters.members import Link, MemberRefused, Outcome, Work
+from wagtailloft.controllers.retries import pause
+from wagtailloft.decisions import Decisions
+from wagtailloft.errors import Kind, NotSent, Refusal, Silent
+from wagtailloft.member import MemberDesk
+from wagtailloft.models import Answer, Position, Rows, Statement
+from wagtailloft.statements import Attempt, Statements
+from wagtailloft.watch import GroupWatch
+
+
+@dataclass(kw_only=True)
+class _Open:
+    id: str
+    team: str
+    route: str
+    key_digest: str
+    term: int
+    desk: MemberDesk
+    link: Link
+    idle_limit: float
+    ends: float
+    used: float
+    busy: threading.Lock = field(default_factory=threading.Lock)
+    ended: bool = False
+
+
+Action = Callable[[Attempt, _Open], Result[Answer, Refusal]]
+
+
+class Transactions:
+    """Begin, run, commit and roll back transactions on the primary of one group."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        watch: GroupWatch,
+        desks: dict[str, MemberDesk],
+        statements: Statements,
+        decisions: Decisions,
+        rng: random.Random,
+    ) -> None:
+        self._host = host
+        self._watch = watch
+        self._desks = desks
+        self._statements = statements
+        self._decisions = decisions
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._open: dict[str, _Open] = {}
+
+    @property
+    def count(self) -> int:
+        """Return how many transactions are open."""
+        return len(self._open)
+
+    def begin(self, attempt: Attempt) -> Result[Answer, Refusal]:
+        """Open a transaction on the primary."""
+        while True:
+            chosen = self._statements.primary(attempt)
+            if isinstance(chosen, Err):
+                return chosen
+            try:
+                return self._begin_on(attempt, chosen.ok_value.member)
+            except (MemberRefused, NotSent, Silent) as exc:
+                wait = pause(attempt.tries, self._rng)
+                attempt.tries += 1
+                if time.monotonic() + wait >= attempt.deadline:
+                    return Err(Refusal(kind=Kind.LOCK_BUSY, detail=str(exc)))
+                time.sleep(wait)
+
+    def run(self, attempt: Attempt) -> Result[Answer, Refusal]:
+        """Run a statement of an open transaction."""
+        return self._with(attempt, self._run)
+
+    def commit(self, attempt: Attempt) -> Result[Answer, Refusal]:
+        """Commit, and answer once a majority has it."""
+        if attempt.call.transaction not in self._open:
+            return self._commit_of_unknown(attempt)
+        committed = self._with(attempt, self._commit)
+        if isinstance(committed, Err) and committed.err_value.kind is Kind.OUTCOME_UNKNOWN:
+            return self._statements.look_up(attempt, committed.err_value)
+        return committed
+
+    def rollback(self, attempt: Attempt) -> Result[Answer, Refusal]:
+        """Roll back an open transaction."""
+        return self._with(attempt, self._rollback)
+
+    def sweep(self, now: float) -> None:
+        """Roll back transactions that idle too long, run too long, or lost their primary."""
+        term = self._watch.view().term
+        for tx in list(self._open.values()):
+            if now > tx.ends:
+                self._end(tx, "it ran over its time limit")
+            elif now - tx.used > tx.idle_limit and not tx.busy.locked():
+                self._end(tx, "it was idle too long")
+            elif tx.term < term:
+                self._end(tx, "its primary was replaced")
+
+    def withdraw(self, key_digest: str) -> None:
+        """Roll back the transactions of a withdrawn key."""
+        for tx in list(self._open.values()):
+            if tx.key_digest == key_digest:
+                self._end(tx, "its key was withdrawn")
+
+    def close(self) -> None:
+        """Roll back all that is open."""
+        for tx in list(self._open.values()):
+            self._end(tx, "the owner is stopping")
+
+    def _begin_on(self, attempt: Attempt, member: str) -> Result[Answer, Refusal]:
+        call, desk = attempt.call, self._desks[member]
+        if len(self._open) >= self._limit(desk):
+            raise NotSent("all connections for transactions are in use")
+        with desk.gate.slot(attempt.place()) as admitted:
+            if isinstance(admitted, Err):
+                return admitted
+            link = desk.pool.take(attempt.left())
+            term = self._watch.view().term
+            begun = False
+            try:
+                link.call("begin", Work(term=term, mode="write"), attempt.left())
+                begun = True
+            finally:
+                if not begun:
+                    desk.pool.give_back(link, link.usable)
+        now = time.monotonic()
+        tx = _Open(
+            id=f"{self._host}.{uuid.uuid4().hex}",
+            team=call.team,
+            route=call.route,
+            key_digest=call.key_digest,
+            term=term,
+            desk=desk,
+            link=link,
+            idle_limit=attempt.options.transaction_idle,
+            ends=now + attempt.options.transaction_limit,
+            used=now,
+        )
+        with self._lock:
+            self._open[tx.id] = tx
+        return Ok(self._answer(attempt, tx, Rows(), Position()))
+
+    def _limit(self, desk: MemberDesk) -> int:
+        return max(1, desk.pool.limit - desk.slots)
+
+    def _with(self, attempt: Attempt, action: Action) -> Result[Answer, Refusal]:
+        call = attempt.call
+        tx = self._open.get(call.transaction)
+        if tx is None or tx.team != call.team or tx.route != call.route:
+            return Err(Refusal(kind=Kind.UNKNOWN_TRANSACTION))
+        if not tx.busy.acquire(timeout=attempt.left()):
+            return Err(Refusal(kind=Kind.DEADLINE, detail="its last statement still runs"))
+        try:
+            if tx.ended:
+                return Err(Refusal(kind=Kind.TRANSACTION_LOST))
+            tx.used = time.monotonic()
+            return action(attempt, tx)
+        finally:
+            tx.used = time.monotonic()
+            tx.busy.release()
+
+    def _run(self, attempt: Attempt, tx: _Open) -> Result[Answer, Refusal]:
+        ran = self._call(attempt, tx, "run", (attempt.call.statement,))
+        if isinstance(ran, Err):
+            return ran
+        return Ok(self._answer(attempt, tx, ran.ok_value.results[0], Position()))
+
+    def _commit(self, attempt: Attempt, tx: _Open) -> Result[Answer, Refusal]:
+        if attempt.options.request_table:
+            entered = self._enter(attempt, tx)
+            if isinstance(entered, Err):
+                return entered
+        committed = self._call(attempt, tx, "commit", ())
+        self._remove(tx, isinstance(committed, Ok))
+        if isinstance(committed, Err):
+            return committed
+        position = committed.ok_value.position
+        acknowledged = self._statements.acknowledge(attempt, position)
+        return acknowledged.map(lambda p: self._answer(attempt, tx, Rows(), p))
+
+    def _enter(self, attempt: Attempt, tx: _Open) -> Result[Outcome, Refusal]:
+        key = requests_table.key_of(attempt.call.team, attempt.call.request_id)
+        entry = requests_table.enter(key)
+        entered = self._call(attempt, tx, "run", (requests_table.CREATE, entry))
+        if isinstance(entered, Ok):
+            return entered
+        refusal = entered.err_value
+        if requests_table.REPEATED in refusal.detail:
+            detail = "a request of this id has run before"
+            return Err(Refusal(kind=Kind.CONFLICT, detail=detail))
+        if refusal.kind is Kind.OUTCOME_UNKNOWN:
+            return Err(Refusal(kind=Kind.TRANSACTION_LOST, detail="the commit was not sent"))
+        return entered
+
+    def _rollback(self, attempt: Attempt, tx: _Open) -> Result[Answer, Refusal]:
+        self._end(tx, "the caller rolled it back")
+        return Ok(self._answer(attempt, tx, Rows(), Position()))
+
+    def _call(
+        self, attempt: Attempt, tx: _Open, action: str, statements: tuple[Statement, ...]
+    ) -> Result[Outcome, Refusal]:
+        work = Work(term=tx.term, mode="write", statements=statements, in_transaction=True)
+        with tx.desk.gate.slot(attempt.place()) as admitted:
+            if isinstance(admitted, Err):
+                return admitted
+            if not self._statements.allowed(attempt):
+                self._end(tx, "its key was withdrawn")
+                return Err(Refusal(kind=Kind.KEY_UNKNOWN, detail="the key was withdrawn"))
+            try:
+                return Ok(tx.link.call(action, work, attempt.left()))
+            except MemberRefused as exc:
+                return Err(self._refused(tx, exc))
+            except NotSent as exc:
+                self._end(tx, "its connection closed")
+                return Err(Refusal(kind=Kind.TRANSACTION_LOST, detail=str(exc)))
+            except Silent as exc:
+                self._end(tx, "its connection went silent")
+                lost = Kind.OUTCOME_UNKNOWN if action == "commit" else Kind.TRANSACTION_LOST
+                return Err(Refusal(kind=lost, detail=str(exc)))
+
+    def _refused(self, tx: _Open, exc: MemberRefused) -> Refusal:
+        self._end(tx, f"the member refused: {exc.reason}")
+        if exc.reason == "sql_error":
+            return Refusal(kind=Kind.SQL_ERROR, detail=f"{exc.detail}; rolled back")
+        return Refusal(kind=Kind.TRANSACTION_LOST, detail=exc.reason)
+
+    def _commit_of_unknown(self, attempt: Attempt) -> Result[Answer, Refusal]:
+        refusal = Refusal(kind=Kind.OUTCOME_UNKNOWN, detail="this host knows no such transaction")
+        return self._statements.look_up(attempt, refusal)
+
+    def _end(self, tx: _Open, why: str) -> None:
+        tx.ended = True
+        if self._remove(tx, clean=False):
+            self._decisions.add(tx.id, "rolled back", why)
+            logs.event("transaction_ended", id=tx.id, team=tx.team, why=why)
+
+    def _remove(self, tx: _Open, clean: bool) -> bool:
+        with self._lock:
+            if self._open.pop(tx.id, None) is None:
+                return False
+        tx.ended = True
+        tx.desk.pool.give_back(tx.link, clean)
+        return True
+
+    def _answer(self, attempt: Attempt, tx: _Open, rows: Rows, position: Position) -> Answer:
+        return Answer(
+            request_id=attempt.call.request_id,
+            rows=rows,
+            position=position,
+            served_by=tx.desk.member.name,
+            role="primary",
+            transaction=tx.id,
+        )
