--- a/features/steps/path.py
+++ b/features/steps/path.py
@@ -2,9 +2,7 @@
 
 from behave import given, then, when
 
-from features.world import GROUP, world_of
-
-INSERT = "INSERT INTO slots VALUES (?, ?)"
+from features.world import GROUP, INSERT, world_of
 
 
 @given("a fleet of {count:d} daemons with one group")
--- a/src/wagtailloft/adapters/members.py
+++ b/src/wagtailloft/adapters/members.py
@@ -1,6 +1,8 @@
 """Database group members over HTTP: one connection is one session of the database."""
 
+import socket
 import threading
+from contextlib import suppress
 from typing import Any, Protocol
 
 import msgspec
@@ -12,7 +14,7 @@
 from wagtailloft.models import Member, Position, Progress, Record, Rows, Statement
 
 CONNECT_TIMEOUT_S = 1.0
-CONTROL_TIMEOUT_S = 0.4
+CONTROL_TIMEOUT_S = 0.25
 
 _FAILURES = (urllib3.exceptions.HTTPError, OSError, ValueError)
 
@@ -58,6 +60,9 @@
     def close(self) -> None:
         """Close the connection; the member rolls back what is open."""
 
+    def cut(self) -> None:
+        """Break the connection under a call that waits on it."""
+
     @property
     def usable(self) -> bool:
         """Tell whether the connection can take more work."""
@@ -66,9 +71,13 @@
 class HttpLink:
     """Hold one HTTP connection to a member."""
 
-    def __init__(self, *, member: Member) -> None:
+    def __init__(self, *, member: Member, source: str) -> None:
         self._conn = HTTPConnection(
-            member.ip, member.port, timeout=CONNECT_TIMEOUT_S, socket_options=list(OPTIONS)
+            member.ip,
+            member.port,
+            timeout=CONNECT_TIMEOUT_S,
+            socket_options=list(OPTIONS),
+            source_address=(source, 0),
         )
         self._broken = False
 
@@ -104,6 +113,15 @@
         self._broken = True
         self._conn.close()
 
+    def cut(self) -> None:
+        """Break the connection under a call that waits on it."""
+        self._broken = True
+        sock = self._conn.sock
+        if sock is None:
+            return
+        with suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+
     def _refused(self, data: bytes) -> Exception:
         try:
             refusal = msgspec.json.decode(data, type=_Refusal)
@@ -138,8 +156,9 @@
 class HttpControl:
     """Hold the control connections to one member."""
 
-    def __init__(self, *, member: Member) -> None:
+    def __init__(self, *, member: Member, source: str) -> None:
         self._member = member
+        self._source = (source, 0)
         self._lock = threading.Lock()
         self._watch: HTTPConnection | None = None
 
@@ -184,6 +203,7 @@
             self._member.control_port,
             timeout=CONTROL_TIMEOUT_S,
             socket_options=list(OPTIONS),
+            source_address=self._source,
         )
 
 
--- a/src/wagtailloft/adapters/peers.py
+++ b/src/wagtailloft/adapters/peers.py
@@ -1,5 +1,6 @@
 """Peers over thrift: a pool of connections to each host, and the server of this one."""
 
+import socket
 import threading
 from collections import defaultdict, deque
 from typing import Protocol
@@ -64,16 +65,17 @@
 
 
 class _Connection:
-    def __init__(self, *, host: Host) -> None:
+    def __init__(self, *, host: Host, source: str) -> None:
+        address = (host.ip, host.peer_port)
+        try:
+            sock = socket.create_connection(address, CONNECT_TIMEOUT_S, (source, 0))
+        except OSError as exc:
+            raise NotSent(f"connect to {host.name}") from exc
+        tune(sock)
         self._socket = TSocket.TSocket(host.ip, host.peer_port)
-        self._socket.setTimeout(CONNECT_TIMEOUT_S * 1000)
+        self._socket.setHandle(sock)
         transport = TTransport.TBufferedTransport(self._socket)
         self.client = Peer.Client(TBinaryProtocolAccelerated(transport))
-        try:
-            transport.open()
-        except TException as exc:
-            raise NotSent(f"connect to {host.name}") from exc
-        tune(self._socket.handle)
 
     @property
     def usable(self) -> bool:
@@ -90,7 +92,8 @@
 class ThriftPeers:
     """Call peers over pooled thrift connections; one that failed is never used again."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, source: str) -> None:
+        self._source = source
         self._lock = threading.Lock()
         self._idle: dict[str, deque[_Connection]] = defaultdict(deque)
 
@@ -163,7 +166,7 @@
                 idle = self._idle[_key(host)]
                 link = idle.pop() if idle else None
             if link is None:
-                return _Connection(host=host)
+                return _Connection(host=host, source=self._source)
             if link.usable:
                 return link
             link.close()
@@ -181,11 +184,10 @@
     """Serve this host's peers on a port."""
 
     def __init__(self, *, ip: str, port: int, handler: object) -> None:
-        socket = TSocket.TServerSocket(host=ip, port=port)
-        self._socket = socket
+        self._socket = TSocket.TServerSocket(host=ip, port=port)
         self._server = TThreadedServer(
             Peer.Processor(handler),
-            _TunedServerSocket(inner=socket),
+            _TunedServerSocket(inner=self._socket),
             TTransport.TBufferedTransportFactory(),
             TBinaryProtocolAcceleratedFactory(),
             daemon=True,
--- a/src/wagtailloft/adapters/platform.py
+++ b/src/wagtailloft/adapters/platform.py
@@ -50,9 +50,14 @@
 class HttpPlatform:
     """Speak to the platform's object API."""
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(self, *, address: str, source: str) -> None:
         self._base = f"http://{address}"
-        self._http = urllib3.PoolManager(maxsize=8, retries=False, socket_options=list(OPTIONS))
+        self._http = urllib3.PoolManager(
+            maxsize=8,
+            retries=False,
+            socket_options=list(OPTIONS),
+            source_address=(source, 0),
+        )
 
     def get(
         self, kind: str, name: str, timeout: float = CALL_TIMEOUT_S
--- a/src/wagtailloft/controllers/failover.py
+++ b/src/wagtailloft/controllers/failover.py
@@ -22,11 +22,12 @@
 
 
 class Plan(Record):
-    """Hold a move with its reason and the members that it concerns."""
+    """Hold a move with its reason and the members that it concerns or avoids."""
 
     move: Move
     why: str = ""
     members: tuple[str, ...] = ()
+    avoid: tuple[str, ...] = ()
 
 
 def plan(view: GroupView, now: float) -> Plan:
@@ -38,7 +39,8 @@
     if why:
         if now - view.last_election < backoff(view, now):
             return Plan(move=Move.NOTHING, why="backing off after an election")
-        return Plan(move=Move.ELECT, why=why)
+        failed = (view.primary.member.name,) if view.primary else ()
+        return Plan(move=Move.ELECT, why=why, avoid=failed)
     astray = _astray(view, reachable)
     if astray:
         return Plan(move=Move.FOLLOW, why="not following the primary", members=astray)
@@ -54,9 +56,20 @@
     return min(BACKOFF_LIMIT_S, BACKOFF_FIRST_S * 2 ** max(0, view.elections - 1))
 
 
-def best(reports: tuple[Progress, ...], leaving: frozenset[str] = frozenset()) -> Progress:
-    """Return the fenced member with the highest log; among equals one that stays."""
-    return max(reports, key=lambda r: (r.received, r.name not in leaving, r.name))
+def best(
+    reports: tuple[Progress, ...],
+    majority: int,
+    avoid: frozenset[str] = frozenset(),
+    leaving: frozenset[str] = frozenset(),
+) -> Progress:
+    """Return the fenced member with the highest log; among equals one that stays.
+
+    A member to avoid is passed over only if the others are a majority without it, since any
+    majority holds every acknowledged write.
+    """
+    others = tuple(r for r in reports if r.name not in avoid)
+    candidates = others if len(others) >= majority else reports
+    return max(candidates, key=lambda r: (r.received, r.name not in leaving, r.name))
 
 
 def acknowledged(reports: tuple[Progress, ...], term: int, majority: int) -> Position:
--- a/src/wagtailloft/controllers/membership.py
+++ b/src/wagtailloft/controllers/membership.py
@@ -9,7 +9,7 @@
 from wagtailloft.models import Host, HostState
 
 SUSPECT_S = 1.5
-FORGET_S = 30.0
+REAP_S = 5.0
 NEWS_LIMIT = 10
 SENDS_FACTOR = 3
 
@@ -87,6 +87,14 @@
                 died.append(peer.host)
         return tuple(died)
 
+    def long_dead(self, now: float) -> tuple[Host, ...]:
+        """Return the hosts that have been dead for a while."""
+        return tuple(
+            p.host
+            for p in self._peers.values()
+            if p.host.state is HostState.DEAD and now - p.since >= REAP_S
+        )
+
     def forget(self, name: str) -> None:
         """Forget a host that the platform no longer lists."""
         if name != self._own.name:
--- a/src/wagtailloft/controllers/retries.py
+++ b/src/wagtailloft/controllers/retries.py
@@ -7,7 +7,7 @@
 PAUSE_LIMIT_S = 0.1
 RESERVE = 10.0
 
-FREE_REASONS = frozenset({"lock_busy", "stale_term", "not_primary", "behind"})
+FREE_REASONS = frozenset({"lock_busy", "replaced", "stale_term", "not_primary", "behind"})
 
 
 @dataclass(kw_only=True)
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -20,6 +20,7 @@
 from wagtailloft.board import Board
 from wagtailloft.catalog import Catalog
 from wagtailloft.controllers.membership import Membership
+from wagtailloft.controllers.ownership import owners
 from wagtailloft.controllers.spread import Freshness, Objects
 from wagtailloft.decisions import Decisions
 from wagtailloft.entry import Entry
@@ -59,7 +60,7 @@
             name=cfg.host.name,
             ip=cfg.host.ip,
             caller_port=cfg.host.caller_port,
-            peer_port=cfg.host.peer_port,
+            peer_port=cfg.host.announced_peer_port or cfg.host.peer_port,
             operator_port=cfg.host.operator_port,
             zone=cfg.host.zone,
             region=cfg.host.region,
@@ -70,10 +71,10 @@
         self.timers = Timers(executor=self.executor)
         self.metrics = Metrics()
         self.decisions = Decisions(host=own.name)
-        self.platform = HttpPlatform(address=cfg.platform.address)
+        self.platform = HttpPlatform(address=cfg.platform.address, source=own.ip)
         self.objects = Objects()
         self.freshness = Freshness()
-        self.peers = ThriftPeers()
+        self.peers = ThriftPeers(source=own.ip)
         self.catalog = Catalog(objects=self.objects, region=own.region, zone=own.zone)
         self.gossip = Gossip(
             membership=Membership(own=own, rng=random.Random()),
@@ -97,8 +98,8 @@
                 platform=self.platform,
                 metrics=self.metrics,
                 decisions=self.decisions,
-                connect=http_link,
-                controls=lambda member: HttpControl(member=member),
+                connect=lambda member: http_link(member, own.ip),
+                controls=lambda member: HttpControl(member=member, source=own.ip),
             )
         )
         self.leases = Leases(
@@ -141,7 +142,7 @@
         )
         self.front = Front(entry=self.entry, body_limit=self._body_limit)
         desk = Desk(operators=self.operators, metrics=self.metrics, drain=self.ask_stop)
-        self.peer_server = PeerServer(ip=own.ip, port=own.peer_port, handler=handler)
+        self.peer_server = PeerServer(ip=own.ip, port=cfg.host.peer_port, handler=handler)
         self.operator_server = OperatorServer(ip=own.ip, port=own.operator_port, desk=desk)
         self.caller_server = CallerServer(
             ip=own.ip, port=own.caller_port, front=self.front, threads=cfg.process.threads
@@ -161,6 +162,7 @@
         self.timers.every("leases", OWN_S, self.leases.tick)
         self.timers.every("limits", REPORT_S, self.limits.report)
         self.timers.every("join", JOIN_S, self._join)
+        self.timers.every("reaper", JOIN_S, self._reap)
         self.timers.start()
         self.executor.submit(self._join)
         self.caller_server.start()
@@ -226,6 +228,20 @@
         if listed is None or listed.incarnation < own.incarnation:
             self._publish(HostState.ALIVE)
 
+    def _reap(self) -> None:
+        """Take hosts that died off the platform's list, one host of the fleet at a time."""
+        first = owners("reaper", self.gossip.hosts())[:1]
+        mine = [h.name for h in first] == [self.gossip.own().name]
+        if not mine or not self.gossip.hears_majority():
+            return
+        for host in self.gossip.long_dead():
+            found = self.platform.get("host", host.name)
+            if isinstance(found, Err) or found.ok_value is None:
+                continue
+            if found.ok_value.decode(Host).incarnation == host.incarnation:
+                self.platform.put("host", host.name, None, found.ok_value.revision)
+                logs.warn("host_unlisted", host=host.name)
+
     def _publish(self, state: HostState) -> None:
         own = self.gossip.own()
         found = self.platform.get("host", own.name)
--- a/src/wagtailloft/election.py
+++ b/src/wagtailloft/election.py
@@ -62,8 +62,8 @@
         """Return the group as it is described now."""
         return self._watch.group
 
-    def run(self, why: str, alone: bool) -> bool:
-        """Promote the best member; return False if the election did not succeed."""
+    def run(self, why: str, alone: bool, avoid: tuple[str, ...] = ()) -> bool:
+        """Promote the best member but those to avoid; return False if that did not succeed."""
         started = time.monotonic()
         self._claimant = f"{self._host}/{uuid.uuid4().hex[:8]}"
         self._watch.note_election(started)
@@ -78,7 +78,7 @@
             self._note("election given up", f"{len(reports)} members took term {term}")
             return False
         leaving = frozenset(m.name for m in self.group.members if m.leaving)
-        chosen = best(reports, leaving)
+        chosen = best(reports, majority, frozenset(avoid), leaving)
         if not self._promote(chosen.name, term):
             return False
         took = time.monotonic() - started
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -69,6 +69,11 @@
         """Tell whether this host hears a majority of the listed hosts."""
         return self._freshness.majority(self.listed(), time.monotonic())
 
+    def long_dead(self) -> tuple[Host, ...]:
+        """Return the hosts that have been dead for a while."""
+        with self._lock:
+            return self._membership.long_dead(time.monotonic())
+
     def tick(self) -> None:
         """Trade digests with the next few peers."""
         with self._lock:
--- a/src/wagtailloft/member.py
+++ b/src/wagtailloft/member.py
@@ -17,9 +17,9 @@
 MakeLink = Callable[[Member], Link]
 
 
-def http_link(member: Member) -> Link:
-    """Return a new open connection to a member; raise NotSent."""
-    link = HttpLink(member=member)
+def http_link(member: Member, source: str) -> Link:
+    """Return a new open connection to a member from a local IP number; raise NotSent."""
+    link = HttpLink(member=member, source=source)
     link.connect()
     return link
 
--- a/src/wagtailloft/metrics.py
+++ b/src/wagtailloft/metrics.py
@@ -14,6 +14,8 @@
     "not_primary",
     "too_many_connections",
     "owner_unreachable",
+    "replaced",
+    "unacknowledged",
 )
 
 
--- a/src/wagtailloft/owner.py
+++ b/src/wagtailloft/owner.py
@@ -12,7 +12,8 @@
 from wagtailloft.board import Board
 from wagtailloft.catalog import OPEN_TEAM, Catalog
 from wagtailloft.controllers import failover
-from wagtailloft.controllers.failover import Move
+from wagtailloft.controllers.failover import Move, Plan
+from wagtailloft.controllers.views import NEVER, GroupView
 from wagtailloft.decisions import Decisions
 from wagtailloft.election import Election
 from wagtailloft.errors import Kind, Refusal
@@ -26,6 +27,7 @@
 
 HAND_OVER_LIMIT_S = 3.0
 IDLE_LIMIT_S = 30.0
+SECOND_OWNER_WAIT_S = 1.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -78,6 +80,9 @@
             decisions=around.decisions,
         )
         self.used = time.monotonic()
+        self.first = False
+        self._failed_since = NEVER
+        self._leader = ""
         self.calls = 0
         self._counting = threading.Lock()
         self._ticking = threading.Lock()
@@ -157,9 +162,10 @@
     def _tick(self) -> None:
         now = time.monotonic()
         view = self.watch.view()
+        self._cut_replaced(view)
         plan = failover.plan(view, now)
         if plan.move is Move.ELECT:
-            self._elect(plan.why)
+            self._elect_in_turn(plan, now)
         elif plan.move is Move.FOLLOW:
             self.election.follow(plan.members)
         elif plan.move is Move.HAND_OVER:
@@ -171,10 +177,27 @@
             if self.watch.reaches(desk.member.name):
                 desk.warm()
 
-    def _elect(self, why: str) -> None:
+    def _elect_in_turn(self, plan: Plan, now: float) -> None:
+        """Elect at once as the group's first owner, else only if that one seems not to."""
+        if self._failed_since == NEVER:
+            self._failed_since = now
+        if self.first or now - self._failed_since >= SECOND_OWNER_WAIT_S:
+            self._elect(plan.why, plan.avoid)
+
+    def _elect(self, why: str, avoid: tuple[str, ...] = ()) -> None:
         self._around.metrics.elections.labels(self.group.name, why).inc()
         options = self._around.catalog.options("", self.group.name)
-        self.election.run(why, options.claim_alone)
+        self.election.run(why, options.claim_alone, avoid)
+
+    def _cut_replaced(self, view: GroupView) -> None:
+        """Break the calls that still wait on a primary that has been replaced."""
+        if view.primary is None:
+            return
+        self._failed_since = NEVER if view.primary.reachable else self._failed_since
+        leader = view.primary.member.name
+        if self._leader and self._leader != leader:
+            self.desks[self._leader].pool.cut()
+        self._leader = leader
 
     def _hand_over(self, why: str) -> None:
         """Hold new work, let running work end and a replica catch up, then change the term."""
@@ -186,7 +209,7 @@
         try:
             until = time.monotonic() + HAND_OVER_LIMIT_S
             self._settle(gate, until)
-            self._elect(why)
+            self._elect(why, (primary.member.name,))
         finally:
             gate.pause(False)
 
@@ -278,6 +301,8 @@
         """Hold the groups that are this daemon's, and drop others once they are not used."""
         for name in mine:
             self.find(name)
+        for owner in self.held():
+            owner.first = owner.group.name in mine
         now = time.monotonic()
         for name, owner in list(self._owners.items()):
             idle = now - owner.used > IDLE_LIMIT_S and owner.transactions.count == 0
--- a/src/wagtailloft/pool.py
+++ b/src/wagtailloft/pool.py
@@ -18,6 +18,7 @@
         self._limit = limit
         self._changed = threading.Condition()
         self._idle: deque[Link] = deque()
+        self._lent: set[Link] = set()
         self._open = 0
         self._closed = False
 
@@ -49,16 +50,20 @@
             ready = self._changed.wait_for(self._can_take, timeout=timeout)
             if not ready or self._closed:
                 raise NotSent("no connection is free")
-            while self._idle:
-                link = self._idle.pop()
-                if link.usable:
-                    return link
-                self._drop(link)
+            link = self._pop_usable()
+            if link is not None:
+                self._lent.add(link)
+                return link
             self._open += 1
-        return self._connect_counted()
+        link = self._connect_counted()
+        with self._changed:
+            self._lent.add(link)
+        return link
 
     def give_back(self, link: Link, clean: bool) -> None:
         """Take a connection back; one that may not be clean is closed."""
+        with self._changed:
+            self._lent.discard(link)
         if clean and link.usable and not self._closed:
             self._give(link)
             return
@@ -66,6 +71,13 @@
             self._drop(link)
             self._changed.notify()
 
+    def cut(self) -> None:
+        """Break the connections that are lent, since nothing good can come over them."""
+        with self._changed:
+            lent = tuple(self._lent)
+        for link in lent:
+            link.cut()
+
     def close(self) -> None:
         """Close all idle connections and lend no more."""
         with self._changed:
@@ -77,6 +89,14 @@
     def _can_take(self) -> bool:
         return self._closed or bool(self._idle) or self._open < self._limit
 
+    def _pop_usable(self) -> Link | None:
+        while self._idle:
+            link = self._idle.pop()
+            if link.usable:
+                return link
+            self._drop(link)
+        return None
+
     def _give(self, link: Link) -> None:
         with self._changed:
             self._idle.append(link)
--- a/src/wagtailloft/settings.py
+++ b/src/wagtailloft/settings.py
@@ -39,6 +39,7 @@
     caller_port: Port
     peer_port: Port
     operator_port: Port
+    announced_peer_port: Port | None = None
 
 
 class PlatformSection(Record, forbid_unknown_fields=True):
--- a/src/wagtailloft/statements.py
+++ b/src/wagtailloft/statements.py
@@ -39,6 +39,7 @@
     deadline: float
     weight: float
     tries: int = 0
+    sent_term: int = 0
     reasons: list[str] = field(default_factory=list)
 
     def left(self) -> float:
@@ -87,6 +88,10 @@
             choice = chosen.ok_value
             try:
                 sent = self._send(attempt, choice)
+                ran = sent.and_then(lambda o, c=choice: self._finish(attempt, c, o))
+                if not self._must_look_up(attempt, ran):
+                    return ran
+                refusal, reason = ran.err_value, "unacknowledged"
             except MemberRefused as exc:
                 if self._repeats(exc, attempt):
                     return self._repeated(attempt)
@@ -97,15 +102,24 @@
                 refusal, reason = Refusal(kind=Kind.NO_PRIMARY, detail=str(exc)), "not_sent"
             except Silent as exc:
                 refusal, reason = Refusal(kind=Kind.OUTCOME_UNKNOWN, detail=str(exc)), "silent"
-                if not self._may_run_twice(attempt):
-                    return self.look_up(attempt, refusal)
-            else:
-                return sent.and_then(lambda o, c=choice: self._finish(attempt, c, o))
+            if self._must_look_up(attempt, Err(refusal)):
+                found = self.look_up(attempt, refusal)
+                if found.is_ok() or found.err_value.kind is not Kind.STALE_TERM:
+                    return found
+                refusal, reason = found.err_value, "replaced"
             if not self._again(attempt, reason, refusal):
                 return Err(refusal)
 
+    def _must_look_up(self, attempt: Attempt, ran: Result[Answer, Refusal]) -> bool:
+        if ran.is_ok() or ran.err_value.kind is not Kind.OUTCOME_UNKNOWN:
+            return False
+        return not self._may_run_twice(attempt)
+
     def look_up(self, attempt: Attempt, refusal: Refusal) -> Result[Answer, Refusal]:
-        """Find out whether a request ran whose answer was lost; the refusal if it stays unknown."""
+        """Find out whether a request ran whose answer was lost; the refusal if it stays unknown.
+
+        Sent in a term that a later one replaced without it, it can never run: a stale term.
+        """
         if not attempt.options.request_table:
             return Err(refusal)
         self._note(attempt, "looks up the outcome", refusal.detail)
@@ -113,7 +127,9 @@
             found = self._find(attempt)
             if isinstance(found, Ok):
                 return found
-            if found.err_value.kind is Kind.NOT_FOUND:
+            if found.err_value.kind is Kind.STALE_TERM:
+                return found
+            if found.err_value.kind is Kind.NOT_FOUND and not self._may_be_replaced(attempt):
                 return Err(refusal)
             time.sleep(pause(attempt.tries, self._rng))
             attempt.tries += 1
@@ -183,6 +199,7 @@
                 statements=self._statements(attempt),
                 after=choice.after,
             )
+            attempt.sent_term = work.term
             return Ok(session.ok_value.call("run", work, attempt.left()))
 
     def _may_run_twice(self, attempt: Attempt) -> bool:
@@ -259,10 +276,17 @@
         refusal = Refusal(kind=Kind.OUTCOME_UNKNOWN, detail="it ran; its outcome can't be read")
         return self.look_up(attempt, refusal)
 
+    def _may_be_replaced(self, attempt: Attempt) -> bool:
+        """Tell whether the primary that the call was sent to seems to be gone."""
+        view = self._watch.view()
+        if view.primary is None or view.term > attempt.sent_term > 0:
+            return True
+        return attempt.sent_term > 0 and not view.primary.reachable
+
     def _find(self, attempt: Attempt) -> Result[Answer, Refusal]:
         chosen = self.primary(attempt)
         if isinstance(chosen, Err):
-            return chosen
+            return Err(Refusal(kind=Kind.OUTCOME_UNKNOWN, detail=chosen.err_value.detail))
         name = chosen.ok_value.member
         key = requests_table.key_of(attempt.call.team, attempt.call.request_id)
         term = self._watch.view().term
@@ -273,13 +297,15 @@
                     return session
                 outcome = session.ok_value.call("run", work, attempt.left())
         except (MemberRefused, NotSent, Silent) as exc:
-            return Err(Refusal(kind=Kind.NO_PRIMARY, detail=str(exc)))
+            return Err(Refusal(kind=Kind.OUTCOME_UNKNOWN, detail=str(exc)))
         rows = requests_table.outcome(outcome.results[0])
-        if rows is None:
-            return Err(Refusal(kind=Kind.NOT_FOUND))
         acknowledged = self.acknowledge(attempt, outcome.position)
         if isinstance(acknowledged, Err):
             return acknowledged
+        if rows is None and 0 < attempt.sent_term < outcome.position.term:
+            return Err(Refusal(kind=Kind.STALE_TERM, detail="its primary was replaced without it"))
+        if rows is None:
+            return Err(Refusal(kind=Kind.NOT_FOUND))
         answer = self._answer(attempt, name, rows, outcome.position)
         return Ok(msgspec.structs.replace(answer, repeated=True))
 
--- a/src/wagtailloft/transactions.py
+++ b/src/wagtailloft/transactions.py
@@ -90,9 +90,12 @@
         if attempt.call.transaction not in self._open:
             return self._commit_of_unknown(attempt)
         committed = self._with(attempt, self._commit)
-        if isinstance(committed, Err) and committed.err_value.kind is Kind.OUTCOME_UNKNOWN:
-            return self._statements.look_up(attempt, committed.err_value)
-        return committed
+        if committed.is_ok() or committed.err_value.kind is not Kind.OUTCOME_UNKNOWN:
+            return committed
+        found = self._statements.look_up(attempt, committed.err_value)
+        if found.is_err() and found.err_value.kind is Kind.STALE_TERM:
+            return Err(Refusal(kind=Kind.TRANSACTION_LOST, detail=found.err_value.detail))
+        return found
 
     def rollback(self, attempt: Attempt) -> Result[Answer, Refusal]:
         """Roll back an open transaction."""
@@ -183,6 +186,7 @@
             entered = self._enter(attempt, tx)
             if isinstance(entered, Err):
                 return entered
+        attempt.sent_term = tx.term
         committed = self._call(attempt, tx, "commit", ())
         self._remove(tx, isinstance(committed, Ok))
         if isinstance(committed, Err):
--- a/src/wagtailloft/watch.py
+++ b/src/wagtailloft/watch.py
@@ -85,7 +85,8 @@
         return self._board.wait(lambda: ready(self.view()), deadline - self._clock())
 
     def wait_acknowledged(self, position: Position, deadline: float) -> bool:
-        """Wait until a majority received a position in its own term."""
+        """Wait until a majority received a position that the primary of its term returned."""
+        self._committed(position)
 
         def ready(view: GroupView) -> bool:
             if view.term > position.term:
@@ -115,6 +116,16 @@
         self.report(progress)
         return progress
 
+    def _committed(self, position: Position) -> None:
+        def change(view: GroupView) -> GroupView:
+            members = tuple(
+                msgspec.structs.replace(m, progress=_moved(m.progress, position))
+                for m in view.members
+            )
+            return msgspec.structs.replace(view, members=members)
+
+        self._update(change)
+
     def _is_in(self, member: Member, term: int) -> bool:
         try:
             return self._controls(member).progress(0, 0, 0).term == term
@@ -205,5 +216,13 @@
     return acknowledged(reports, term, view.majority)
 
 
+def _moved(progress: Progress | None, position: Position) -> Progress | None:
+    if progress is None or progress.role is not Role.PRIMARY:
+        return progress
+    if progress.term != position.term or progress.received >= position:
+        return progress
+    return msgspec.structs.replace(progress, received=position, applied=position)
+
+
 def _older(progress: Progress, known: Progress | None) -> bool:
     return known is not None and progress.term < known.term
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -16,6 +16,7 @@
 import urllib3
 
 from wagtailloft import Session
+from wagtailloft.cli import Api
 
 IP = "127.0.0.1"
 START_LIMIT_S = 20.0
@@ -50,6 +51,7 @@
     command: list[str]
     log: Path
     handle: subprocess.Popen = field(init=False)
+    frozen: bool = False
 
     def start(self) -> None:
         """Start the process."""
@@ -64,10 +66,12 @@
 
     def freeze(self) -> None:
         """Stop the process from running until it is thawed."""
+        self.frozen = True
         self.handle.send_signal(signal.SIGSTOP)
 
     def thaw(self) -> None:
         """Let a frozen process run on."""
+        self.frozen = False
         self.handle.send_signal(signal.SIGCONT)
 
     def stop(self) -> int:
@@ -77,8 +81,8 @@
 
     @property
     def alive(self) -> bool:
-        """Tell whether the process runs."""
-        return self.handle.poll() is None
+        """Tell whether the process is there and not frozen."""
+        return not self.frozen and self.handle.poll() is None
 
 
 @dataclass(kw_only=True)
@@ -87,13 +91,24 @@
 
     name: str
     zone: str
+    ip: str
     port: int
     control_port: int
     process: Process
+    port_via: int = 0
+    control_via: int = 0
 
     def control(self, path: str, body: Made | None = None) -> Made:
         """Call the member's control port."""
-        return call(f"http://{IP}:{self.control_port}/{path}", body)
+        return call(f"http://{self.ip}:{self.control_port}/{path}", body)
+
+    def answers(self) -> bool:
+        """Tell whether the member serves its control port."""
+        try:
+            self.control("progress")
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        return True
 
 
 @dataclass(kw_only=True)
@@ -101,6 +116,7 @@
     """Hold a daemon's process and ports."""
 
     name: str
+    ip: str
     caller_port: int
     peer_port: int
     operator_port: int
@@ -109,28 +125,36 @@
     @property
     def url(self) -> str:
         """Return where callers reach this host."""
-        return f"http://{IP}:{self.caller_port}"
+        return f"http://{self.ip}:{self.caller_port}"
 
     @property
     def operators(self) -> str:
         """Return where operators reach this host."""
-        return f"{IP}:{self.operator_port}"
+        return f"{self.ip}:{self.operator_port}"
 
 
 class Fleet:
     """Run a platform, groups of members, and daemons; stop them all at the end."""
 
-    def __init__(self, *, zones: tuple[str, ...] = ("krk-a", "krk-b", "krk-c")) -> None:
+    def __init__(
+        self, *, zones: tuple[str, ...] = ("krk-a", "krk-b", "krk-c"), faults: bool = False
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="fleet-"))
         self.zones = zones
         self.hosts: dict[str, HostAt] = {}
         self.members: dict[str, list[MemberAt]] = {}
         self._processes = ExitStack()
+        self._last_ip = 0
         self.platform_port = free_port()
         self.platform = self._module(
             "platform", "standins.platform", f"--port={self.platform_port}"
         )
         until(self._platform_up, START_LIMIT_S, "the platform does not answer")
+        self.faults_port = free_port() if faults else 0
+        if faults:
+            self._module("faults", "standins.faults", f"--port={self.faults_port}")
+            until(self._faults_up, START_LIMIT_S, "the fault proxy does not answer")
+        self.platform_via = self._link("platform", IP, self.platform_port)
 
     def __enter__(self) -> "Fleet":
         """Enter a block at whose end everything is killed."""
@@ -146,35 +170,46 @@
         for number in range(size):
             port, control = free_port(), free_port()
             label = f"{name}-{number}"
+            ip = self._next_ip()
             process = self._module(
                 label,
                 "standins.member",
                 f"--name={label}",
+                f"--ip={ip}",
                 f"--port={port}",
                 f"--control_port={control}",
                 f"--slots={slots}",
                 f"--connections={connections}",
             )
             zone = self.zones[number % len(self.zones)]
-            at = MemberAt(name=label, zone=zone, port=port, control_port=control, process=process)
+            at = MemberAt(
+                name=label, zone=zone, ip=ip, port=port, control_port=control, process=process
+            )
+            until(at.answers, START_LIMIT_S, f"{label} does not answer")
+            at.port_via = self._link(label, ip, port)
+            at.control_via = self._link(f"{label}/control", ip, control)
             members.append(at)
         self.members[name] = members
 
     def start_host(self, name: str, platform: str = "", **process: object) -> HostAt:
         """Start a daemon."""
+        ip = self._next_ip()
         ports = (free_port(), free_port(), free_port())
+        announced = self._link(name, ip, ports[1])
         zone = self.zones[len(self.hosts) % len(self.zones)]
         path = self.folder / f"{name}.ini"
         extra = "".join(f"{k} = {v}\n" for k, v in process.items())
-        address = platform or f"{IP}:{self.platform_port}"
+        address = platform or f"{IP}:{self.platform_via}"
         path.write_text(
-            f"[host]\nname = {name}\nip = {IP}\nzone = {zone}\nregion = pl-south\n"
+            f"[host]\nname = {name}\nip = {ip}\nzone = {zone}\nregion = pl-south\n"
             f"caller_port = {ports[0]}\npeer_port = {ports[1]}\noperator_port = {ports[2]}\n"
+            f"announced_peer_port = {announced}\n"
             f"[platform]\naddress = {address}\n[session]\nsecret = {SECRET}\n[process]\n{extra}"
         )
         started = self._module(name, "wagtailloft.daemon", f"--settings={path}")
         at = HostAt(
             name=name,
+            ip=ip,
             caller_port=ports[0],
             peer_port=ports[1],
             operator_port=ports[2],
@@ -200,9 +235,31 @@
         command = [sys.executable, "-m", "wagtailloft.cli", *args, f"--host={at.operators}"]
         return subprocess.run(command, capture_output=True, text=True, timeout=60)
 
+    def api(self, host: str = "") -> Api:
+        """Return the operators' surface of a daemon."""
+        at = self.hosts[host] if host else next(iter(self.hosts.values()))
+        return Api(host=at.operators)
+
+    def write_group(self, name: str, slots: int = 2, connections: int = 16) -> None:
+        """Tell the fleet of a group's members."""
+        members = [
+            {
+                "name": m.name,
+                "ip": m.ip,
+                "port": m.port_via,
+                "control_port": m.control_via,
+                "zone": m.zone,
+            }
+            for m in self.members[name]
+        ]
+        value = {"name": name, "members": members, "slots": slots, "connections": connections}
+        self.api().put("group", name, value, 0)
+
     def create_group(self, name: str) -> None:
         """Tell the fleet of a group's members with the command-line tool."""
-        places = [f"{m.name}@{IP}:{m.port}:{m.control_port}/{m.zone}" for m in self.members[name]]
+        places = [
+            f"{m.name}@{m.ip}:{m.port_via}:{m.control_via}/{m.zone}" for m in self.members[name]
+        ]
         self.tool("group", "create", name, *places)
 
     def session(self, route: str, key: str, hosts: list[str] | None = None) -> Session:
@@ -210,6 +267,21 @@
         names = hosts or list(self.hosts)
         return Session(hosts=[self.hosts[n].url for n in names], route=route, key=key)
 
+    def disturb(
+        self, links: list[str], mode: str = "pass", source: str = "*", **given: float
+    ) -> None:
+        """Set what the fault proxy does on links, for one source or all."""
+        body = {"links": links, "mode": mode, "source": source, **given}
+        call(f"http://{IP}:{self.faults_port}/rule", body)
+
+    def silence(self, links: list[str], source: str = "*") -> None:
+        """Make the connections that are open on links silent for good."""
+        call(f"http://{IP}:{self.faults_port}/silence", {"links": links, "source": source})
+
+    def links_that_saw(self, needle: str) -> list[str]:
+        """Return the links on which a text was sent."""
+        return call(f"http://{IP}:{self.faults_port}/seen", {"needle": needle})["links"]
+
     def fault(self, **faults: object) -> None:
         """Inject faults into the platform."""
         call(f"http://{IP}:{self.platform_port}/faults", faults)
@@ -248,6 +320,25 @@
         fresh = [h for h in status["hosts"] if h["settings"] == "fresh"]
         return len(fresh) == len([h for h in self.hosts.values() if h.process.alive])
 
+    def _next_ip(self) -> str:
+        self._last_ip += 1
+        return f"127.0.1.{self._last_ip}"
+
+    def _link(self, name: str, ip: str, port: int) -> int:
+        if not self.faults_port:
+            return port
+        listen = free_port()
+        body = {"name": name, "ip": ip, "port": listen, "target_ip": ip, "target_port": port}
+        call(f"http://{IP}:{self.faults_port}/open", body)
+        return listen
+
+    def _faults_up(self) -> bool:
+        try:
+            call(f"http://{IP}:{self.faults_port}/seen", {"needle": "-"})
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        return True
+
     def _platform_up(self) -> bool:
         try:
             call(f"http://{IP}:{self.platform_port}/hosts")
@@ -271,7 +362,7 @@
 
 
 def _end(process: Process) -> None:
-    if process.alive:
+    if process.handle.poll() is None:
         process.kill()
 
 
--- a/standins/member.py
+++ b/standins/member.py
@@ -60,7 +60,9 @@
 class Member:
     """Hold a member's log, term and database, and answer statements and control calls."""
 
-    def __init__(self, *, name: str, slots: int, connections: int, connect_ms: float) -> None:
+    def __init__(
+        self, *, name: str, ip: str, slots: int, connections: int, connect_ms: float
+    ) -> None:
         self.name = name
         self.connections = connections
         self.connect_s = connect_ms / 1000
@@ -83,7 +85,7 @@
         self.generation = 0
         self.folder = tempfile.mkdtemp(prefix=f"member-{name}-")
         self.applier = self._open()
-        self.http = urllib3.PoolManager(retries=False)
+        self.http = urllib3.PoolManager(retries=False, source_address=(ip, 0))
         self.received_bytes: list[str] = []
         threading.Thread(target=self._pull_forever, daemon=True).start()
         threading.Thread(target=self._apply_forever, daemon=True).start()
@@ -460,15 +462,16 @@
     name: str,
     port: int,
     control_port: int,
+    ip: str = "127.0.0.1",
     slots: int = 2,
     connections: int = 16,
     connect_ms: float = 12.0,
 ) -> None:
     """Run one member until it is stopped."""
-    member = Member(name=name, slots=slots, connections=connections, connect_ms=connect_ms)
-    control = Server(app=Control(member=member), port=control_port)
+    member = Member(name=name, ip=ip, slots=slots, connections=connections, connect_ms=connect_ms)
+    control = Server(app=Control(member=member), port=control_port, ip=ip)
     threading.Thread(target=control.serve_forever, daemon=True).start()
-    Server(app=member, port=port).serve_forever()
+    Server(app=member, port=port, ip=ip).serve_forever()
 
 
 if __name__ == "__main__":
