Give each test fleet a loopback network of its own

Cause: ports picked from the ephemeral range were taken by outgoing connections before the daemon bound them ('Address already in use' in host-3.log), so a fleet sometimes did not start.

Ruled out: retrying the start, which would have hidden the cause.

--- a/standins/faults.py
+++ b/standins/faults.py
@@ -179,10 +179,10 @@
         link.set(source, rule)
 
 
-def main(port: int) -> None:
+def main(ip: str, port: int) -> None:
     """Run the proxy until it is stopped."""
     loop = asyncio.new_event_loop()
-    server = Server(app=Control(loop=loop), port=port)
+    server = Server(app=Control(loop=loop), port=port, ip=ip)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     loop.run_forever()
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,8 +1,9 @@
 """Start and stop a small fleet of real processes on loopback."""
 
+import itertools
 import json
+import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,7 +19,10 @@
 from wagtailloft import Session
 from wagtailloft.cli import Api
 
-IP = "127.0.0.1"
+NET = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
+IP = f"{NET}.1"
+FIRST_IP = 10
+FIRST_PORT = 10_000
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 30.0
 SECRET = "a secret for tests and demos only"
@@ -27,10 +31,8 @@
 
 
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind((IP, 0))
-        return sock.getsockname()[1]
+    """Return a port that no other fleet of this process used; the network is ours alone."""
+    return next(_ports)
 
 
 def until(ready: Callable[[], bool], limit: float, what: str) -> float:
@@ -144,15 +146,15 @@
         self.hosts: dict[str, HostAt] = {}
         self.members: dict[str, list[MemberAt]] = {}
         self._processes = ExitStack()
-        self._last_ip = 0
+        self._last_ip = FIRST_IP
         self.platform_port = free_port()
         self.platform = self._module(
-            "platform", "standins.platform", f"--port={self.platform_port}"
+            "platform", "standins.platform", f"--ip={IP}", f"--port={self.platform_port}"
         )
         until(self._platform_up, START_LIMIT_S, "the platform does not answer")
         self.faults_port = free_port() if faults else 0
         if faults:
-            self._module("faults", "standins.faults", f"--port={self.faults_port}")
+            self._module("faults", "standins.faults", f"--ip={IP}", f"--port={self.faults_port}")
             until(self._faults_up, START_LIMIT_S, "the fault proxy does not answer")
         self.platform_via = self._link("platform", IP, self.platform_port)
 
@@ -322,7 +324,7 @@
 
     def _next_ip(self) -> str:
         self._last_ip += 1
-        return f"127.0.1.{self._last_ip}"
+        return f"{NET}.{self._last_ip}"
 
     def _link(self, name: str, ip: str, port: int) -> int:
         if not self.faults_port:
@@ -366,4 +368,5 @@
         process.kill()
 
 
+_ports = itertools.count(FIRST_PORT)
 _http = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=4)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -139,9 +139,9 @@
         self.host_lists.append((time.monotonic(), hosts))
 
 
-def main(port: int, host_lag_s: float = 1.0) -> None:
+def main(ip: str, port: int, host_lag_s: float = 1.0) -> None:
     """Run the platform until it is stopped."""
-    Server(app=Platform(host_lag_s=host_lag_s), port=port).serve_forever()
+    Server(app=Platform(host_lag_s=host_lag_s), port=port, ip=ip).serve_forever()
 
 
 if __name__ == "__main__":
