--- /dev/null
+++ b/features/consistency.feature
@@ -0,0 +1,31 @@
+Feature: Every session reads its own writes, also on another proxy
+
+  Scenario Outline: Sessions roam on every request while replicas lag
+    Given a fleet of 3 daemons behind the fault proxy
+    And replicas apply <lag> s late
+    When callers write and read
+    And callers go on for 3 s
+    Then the surviving log agrees with what callers were told
+    And no read was refused
+
+    Examples:
+      | lag |
+      | 0.0 |
+      | 0.2 |
+      | 5.0 |
+
+  Scenario: Sessions roam through a failover while replicas lag
+    Given a fleet of 3 daemons behind the fault proxy
+    And replicas apply 0.4 s late
+    When callers write and read
+    And the primary is killed
+    Then writes are acknowledged again
+    And the surviving log agrees with what callers were told
+
+  Scenario: Reads of a stated age are never older than stated
+    Given a fleet of 3 daemons behind the fault proxy
+    And replicas apply 1.0 s late
+    When a counter is written and read at ages of 0.0, 0.6 and 3.0 s
+    And the primary is cut off from its replicas
+    And callers go on for 3 s
+    Then no read was older than stated
--- a/features/ledger.py
+++ b/features/ledger.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from features.world import COUNT, INSERT, World
+from features.world import COUNT, HALF, INSERT, World
 from wagtailloft import ChangeRequest, CheckOutcome, Session, TryAgain
 
 
@@ -144,6 +144,7 @@
             return
         tx = session.begin(**given)
         tx.run(INSERT, name, "Zofia", **given)
+        tx.run(HALF, name, **given)
         tx.commit(**given)
 
     def _read(self, session: Session, name: str, host: str) -> None:
--- /dev/null
+++ b/features/rates.feature
@@ -0,0 +1,24 @@
+Feature: No team gets more than its rate and burst, over all hosts together
+
+  Scenario: Skewed load over eight daemons
+    Given a fleet of 8 daemons with a team of 60 a second and burst 30
+    When callers press for 5 s, most of them on daemon 1
+    Then no window holds more than rate and burst allow
+
+  Scenario: The limit owner is killed, and its successor is frozen
+    Given a fleet of 5 daemons with a team of 60 a second and burst 30
+    When callers press while the limit owner is killed and the next one is frozen
+    Then no window holds more than rate and burst allow
+    And requests are admitted at the end
+
+  Scenario: The platform is down
+    Given a fleet of 3 daemons with a team of 60 a second and burst 30
+    When callers press for 8 s while the platform is down
+    Then no window holds more than rate and burst allow
+    And requests are admitted at the end
+
+  Scenario: One daemon is cut off from all others and the platform
+    Given a fleet of 4 daemons with a team of 60 a second and burst 30
+    When callers press for 6 s while daemon 1 is cut off
+    Then no window holds more than rate and burst allow
+    And requests are admitted at the end
--- a/features/world.py
+++ b/features/world.py
@@ -12,6 +12,8 @@
 ROUTE = "bookings"
 TABLE = "CREATE TABLE IF NOT EXISTS slots (id TEXT, who TEXT)"
 INSERT = "INSERT INTO slots VALUES (?, ?)"
+HALVES = "CREATE TABLE IF NOT EXISTS halves (id TEXT)"
+HALF = "INSERT INTO halves VALUES (?)"
 COUNT = "SELECT count(*) FROM slots WHERE id = ?"
 START_S = 30.0
 
@@ -114,6 +116,7 @@
         try:
             for host in self.fleet.hosts:
                 self.session(host).write(TABLE)
+                self.session(host).write(HALVES)
         except TryAgain:
             return False
         return True
--- a/src/wagtailloft/controllers/membership.py
+++ b/src/wagtailloft/controllers/membership.py
@@ -36,6 +36,7 @@
         self._rng = rng
         self._peers: dict[str, _Peer] = {own.name: _Peer(host=own, since=0.0)}
         self._round: list[str] = []
+        self._listed: tuple[Host, ...] | None = None
 
     @property
     def own(self) -> Host:
@@ -43,8 +44,10 @@
         return self._own
 
     def hosts(self) -> tuple[Host, ...]:
-        """Return every known host, by name."""
-        return tuple(p.host for _, p in sorted(self._peers.items()))
+        """Return every known host, by name; the same tuple until something changes."""
+        if self._listed is None:
+            self._listed = tuple(p.host for _, p in sorted(self._peers.items()))
+        return self._listed
 
     def find(self, name: str) -> Host | None:
         """Return a host by name."""
@@ -99,6 +102,7 @@
         """Forget a host that the platform no longer lists."""
         if name != self._own.name:
             self._peers.pop(name, None)
+            self._listed = None
 
     def targets(self, count: int) -> tuple[Host, ...]:
         """Return the next hosts to probe, so that each comes once a round."""
@@ -136,6 +140,7 @@
         return host.name != self._own.name and host.state is not HostState.DEAD
 
     def _put(self, host: Host, now: float) -> None:
+        self._listed = None
         peer = self._peers.get(host.name)
         if peer is None or peer.host.state is not host.state:
             self._peers[host.name] = _Peer(host=host, since=now)
--- a/src/wagtailloft/controllers/ownership.py
+++ b/src/wagtailloft/controllers/ownership.py
@@ -1,21 +1,30 @@
-"""Find the host that owns a group or a shard of teams."""
+"""Rank the hosts that may own a group or a shard of teams, by rendezvous hashing."""
 
 import xxhash
 
 from wagtailloft.models import Host, HostState
 
 LIMIT_SHARDS = 16
+LIVE = (HostState.ALIVE, HostState.SUSPECT)
+
+Preference = tuple[bool, bool, int]
 
 
 def owners(subject: str, hosts: tuple[Host, ...], zone: str = "") -> tuple[Host, ...]:
     """Return the live hosts in order of preference; hosts of the given zone come first."""
-    live = [h for h in hosts if h.state in (HostState.ALIVE, HostState.SUSPECT)]
+    live = [h for h in hosts if is_live(h)]
+    return tuple(sorted(live, key=lambda h: preference(subject, zone, h)))
+
+
+def preference(subject: str, zone: str, host: Host) -> Preference:
+    """Return the rank of a host for a subject; the lowest owns it."""
+    doubtful = host.state is HostState.SUSPECT
+    return doubtful, bool(zone) and host.zone != zone, -score(subject, host.name)
 
-    def preference(host: Host) -> tuple[bool, bool, int]:
-        doubtful = host.state is HostState.SUSPECT
-        return doubtful, bool(zone) and host.zone != zone, -score(subject, host.name)
 
-    return tuple(sorted(live, key=preference))
+def is_live(host: Host) -> bool:
+    """Tell whether a host may own anything."""
+    return host.state in LIVE
 
 
 def score(subject: str, host: str) -> int:
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -20,7 +20,6 @@
 from wagtailloft.board import Board
 from wagtailloft.catalog import Catalog
 from wagtailloft.controllers.membership import Membership
-from wagtailloft.controllers.ownership import owners
 from wagtailloft.controllers.spread import Freshness, Objects
 from wagtailloft.decisions import Decisions
 from wagtailloft.entry import Entry
@@ -230,7 +229,7 @@
 
     def _reap(self) -> None:
         """Take hosts that died off the platform's list, one host of the fleet at a time."""
-        first = owners("reaper", self.gossip.hosts())[:1]
+        first = self.gossip.owners("reaper")[:1]
         mine = [h.name for h in first] == [self.gossip.own().name]
         if not mine or not self.gossip.hears_majority():
             return
--- a/src/wagtailloft/entry.py
+++ b/src/wagtailloft/entry.py
@@ -9,7 +9,6 @@
 from wagtailloft import logs, tokens
 from wagtailloft.adapters.peers import Peers
 from wagtailloft.catalog import Access, Catalog
-from wagtailloft.controllers.ownership import owners
 from wagtailloft.controllers.spread import State
 from wagtailloft.decisions import Decisions
 from wagtailloft.errors import Kind, NotSent, Refusal, Silent
@@ -83,6 +82,8 @@
         self._tokens = session_tokens
         self._metrics = metrics
         self._decisions = decisions
+        self._owned: frozenset[str] = frozenset()
+        self._seen: tuple[tuple[Host, ...], int] = ((), -1)
 
     def serve(self, req: Request) -> Result[Reply, Refusal]:
         """Serve one request and count what became of it."""
@@ -212,7 +213,7 @@
         return self._peers.work(host, call)
 
     def _owners_of(self, group: str) -> tuple[Host, ...]:
-        return owners(f"group:{group}", self._gossip.hosts(), self.primary_zone(group))
+        return self._gossip.owners(f"group:{group}", self.primary_zone(group))
 
     def primary_zone(self, group: str) -> str:
         """Return the availability zone of a group's published primary."""
@@ -225,9 +226,13 @@
 
     def owned_here(self) -> frozenset[str]:
         """Return the groups that this host should own."""
-        own = self._gossip.own().name
-        names = [c.name for c in self._catalog.objects.all("group")]
-        return frozenset(n for n in names if self._first_owner(n) == own)
+        seen = (self._gossip.hosts(), self._catalog.objects.revision)
+        if seen[0] is not self._seen[0] or seen[1] != self._seen[1]:
+            own = self._gossip.own().name
+            names = [c.name for c in self._catalog.objects.all("group")]
+            self._owned = frozenset(n for n in names if self._first_owner(n) == own)
+            self._seen = seen
+        return self._owned
 
     def _first_owner(self, group: str) -> str:
         first = self._owners_of(group)[:1]
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -9,6 +9,7 @@
 from wagtailloft import logs
 from wagtailloft.adapters.peers import Digest, Peers
 from wagtailloft.controllers.membership import Membership
+from wagtailloft.controllers.placement import Placement
 from wagtailloft.controllers.spread import Freshness, Heard, Objects, State
 from wagtailloft.decisions import Decisions
 from wagtailloft.errors import NotSent, Silent
@@ -39,6 +40,7 @@
         self._executor = executor
         self._decisions = decisions
         self._lock = threading.RLock()
+        self._placement = Placement()
         objects.watch("host", self._host_changed)
 
     def hosts(self) -> tuple[Host, ...]:
@@ -46,6 +48,12 @@
         with self._lock:
             return self._membership.hosts()
 
+    def owners(self, subject: str, zone: str = "") -> tuple[Host, ...]:
+        """Return the first few live hosts that own a subject, in order of preference."""
+        with self._lock:
+            self._placement.update(self._membership.hosts())
+            return self._placement.owners(subject, zone)
+
     def find(self, name: str) -> Host | None:
         """Return a host by name."""
         with self._lock:
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -10,7 +10,7 @@
 from wagtailloft.adapters.platform import Conflict, Platform
 from wagtailloft.catalog import Catalog
 from wagtailloft.controllers.limits import LIFETIME_S
-from wagtailloft.controllers.ownership import LIMIT_SHARDS, owners
+from wagtailloft.controllers.ownership import LIMIT_SHARDS
 from wagtailloft.controllers.spread import STALE_S, State
 from wagtailloft.decisions import Decisions
 from wagtailloft.gossip import Gossip
@@ -104,7 +104,7 @@
             self._approach(shard, now)
 
     def _is_mine(self, name: str) -> bool:
-        first = owners(name, self._gossip.hosts())[:1]
+        first = self._gossip.owners(name)[:1]
         return bool(first) and first[0].name == self._gossip.own().name
 
     def _goes_on(self, shard: _Shard) -> bool:
--- a/src/wagtailloft/limits.py
+++ b/src/wagtailloft/limits.py
@@ -9,7 +9,7 @@
 from wagtailloft.adapters.peers import Peers
 from wagtailloft.catalog import Catalog
 from wagtailloft.controllers.limits import Ask, Bucket, Grant, Purse
-from wagtailloft.controllers.ownership import owners, shard
+from wagtailloft.controllers.ownership import shard
 from wagtailloft.errors import Kind, NotSent, Refusal, Silent
 from wagtailloft.gossip import Gossip
 from wagtailloft.leases import Leases
@@ -148,7 +148,7 @@
         return granted
 
     def _send(self, ask: Ask) -> Result[Grant, Refusal]:
-        hosts = owners(shard(ask.team), self._gossip.hosts())
+        hosts = self._gossip.owners(shard(ask.team))
         if not hosts:
             return Err(Refusal(kind=Kind.LIMITS_UNAVAILABLE, detail="no live host"))
         if hosts[0].name == self._gossip.own().name:
--- a/src/wagtailloft/spreader.py
+++ b/src/wagtailloft/spreader.py
@@ -11,6 +11,7 @@
 from wagtailloft.controllers.ownership import owners
 from wagtailloft.controllers.spread import Freshness, Objects
 from wagtailloft.gossip import Gossip
+from wagtailloft.models import Host
 
 SPREADERS = 3
 WATCH_S = 0.8
@@ -30,6 +31,8 @@
         self._freshness = freshness
         self._gossip = gossip
         self._rng = random.Random()
+        self._seen: tuple[Host, ...] = ()
+        self._chosen = False
         self._stopped = threading.Event()
         self._refreshing = threading.Lock()
 
@@ -60,9 +63,13 @@
     def chosen(self) -> bool:
         """Tell whether this host is one of its region's spreaders now."""
         own = self._gossip.own()
-        region = tuple(h for h in self._gossip.hosts() if h.region == own.region)
-        first = owners(f"spreader:{own.region}", region)[:SPREADERS]
-        return own.name in [h.name for h in first]
+        hosts = self._gossip.hosts()
+        if hosts is not self._seen:
+            region = tuple(h for h in hosts if h.region == own.region)
+            first = owners(f"spreader:{own.region}", region)[:SPREADERS]
+            self._chosen = own.name in [h.name for h in first]
+            self._seen = hosts
+        return self._chosen
 
     def _loop(self) -> None:
         backoff = PAUSE_S
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -288,6 +288,10 @@
         """Inject faults into the platform."""
         call(f"http://{IP}:{self.platform_port}/faults", faults)
 
+    def platform_calls(self) -> Made:
+        """Return how many calls of each kind the platform has answered."""
+        return call(f"http://{IP}:{self.platform_port}/calls")
+
     def status(self, host: str = "") -> Made:
         """Return the fleet's status as one host sees it."""
         at = self.hosts[host] if host else next(h for h in self.hosts.values() if h.process.alive)
--- a/standins/member.py
+++ b/standins/member.py
@@ -72,6 +72,7 @@
         self.used = 0
         self.peak = 0
         self.waiting = 0
+        self.served = 0
         self.lock = threading.RLock()
         self.moved = threading.Condition(self.lock)
         self.term = 0
@@ -117,6 +118,7 @@
         if link.refused:
             return 503, {"error": "too_many_connections", "detail": ""}
         self.waiting += 1
+        self.served += 1
         self.slots.acquire()
         try:
             return 200, self._work(link, path, body)
@@ -452,7 +454,7 @@
         if path == "/tune":
             member.lag_s = body.get("lag_s", member.lag_s)
             member.work_s = body.get("work_s", member.work_s)
-            return 200, {"peak": member.peak}
+            return 200, {"peak": member.peak, "served": member.served}
         if path == "/dump":
             return 200, {"entries": [vars(e) for e in member.log], "peak": member.peak}
         return 404, {"error": "not_found"}
