--- a/standins/policies.py
+++ b/standins/policies.py
@@ -130,8 +130,8 @@
 class Limiter(Protocol):
     """Admit requests of one team at several hosts."""
 
-    def admit(self, host: int, now: float) -> bool:
-        """Tell whether a request at a host may run now."""
+    def admit(self, host: int, now: float) -> float | None:
+        """Return when a request that comes now may run, or None if it is refused."""
 
 
 class LocalBuckets:
@@ -140,9 +140,9 @@
     def __init__(self, *, hosts: int, team: Team) -> None:
         self._buckets = [NaiveBucket(rate=team.rate, burst=team.burst) for _ in range(hosts)]
 
-    def admit(self, host: int, now: float) -> bool:
-        """Tell whether a request at a host may run now."""
-        return self._buckets[host].take(now)
+    def admit(self, host: int, now: float) -> float | None:
+        """Return when a request that comes now may run, or None if it is refused."""
+        return now if self._buckets[host].take(now) else None
 
 
 class EqualSplit:
@@ -152,9 +152,9 @@
         rate, burst = team.rate / hosts, max(1.0, team.burst / hosts)
         self._buckets = [NaiveBucket(rate=rate, burst=burst) for _ in range(hosts)]
 
-    def admit(self, host: int, now: float) -> bool:
-        """Tell whether a request at a host may run now."""
-        return self._buckets[host].take(now)
+    def admit(self, host: int, now: float) -> float | None:
+        """Return when a request that comes now may run, or None if it is refused."""
+        return now if self._buckets[host].take(now) else None
 
 
 class OneBucket:
@@ -163,9 +163,9 @@
     def __init__(self, *, team: Team) -> None:
         self._bucket = NaiveBucket(rate=team.rate, burst=team.burst)
 
-    def admit(self, host: int, now: float) -> bool:
-        """Tell whether a request at a host may run now."""
-        return self._bucket.take(now)
+    def admit(self, host: int, now: float) -> float | None:
+        """Return when a request that comes now may run, or None if it is refused."""
+        return now if self._bucket.take(now) else None
 
 
 class TokenBatches:
@@ -178,19 +178,19 @@
         self._reported = 0.0
         self.asks = 0
 
-    def admit(self, host: int, now: float) -> bool:
-        """Tell whether a request at a host may run now, within the entry's patience."""
+    def admit(self, host: int, now: float) -> float | None:
+        """Return when a request may run, within the entry's patience, or None."""
         self._send_reports(now)
         if self._purses[host].spend(now):
-            return True
+            return now
         until = now + PATIENCE_S
         while now < until:
             self._send_reports(now)
             wait = self._ask(host, 1, now)
             if self._purses[host].spend(now):
-                return True
+                return now
             now += max(0.001, wait)
-        return False
+        return None
 
     def _ask(self, host: int, waiting: int, now: float) -> float:
         self.asks += 1
