Take restarted members back; route reads by commit times; pace heartbeats by a host's members

Reads that waited for a replica went by samples up to 0.25 s old, found it behind, and tried again until it was level. Heartbeats grew with the groups.

Change: reports are ordered by when they were asked for; commits are noted with their time and give the lag; a read that finds a replica behind goes to the primary; a daemon's heartbeats are 16/s at most in all; spreaders' watches end after 0.4 s, so that the age they pass on is younger.

Ruled out: a longer bound on the wait (it only hides the wrong estimate).

--- a/src/wagtailloft/controllers/routing.py
+++ b/src/wagtailloft/controllers/routing.py
@@ -81,10 +81,10 @@
 
 
 def _nearest(view: GroupView, needed: Position, now: float) -> tuple[float, MemberView] | None:
-    committed = _time_of(view.samples, needed.index)
+    committed = _time_of(view.commits, needed.index)
     waits = []
     for replica in _replicas(view):
-        level = _time_of(view.samples, replica.progress.applied.index + 1)
+        level = _time_of(view.commits, replica.progress.applied.index + 1)
         if committed is None or level is None:
             continue
         lag = max(0.0, replica.seen - level)
--- a/src/wagtailloft/controllers/views.py
+++ b/src/wagtailloft/controllers/views.py
@@ -20,7 +20,7 @@
 
 
 class Sample(Record):
-    """Hold a primary's position at a time when a majority confirmed its term."""
+    """Hold a position and a time: confirmed by a majority in samples, seen committed in commits."""
 
     time: float
     position: Position
@@ -32,6 +32,7 @@
     group: Group
     members: tuple[MemberView, ...]
     samples: tuple[Sample, ...] = ()
+    commits: tuple[Sample, ...] = ()
     last_election: float = NEVER
     elections: int = 0
 
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -33,7 +33,7 @@
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Change, Host, HostState
 from wagtailloft.operators import Operators
-from wagtailloft.owner import Owners, Surroundings
+from wagtailloft.owner import Owners, Pace, Surroundings
 from wagtailloft.spreader import Spreader
 from wagtailloft.timers import Timers
 from wagtailloft.tokens import Tokens
@@ -100,6 +100,7 @@
                 metrics=self.metrics,
                 decisions=self.decisions,
                 connect=lambda member: http_link(member, own.ip),
+                pace=Pace(),
                 controls=lambda member: HttpControl(member=member, source=own.ip),
             )
         )
--- a/src/wagtailloft/owner.py
+++ b/src/wagtailloft/owner.py
@@ -27,9 +27,22 @@
 
 HAND_OVER_LIMIT_S = 3.0
 IDLE_LIMIT_S = 30.0
+HEARTBEAT_S = 0.25
+HEARTBEATS_PER_S = 16
 SECOND_OWNER_WAIT_S = 1.5
 
 
+class Pace:
+    """Slow the heartbeats of one daemon down as the members that it watches grow in number."""
+
+    def __init__(self) -> None:
+        self.members = 0
+
+    def __call__(self) -> float:
+        """Return how many seconds a heartbeat may wait at a member."""
+        return max(HEARTBEAT_S, self.members / HEARTBEATS_PER_S)
+
+
 @dataclass(frozen=True, kw_only=True)
 class Surroundings:
     """Hold what every group owner of a daemon shares."""
@@ -42,6 +55,7 @@
     decisions: Decisions
     connect: MakeLink
     controls: MakeControl
+    pace: Pace
 
 
 class GroupOwner:
@@ -51,7 +65,9 @@
         self.group = group
         self._around = around
         rng = random.Random()
-        self.watch = GroupWatch(group=group, board=around.board, controls=around.controls)
+        self.watch = GroupWatch(
+            group=group, board=around.board, controls=around.controls, pace=around.pace
+        )
         self.desks = {
             m.name: MemberDesk(group=group, member=m, connect=around.connect, clock=time.monotonic)
             for m in group.members
@@ -301,6 +317,7 @@
         """Hold the groups that are this daemon's, and drop others once they are not used."""
         for name in mine:
             self.find(name)
+        self._count()
         for owner in self.held():
             owner.first = owner.group.name in mine
         now = time.monotonic()
@@ -317,6 +334,9 @@
             logs.event("drops_group", group=name)
             owner.close()
 
+    def _count(self) -> None:
+        self._around.pace.members = sum(len(o.group.members) for o in self.held())
+
     def close(self) -> None:
         """Let go of all groups."""
         for name in list(self._owners):
--- a/src/wagtailloft/spreader.py
+++ b/src/wagtailloft/spreader.py
@@ -11,7 +11,7 @@
 from wagtailloft.controllers.spread import Freshness, Objects
 from wagtailloft.gossip import Gossip
 
-WATCH_S = 0.8
+WATCH_S = 0.4
 LONELY_S = 1.8
 PAUSE_S = 0.2
 BACKOFF_LIMIT_S = 2.0
--- a/src/wagtailloft/statements.py
+++ b/src/wagtailloft/statements.py
@@ -23,6 +23,7 @@
 
 PRIMARY_POLL_S = 0.5
 CONFIRM_TIMEOUT_S = 0.3
+LEVEL_GRACE_S = 0.02
 
 ANSWERS = {
     "sql_error": Kind.SQL_ERROR,
@@ -40,6 +41,7 @@
     weight: float
     tries: int = 0
     sent_term: int = 0
+    behind: bool = False
     reasons: list[str] = field(default_factory=list)
 
     def left(self) -> float:
@@ -96,6 +98,7 @@
                 if self._repeats(exc, attempt):
                     return self._repeated(attempt)
                 refusal, reason = self._refused(exc), exc.reason
+                attempt.behind = attempt.behind or reason == "behind"
                 if self._lacks_table(exc, attempt):
                     refusal, reason = self._make_table(attempt), "lock_busy"
             except NotSent as exc:
@@ -162,7 +165,7 @@
         return self._catalog.key_holds(call.key_digest, call.team)
 
     def _choose(self, attempt: Attempt) -> Result[Choice, Refusal]:
-        if attempt.call.mode is Mode.WRITE:
+        if attempt.call.mode is Mode.WRITE or attempt.behind:
             return self.primary(attempt)
         loads = tuple(
             Load(member=name, wait=desk.gate.expected_wait()) for name, desk in self._desks.items()
@@ -172,13 +175,13 @@
         if isinstance(chosen, Err):
             return self.primary(attempt)
         choice = chosen.ok_value
-        if choice.wait > 0:
-            self._wait_level(choice, attempt, patience)
+        if choice.wait > 0 and not self._wait_level(choice, attempt):
+            return self.primary(attempt)
         return chosen
 
-    def _wait_level(self, choice: Choice, attempt: Attempt, patience: float) -> None:
-        until = min(attempt.deadline, time.monotonic() + patience)
-        self._watch.wait_for(
+    def _wait_level(self, choice: Choice, attempt: Attempt) -> bool:
+        until = min(attempt.deadline, time.monotonic() + choice.wait + LEVEL_GRACE_S)
+        return self._watch.wait_for(
             lambda v: any(
                 m.member.name == choice.member and m.progress.applied >= choice.after
                 for m in v.members
--- a/src/wagtailloft/watch.py
+++ b/src/wagtailloft/watch.py
@@ -10,12 +10,11 @@
 from wagtailloft.adapters.members import Control
 from wagtailloft.board import Board
 from wagtailloft.controllers.failover import acknowledged
-from wagtailloft.controllers.views import GroupView, MemberView, Sample
+from wagtailloft.controllers.views import NEVER, GroupView, MemberView, Sample
 from wagtailloft.errors import Silent
 from wagtailloft.models import Group, Member, Position, Progress, Role
 from wagtailloft.timers import Clock
 
-IDLE_WAIT_S = 0.25
 PROBE_PAUSE_S = 0.08
 SAMPLES = 256
 FAR = 1 << 62
@@ -27,11 +26,18 @@
     """Poll each member on its own connection and keep the group's view."""
 
     def __init__(
-        self, *, group: Group, board: Board, controls: MakeControl, clock: Clock = time.monotonic
+        self,
+        *,
+        group: Group,
+        board: Board,
+        controls: MakeControl,
+        pace: Callable[[], float],
+        clock: Clock = time.monotonic,
     ) -> None:
         self.group = group
         self._board = board
         self._controls = controls
+        self._pace = pace
         self._clock = clock
         self._lock = threading.Lock()
         self._asked: dict[str, float] = {}
@@ -122,7 +128,9 @@
                 msgspec.structs.replace(m, progress=_moved(m.progress, position))
                 for m in view.members
             )
-            return msgspec.structs.replace(view, members=members)
+            commit = Sample(time=self._clock(), position=position)
+            commits = (*view.commits[-SAMPLES:], commit)
+            return msgspec.structs.replace(view, members=members, commits=commits)
 
         self._update(change)
 
@@ -150,8 +158,8 @@
             return control.progress(0, 0, 0)
         progress = view.progress
         if progress.role is Role.PRIMARY:
-            return control.progress(FAR, FAR, IDLE_WAIT_S)
-        return control.progress(progress.received.index, progress.applied.index, IDLE_WAIT_S)
+            return control.progress(FAR, FAR, self._pace())
+        return control.progress(progress.received.index, progress.applied.index, self._pace())
 
     def _view_of(self, name: str) -> MemberView:
         for view in self.view().members:
@@ -161,11 +169,13 @@
 
     def _report(self, name: str, progress: Progress, asked: float) -> None:
         def change(view: GroupView) -> GroupView:
+            if asked < self._asked.get(name, NEVER):
+                return view
             self._asked[name] = asked
             members = tuple(
                 (
                     msgspec.structs.replace(m, progress=progress, seen=self._clock(), misses=0)
-                    if m.member.name == name and not _older(progress, m.progress)
+                    if m.member.name == name
                     else m
                 )
                 for m in view.members
@@ -222,7 +232,3 @@
     if progress.term != position.term or progress.received >= position:
         return progress
     return msgspec.structs.replace(progress, received=position, applied=position)
-
-
-def _older(progress: Progress, known: Progress | None) -> bool:
-    return known is not None and progress.term < known.term
--- a/standins/load.py
+++ b/standins/load.py
@@ -253,21 +253,32 @@
         for lag in (0.0, 0.2, 1.0):
             bench.tune(lag_s=lag)
             time.sleep(1.0)
-            roles, waits, own = Counter(), Latency(), Counter()
+            roles, waits, own, eligible = Counter(), Latency(), Counter(), Counter()
             stop = time.monotonic() + seconds
 
-            def call(number: int, lag=lag, roles=roles, waits=waits, own=own, stop=stop) -> None:
+            def call(
+                number: int,
+                lag=lag,
+                roles=roles,
+                waits=waits,
+                own=own,
+                stop=stop,
+                eligible=eligible,
+            ) -> None:
                 rng = random.Random(number)
                 session = bench.session()
                 while time.monotonic() < stop:
                     name = f"{lag}-{number}-{rng.random()}"
                     session.write(INSERT, name, "x")
+                    written = time.monotonic()
                     for _ in range(9):
                         began = time.monotonic()
+                        old = began - written >= lag
                         sql = "SELECT count(*) FROM slots WHERE id = ?"
                         read = session.read(sql, name)
                         waits.note(time.monotonic() - began)
                         roles[read.role] += 1
+                        eligible[read.role] += old
                         own[read.result.rows[0][0]] += 1
                         time.sleep(0.05)
 
@@ -276,6 +287,7 @@
             report.add(
                 f"reads with own writes, lag {lag} s",
                 replica_share=roles["replica"] / total,
+                of_eligible=eligible["replica"] / max(1, eligible.total()),
                 all_to_primary=0.0,
                 random_and_check=_random_share(lag),
                 read_median_ms=waits.ms(50),
