Let a new limit owner grant as soon as no earlier one can; count only what was caught up with

Cause: a successor waited a fixed 4.5 s after taking a lease, so with the lease's 3 s a killed limit owner cost its teams over 7 s, more than the default deadline. And a peer's answer counted as heard even if we had not caught up with its revision, which the argument for outages needs.

Change: the successor waits until a majority has its epoch's revision; if a majority was fresh without a break nobody can have been in an outage, and only the tokens' lifetime of 1 s remains. Answers count as heard once caught up with, and only from hosts ever confirmed.

Ruled out: a shorter lease (more platform writes for the same fixed wait).

--- a/src/wagtailloft/controllers/spread.py
+++ b/src/wagtailloft/controllers/spread.py
@@ -9,6 +9,7 @@
 
 HISTORY = 20_000
 STALE_S = 2.5
+NEVER_CONFIRMED_S = 1e9
 
 Watcher = Callable[[Change], None]
 
@@ -105,13 +106,20 @@
 
 
 class Heard(Record):
-    """Hold what a peer said of its contact with the platform, and when we asked."""
+    """Hold what a peer told of its copy, when we asked, and when the answer came."""
 
     asked: float
+    answered: float
+    revision: int
     platform_age: float
     fresh: bool
 
 
+class _Calm(Record):
+    since: float
+    confirmed: float
+
+
 class Freshness:
     """Judge from platform and peers whether a withdrawal could have been missed."""
 
@@ -119,23 +127,31 @@
         self._limit = limit
         self._confirmed = float("-inf")
         self._heard: dict[str, Heard] = {}
+        self._revisions: dict[str, int] = {}
+        self._calm: dict[str, _Calm] = {}
 
     def confirmed(self, asked: float) -> None:
         """Note that the platform confirmed our revision, in answer to a call sent then."""
         self._confirmed = max(self._confirmed, asked)
 
-    def heard(self, name: str, news: Heard, caught_up: bool) -> None:
-        """Note a peer's answer; caught_up tells whether we have all that it has."""
-        known = self._heard.get(name)
-        if known is not None and known.asked > news.asked:
+    def heard(self, name: str, news: Heard, revision: int) -> None:
+        """Note a peer's answer; only one that we have caught up with counts as heard."""
+        self.told(name, news.revision)
+        self._note_calm(name, news)
+        if revision < news.revision or news.platform_age >= NEVER_CONFIRMED_S:
             return
-        self._heard[name] = news
-        if caught_up:
-            self._confirmed = max(self._confirmed, news.asked - news.platform_age)
+        known = self._heard.get(name)
+        if known is None or known.asked <= news.asked:
+            self._heard[name] = news
+        self._confirmed = max(self._confirmed, news.asked - news.platform_age)
+
+    def told(self, name: str, revision: int) -> None:
+        """Note which revision a peer has."""
+        self._revisions[name] = max(revision, self._revisions.get(name, 0))
 
     def age(self, now: float) -> float:
         """Return how many seconds ago our copy was surely current."""
-        return now - self._confirmed
+        return min(NEVER_CONFIRMED_S, now - self._confirmed)
 
     def fresh(self, now: float) -> bool:
         """Tell whether the copy was surely current within the limit."""
@@ -150,6 +166,16 @@
         heard = [n for n in self.contacts(now) if n in hosts]
         return len(heard) + 1 > len(hosts) / 2
 
+    def known_by_majority(self, hosts: frozenset[str], revision: int) -> bool:
+        """Tell whether a majority of the listed hosts, itself included, has a revision."""
+        knowing = [n for n in hosts if self._revisions.get(n, 0) >= revision]
+        return len(knowing) + 1 > len(hosts) / 2
+
+    def calm(self, hosts: frozenset[str], now: float) -> bool:
+        """Tell whether a majority of others was fresh without a break for twice the limit."""
+        calm = [n for n in hosts if self._is_calm(n, now)]
+        return len(calm) > len(hosts) / 2
+
     def state(self, hosts: frozenset[str], now: float) -> State:
         """Return how far the copy can be trusted now."""
         if self.fresh(now):
@@ -158,3 +184,19 @@
         if others_fresh or not self.majority(hosts, now):
             return State.STALE
         return State.OUTAGE
+
+    def _note_calm(self, name: str, news: Heard) -> None:
+        confirmed = news.asked - news.platform_age
+        known = self._calm.get(name)
+        unbroken = known is not None and news.answered - known.confirmed <= self._limit
+        if not news.fresh:
+            self._calm.pop(name, None)
+            return
+        since = known.since if unbroken else news.answered
+        self._calm[name] = _Calm(since=since, confirmed=confirmed)
+
+    def _is_calm(self, name: str, now: float) -> bool:
+        known = self._calm.get(name)
+        if known is None or now - known.confirmed > self._limit:
+            return False
+        return now - known.since >= 2 * self._limit
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -96,6 +96,14 @@
         with self._lock:
             return self._membership.long_dead(time.monotonic())
 
+    def known_by_majority(self, revision: int) -> bool:
+        """Tell whether a majority of the listed hosts has a revision."""
+        return self._freshness.known_by_majority(self.listed(), revision)
+
+    def calm(self) -> bool:
+        """Tell whether a majority of other hosts has been fresh without a break."""
+        return self._freshness.calm(self.listed(), time.monotonic())
+
     def tick(self) -> None:
         """Trade digests with a spreader and the next few peers."""
         with self._lock:
@@ -131,7 +139,7 @@
         return Digest(
             sender=self.own().name,
             revision=self._objects.revision,
-            platform_age=min(self._freshness.age(now), 1e9),
+            platform_age=self._freshness.age(now),
             fresh=self._freshness.fresh(now),
             news=news,
         )
@@ -139,6 +147,7 @@
     def answer(self, digest: Digest) -> Digest:
         """Take a peer's digest and return ours."""
         self._merge(digest)
+        self._freshness.told(digest.sender, digest.revision)
         sender = self.find(digest.sender)
         reply = self.digest()
         if sender is None:
@@ -157,14 +166,20 @@
         except (NotSent, Silent):
             self._unanswered(host)
             return False
+        answered = time.monotonic()
         with self._lock:
             self._membership.heard(host.name, time.monotonic())
         self._merge(digest)
         if digest.revision > self._objects.revision:
             self._catch_up(host)
-        heard = Heard(asked=asked, platform_age=digest.platform_age, fresh=digest.fresh)
-        caught_up = self._objects.revision >= digest.revision
-        self._freshness.heard(host.name, heard, caught_up)
+        heard = Heard(
+            asked=asked,
+            answered=answered,
+            revision=digest.revision,
+            platform_age=digest.platform_age,
+            fresh=digest.fresh,
+        )
+        self._freshness.heard(host.name, heard, self._objects.revision)
         return True
 
     def reaches(self, name: str) -> bool:
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -1,5 +1,6 @@
 """Hold the leases that allow this host to grant rates."""
 
+import math
 import threading
 import time
 from dataclasses import dataclass
@@ -19,7 +20,6 @@
 DURATION_S = 3.0
 RENEW_S = 1.0
 MARGIN_S = 0.2
-SPREAD_S = 1.0
 CALL_TIMEOUT_S = 0.8
 
 
@@ -38,7 +38,9 @@
     lease: Lease | None = None
     seen: float = 0.0
     held_until: float = 0.0
-    grants_from: float = 0.0
+    grants_from: float = math.inf
+    announced: int = 0
+    clean: bool = False
     renewed: float = 0.0
 
 
@@ -100,6 +102,8 @@
             self._release(shard)
         elif holds and now - shard.renewed >= RENEW_S:
             self._renew(shard)
+        elif holds and shard.grants_from == math.inf:
+            self._open(shard, now)
         elif mine and not holds:
             self._approach(shard, now)
 
@@ -120,27 +124,41 @@
             return
         change = found.ok_value
         if change is None:
-            self._take(shard, 0, Lease(name=shard.name), 0.0)
+            self._take(shard, 0, Lease(name=shard.name))
             return
         lease = change.decode(Lease)
         if change.revision != shard.version:
             shard.version, shard.lease, shard.seen = change.revision, lease, now
         if not lease.holder:
-            self._take(shard, change.revision, lease, LIFETIME_S)
+            self._take(shard, change.revision, lease)
         elif now - shard.seen >= DURATION_S and self._gossip.hears_majority():
-            self._take(shard, change.revision, lease, STALE_S + SPREAD_S + LIFETIME_S)
+            self._take(shard, change.revision, lease)
 
-    def _take(self, shard: _Shard, version: int, old: Lease, wait: float) -> None:
+    def _take(self, shard: _Shard, version: int, old: Lease) -> None:
         lease = Lease(name=shard.name, holder=self._holder, epoch=old.epoch + 1)
         if not self._write(shard, lease, version):
             return
         if not self._announce(shard, lease):
             return
-        shard.grants_from = time.monotonic() + wait if wait else 0.0
-        why = f"epoch {lease.epoch}, grants after {wait:.1f} s, before it {old.holder or 'nobody'}"
+        shard.clean = not old.holder
+        shard.grants_from = math.inf if old.epoch else 0.0
+        why = f"epoch {lease.epoch}, before it {old.holder or 'nobody'}"
         logs.event("lease_taken", shard=shard.name, why=why)
         self._decisions.add(shard.name, "lease taken", why)
 
+    def _open(self, shard: _Shard, now: float) -> None:
+        """Let grants begin once no earlier holder's tokens can be out.
+
+        An earlier holder grants without the platform only in an outage. Once a majority knows our
+        epoch it learns of it, and if a majority was fresh all along it was in no outage.
+        """
+        if not self._gossip.known_by_majority(shard.announced):
+            return
+        calm = shard.clean or self._gossip.calm()
+        wait = LIFETIME_S if calm else STALE_S + LIFETIME_S
+        shard.grants_from = now + wait
+        self._decisions.add(shard.name, "grants begin", f"in {wait:.1f} s")
+
     def _renew(self, shard: _Shard) -> None:
         lease = shard.lease
         renewed = Lease(
@@ -183,4 +201,5 @@
             shard.held_until = 0.0
             shard.lease = None
             return False
+        shard.announced = put.ok_value.revision
         return True
--- a/standins/load.py
+++ b/standins/load.py
@@ -19,6 +19,7 @@
 from standins import plots, policies
 from standins.fleet import Fleet, until
 from wagtailloft import Session, WagtailError
+from wagtailloft.controllers.ownership import shard
 from wagtailloft.models import Team
 
 OUT = Path("out")
@@ -504,6 +505,40 @@
         )
 
 
+def takeover(report: Report, seconds: float = 16.0) -> None:
+    """Measure how long grants pause and what is refused when a limit owner is killed."""
+    with Bench(daemons=8) as bench:
+        key = bench.add_team("small", 20.0, 20.0)
+        route = {"name": "shared", "group": GROUP, "teams": ["small"]}
+        bench.fleet.api().put("route", "shared", route, 0)
+        time.sleep(8.0)
+        hosts = bench.fleet.status()["hosts"]
+        holder = next(h["name"] for h in hosts if shard("small") in h["shards"])
+        ends, told = [], Counter()
+        stop = time.monotonic() + seconds
+
+        def call(number: int) -> None:
+            while time.monotonic() < stop:
+                try:
+                    bench.session("shared", key).read("SELECT 1")
+                except WagtailError as exc:
+                    told[exc.kind.value if exc.kind else "no answer"] += 1
+                else:
+                    ends.append(time.monotonic())
+                time.sleep(0.3)
+
+        threads = [threading.Thread(target=call, args=(n,)) for n in range(4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(4.0)
+        bench.fleet.hosts[holder].process.kill()
+        for thread in threads:
+            thread.join()
+        ends.sort()
+        gap = max(b - a for a, b in zip(ends, ends[1:], strict=False))
+        report.add("limit owner killed, deadline 5 s", gap_s=gap, served=len(ends), **told)
+
+
 def measure(seed: int = 1, kills: int = 20, cuts: int = 20) -> None:
     """Run all experiments; write out/measure.json and plots."""
     report = Report(command="make measure", seed=seed, commit=_commit())
@@ -513,6 +548,7 @@
     throughput(report)
     replicas(report)
     refusals(report, seed=seed)
+    takeover(report)
     failover(report, kills, cuts)
     report.save("measure")
     plots.draw(report.rows, OUT)
@@ -546,6 +582,7 @@
     "fairness": fairness,
     "limits": limits,
     "refusals": refusals,
+    "takeover": takeover,
 }
 
 if __name__ == "__main__":
