--- a/features/drain.feature
+++ b/features/drain.feature
@@ -24,3 +24,11 @@
     And callers go on for 4 s
     Then the leaving member got no work in the last second
     And callers saw no error at all
+
+  Scenario: A leaving primary lets open transactions end
+    Given a fleet of 3 daemons with one group
+    When callers run transactions of two rows
+    And the primary is marked as leaving
+    Then another member leads
+    And callers go on for 2 s
+    And callers saw no error at all
--- a/features/ledger.py
+++ b/features/ledger.py
@@ -116,16 +116,16 @@
         for number in itertools.count():
             if self._stop.is_set():
                 return
-            hosts = self._hosts()
-            turn = (caller + number) % len(hosts)
-            host = self._world.fleet.hosts[hosts[turn]].url
-            other = self._world.fleet.hosts[hosts[(turn + 1) % len(hosts)]].url
-            note = self._write(session, f"{caller}-{number}", host)
+            note = self._write(session, f"{caller}-{number}", self._pick(caller + number))
             self.notes.append(note)
             if note.told is Told.ACKNOWLEDGED:
-                self._read(session, note.id, other)
+                self._read(session, note.id, self._pick(caller + number + 1))
             time.sleep(self._pause_s)
 
+    def _pick(self, turn: int) -> str:
+        hosts = self._hosts()
+        return self._world.fleet.hosts[hosts[turn % len(hosts)]].url
+
     def _write(self, session: Session, name: str, host: str) -> Note:
         began = time.monotonic()
         told, why = Told.ACKNOWLEDGED, ""
--- a/features/once.feature
+++ b/features/once.feature
@@ -49,3 +49,9 @@
     And every link delays by up to 0.02 s
     When 8 callers ask for their own number 40 times each
     Then every answer was whole and the caller's own
+
+  Scenario: A second try that is refused does not make the first one "not run"
+    Given a group whose member loses its first answer and refuses every later try
+    Then an idempotent write without request table is told its outcome is unknown
+    And a read is told its outcome is unknown
+    And a write whose every try was refused is told that it was not run
--- a/features/rates.feature
+++ b/features/rates.feature
@@ -22,3 +22,8 @@
     When callers press for 6 s while daemon 1 is cut off
     Then no window holds more than rate and burst allow
     And requests are admitted at the end
+
+  Scenario: Statements inside a transaction count too
+    Given a fleet of 1 daemons with a team of 5 a second and burst 5
+    When 30 statements are run in one transaction as fast as they go
+    Then no more ran than rate and burst allow, and the commit goes through
--- a/features/steps/keys.py
+++ b/features/steps/keys.py
@@ -10,7 +10,7 @@
 from features.world import ROUTE, TABLE, TEAM
 from standins.fleet import call, until
 from wagtailloft import ChangeRequest, Kind, Session, WagtailError
-from wagtailloft.cli import Failure
+from wagtailloft.operator_client import Failure
 
 OTHER = "museum-tarnow"
 WITHIN_S = 3.0
--- a/features/steps/rates.py
+++ b/features/steps/rates.py
@@ -144,3 +144,27 @@
     late = [1 for began, _ in context.pressure.admitted if began >= context.end_from]
     kinds = {k.value for t, k in context.pressure.refused if t >= context.end_from and k}
     assert len(late) > 20, (len(late), kinds, Kind.OVER_RATE)
+
+
+@when("{count:d} statements are run in one transaction as fast as they go")
+def step_in_transaction(context, count):
+    context.tx = context.world.session().begin()
+    context.told = []
+    context.began = time.monotonic()
+    for _ in range(count):
+        try:
+            context.tx.run("SELECT 1")
+        except TryAgain as exc:
+            context.told.append(exc.kind)
+        else:
+            context.told.append(None)
+    context.took = time.monotonic() - context.began
+
+
+@then("no more ran than rate and burst allow, and the commit goes through")
+def step_refused(context):
+    allowed = context.rate * context.took + context.burst
+    ran = context.told.count(None)
+    assert ran <= allowed, (ran, allowed)
+    assert ran > 0, context.told
+    context.tx.commit()
--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -10,7 +10,7 @@
 
 from features.world import GROUP
 from standins.fleet import call, until
-from wagtailloft.cli import Exit, Failure
+from wagtailloft.operator_client import Exit, Failure
 
 FAULTY = (
     ("team", "a", {"name": "a", "rate": -1, "burst": 1}, "rate over 0"),
--- a/src/wagtailloft/adapters/members.py
+++ b/src/wagtailloft/adapters/members.py
@@ -122,6 +122,9 @@
     def progress(self, received: int, applied: int, wait: float) -> Progress:
         """Return positions once one is past the given, or after a wait; raise Silent."""
 
+    def ask(self) -> Progress:
+        """Return positions as they are now, over a connection of its own; raise Silent."""
+
     def order(self, action: str, body: Any) -> Progress:
         """Fence, promote or point a member; raise Silent or MemberRefused."""
 
@@ -147,18 +150,25 @@
             self._watch = None
             raise
 
+    def ask(self) -> Progress:
+        """Return positions as they are now, over a connection of its own; raise Silent."""
+        _, data = self._once("GET", "/progress", b"")
+        return _progress(data)
+
     def order(self, action: str, body: Any) -> Progress:
         """Fence, promote or point a member; raise Silent or MemberRefused."""
+        status, data = self._once("POST", f"/{action}", msgspec.json.encode(body))
+        progress = _progress(data)
+        if status != OK:
+            raise MemberRefused(action, f"the member is at term {progress.term}")
+        return progress
+
+    def _once(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
         conn = self._open()
         try:
-            data = msgspec.json.encode(body)
-            status, answer = conn.exchange("POST", f"/{action}", data, CONTROL_TIMEOUT_S)
+            return conn.exchange(method, path, body, CONTROL_TIMEOUT_S)
         finally:
             conn.close()
-        progress = _progress(answer)
-        if status != OK:
-            raise MemberRefused(action, f"the member is at term {progress.term}")
-        return progress
 
     def _open(self) -> HttpConnection:
         at = self._member
--- a/src/wagtailloft/cli.py
+++ b/src/wagtailloft/cli.py
@@ -1,125 +1,38 @@
 """The operators' command-line tool: it talks HTTP to any daemon."""
 
 import configparser
-import json
 import os
 import secrets
 import sys
-import time
 import warnings
-from enum import IntEnum
 from pathlib import Path
 from typing import Any
-from urllib.parse import quote
 
 import fire
-import urllib3
 
 from wagtailloft import options
 from wagtailloft.catalog import key_digest
-from wagtailloft.errors import Kind
+from wagtailloft.operator_client import Exit, Failure, OperatorClient, safe
+from wagtailloft.printer import Printer, clock, flat, group_rows, host_row, table
 
-TIMEOUT_S = 10.0
 DEFAULT_HOST = "127.0.0.1:7003"
 HOST_VARIABLE = "WAGTAILLOFT_HOST"
 SECRET_BYTES = 32
 
 
-class Exit(IntEnum):
-    """Name the exit codes, one a class of error."""
-
-    FAULT = 1
-    USAGE = 2
-    UNREACHABLE = 3
-    CONFLICT = 4
-    NOT_FOUND = 5
-    REFUSED = 6
-
-
-class Failure(Exception):
-    """Raised to end the command with a line and an exit code."""
-
-    def __init__(self, text: str, code: Exit) -> None:
-        super().__init__(text)
-        self.code = code
-
-
-class Api:
-    """Call a daemon's operator surface."""
-
-    def __init__(self, *, host: str) -> None:
-        self._base = f"http://{host}"
-        self._host = host
-        self._http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
-
-    def call(self, method: str, path: str, body: Any = None) -> Any:
-        """Return the decoded answer; raise Failure."""
-        data = None if body is None else json.dumps(body).encode()
-        try:
-            answer = self._http.request(method, f"{self._base}/v1/{path}", body=data)
-        except urllib3.exceptions.HTTPError as exc:
-            text = f"no daemon answers at {self._host}; give --host IP:PORT of an operator port"
-            raise Failure(text, Exit.UNREACHABLE) from exc
-        try:
-            value = json.loads(answer.data)
-        except ValueError as exc:
-            raise Failure(f"{self._host} is no operator port", Exit.UNREACHABLE) from exc
-        if answer.status >= 400:
-            raise _failure(value)
-        return value
-
-    def find(self, kind: str, name: str) -> dict[str, Any] | None:
-        """Return an object, or None if there is none."""
-        try:
-            return self.call("GET", f"objects/{kind}/{_safe(name)}")
-        except Failure as exc:
-            if exc.code is Exit.NOT_FOUND:
-                return None
-            raise
-
-    def put(self, kind: str, name: str, value: dict[str, Any], version: int) -> dict[str, Any]:
-        """Write an object if its version is still the given one."""
-        return self.call("PUT", f"objects/{kind}/{_safe(name)}?version={version}", value)
-
-    def remove(self, kind: str, name: str) -> dict[str, Any]:
-        """Remove an object as it stands now."""
-        found = self.call("GET", f"objects/{kind}/{_safe(name)}")
-        return self.call("DELETE", f"objects/{kind}/{_safe(name)}?version={found['revision']}")
-
-    def list(self, kind: str) -> list[dict[str, Any]]:
-        """Return all objects of a kind."""
-        return self.call("GET", f"objects/{kind}")
-
-
-class Printer:
-    """Print tables for a person or JSON for a program."""
-
-    def __init__(self, *, as_json: bool) -> None:
-        self.as_json = as_json
-
-    def show(self, value: Any, rows: list[dict[str, Any]] | None = None) -> None:
-        """Print a value; as a table of rows where a person reads."""
-        if self.as_json:
-            print(json.dumps(value, indent=2))
-            return
-        if rows is None:
-            rows = value if isinstance(value, list) else [value]
-        print(table(rows))
-
-
 class Objects:
     """Share what the object commands have in common."""
 
     kind = ""
 
-    def __init__(self, *, api: Api, printer: Printer) -> None:
+    def __init__(self, *, api: OperatorClient, printer: Printer) -> None:
         self._api = api
         self._printer = printer
 
     def list(self) -> None:
         """List all of them."""
         rows = [{"revision": i["revision"], **i["value"]} for i in self._api.list(self.kind)]
-        self._printer.show(rows, [_flat(r) for r in rows])
+        self._printer.show(rows, [flat(r) for r in rows])
 
     def remove(self, name: str) -> None:
         """Remove one that nothing uses."""
@@ -131,7 +44,7 @@
         value.update({k: v for k, v in changes.items() if v is not None})
         version = found["revision"] if found else 0
         written = self._api.put(self.kind, name, value, version)
-        self._printer.show({**value, **written}, [_flat({**value, **written})])
+        self._printer.show({**value, **written}, [flat({**value, **written})])
 
 
 class Teams(Objects):
@@ -186,7 +99,7 @@
             "connections": connections,
         }
         written = self._api.put("group", str(name), value, 0)
-        self._printer.show({**value, **written}, [_flat({**value, **written})])
+        self._printer.show({**value, **written}, [flat({**value, **written})])
 
     def leave(self, name: str, member: str, back: bool = False) -> None:
         """Mark a member as leaving: it gets no new work; --back takes the mark away."""
@@ -223,7 +136,7 @@
 class SettingsTree:
     """The settings tree: defaults, region:NAME, zone:NAME, group:NAME, route:NAME."""
 
-    def __init__(self, *, api: Api, printer: Printer) -> None:
+    def __init__(self, *, api: OperatorClient, printer: Printer) -> None:
         self._api = api
         self._printer = printer
 
@@ -270,7 +183,7 @@
 
     def explain(self, route: str = "", group: str = "") -> None:
         """Print each option for a route or group with the level that gives it."""
-        path = f"settings?route={_safe(str(route))}&group={_safe(str(group))}"
+        path = f"settings?route={safe(str(route))}&group={safe(str(group))}"
         self._printer.show(self._api.call("GET", path))
 
     def _write(self, level: str, given: dict[str, str], version: int) -> None:
@@ -289,7 +202,7 @@
 
     def __init__(self, host: str = "", json: bool = False) -> None:
         address = host or os.environ.get(HOST_VARIABLE, DEFAULT_HOST)
-        self._api = Api(host=str(address))
+        self._api = OperatorClient(host=str(address))
         self._printer = Printer(as_json=json)
         shared = {"api": self._api, "printer": self._printer}
         self.team = Teams(**shared)
@@ -304,8 +217,8 @@
         if self._printer.as_json:
             self._printer.show(value)
             return
-        print(table([_host_row(h) for h in value["hosts"]]))
-        print(table([r for h in value["hosts"] for g in h["groups"] for r in _group_rows(g)]))
+        print(table([host_row(h) for h in value["hosts"]]))
+        print(table([r for h in value["hosts"] for g in h["groups"] for r in group_rows(g)]))
         for name in value["unreachable"]:
             print(f"host {name} did not answer")
         for name in value["unserved"]:
@@ -313,10 +226,10 @@
 
     def explain(self, subject: str) -> None:
         """Show what was decided about a request id, group, host or lease, and why."""
-        value = self._api.call("GET", f"explain/{_safe(str(subject))}")
+        value = self._api.call("GET", f"explain/{safe(str(subject))}")
         if not value:
             raise Failure(f"nothing is remembered of '{subject}'", Exit.NOT_FOUND)
-        rows = [{**d, "time": _clock(d["time"])} for d in value]
+        rows = [{**d, "time": clock(d["time"])} for d in value]
         self._printer.show(value, rows)
 
     def drain(self) -> None:
@@ -325,31 +238,6 @@
         self._printer.show({"draining": True})
 
 
-def table(rows: list[dict[str, Any]]) -> str:
-    """Return rows as an aligned table."""
-    if not rows:
-        return ""
-    heads = list(rows[0])
-    cells = [[str(row.get(h, "")) for h in heads] for row in rows]
-    widths = [max(len(h), *(len(c[i]) for c in cells)) for i, h in enumerate(heads)]
-    lines = [heads, *cells]
-    return "\n".join(
-        "  ".join(c.ljust(w) for c, w in zip(line, widths, strict=True)).rstrip() for line in lines
-    )
-
-
-def _failure(value: dict[str, Any]) -> Failure:
-    kind = value.get("kind", "")
-    text = f"{kind}: {value.get('detail', '')}"
-    if kind == Kind.CONFLICT.value:
-        if "value" in value:
-            now = json.dumps(value["value"])
-            text = f"{text}; now at revision {value['revision']}: {now}; nothing was overwritten"
-        return Failure(text, Exit.CONFLICT)
-    codes = {Kind.NOT_FOUND.value: Exit.NOT_FOUND, Kind.BAD_REQUEST.value: Exit.USAGE}
-    return Failure(text, codes.get(kind, Exit.REFUSED))
-
-
 def _read_tree(file: str) -> dict[str, dict[str, str]]:
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -383,48 +271,6 @@
     }
 
 
-def _host_row(host: dict[str, Any]) -> dict[str, Any]:
-    return {
-        "host": host["name"],
-        "state": host["state"],
-        "zone": host["zone"],
-        "revision": host["revision"],
-        "settings": host["settings"],
-        "age": host["settings_age"],
-        "spreader": "yes" if host["spreader"] else "",
-        "groups": ",".join(g["name"] for g in host["groups"]),
-    }
-
-
-def _group_rows(group: dict[str, Any]) -> list[dict[str, Any]]:
-    return [
-        {
-            "group": group["name"],
-            "owner": group["owner"],
-            "term": group["term"],
-            "member": m["name"],
-            "role": "primary" if m["name"] == group["primary"] else m["role"],
-            "reachable": "yes" if m["reachable"] else "no",
-            "received": m["received"],
-            "applied": m["applied"],
-            "lag": m["lag_entries"],
-            "queued": m["queued"],
-            "connections": m["connections"],
-        }
-        for m in group["members"]
-    ]
-
-
-def _flat(row: dict[str, Any]) -> dict[str, Any]:
-    return {k: _cell(v) for k, v in row.items()}
-
-
-def _cell(value: Any) -> Any:
-    if isinstance(value, list):
-        return ",".join(v["name"] if isinstance(v, dict) else str(v) for v in value)
-    return value
-
-
 def _names(teams: Any) -> list[str]:
     if isinstance(teams, (list, tuple)):
         return [str(t) for t in teams]
@@ -437,15 +283,6 @@
     return str(value)
 
 
-def _safe(text: str) -> str:
-    return quote(text, safe="")
-
-
-def _clock(seconds: float) -> str:
-    whole = time.strftime("%H:%M:%S", time.localtime(seconds))
-    return f"{whole}.{int(seconds * 1000) % 1000:03d}"
-
-
 def main() -> None:
     """Run the command line."""
     warnings.simplefilter("ignore", SyntaxWarning)
--- a/src/wagtailloft/controllers/spread.py
+++ b/src/wagtailloft/controllers/spread.py
@@ -171,9 +171,9 @@
         knowing = [n for n in hosts if self._revisions.get(n, 0) >= revision]
         return len(knowing) + 1 > len(hosts) / 2
 
-    def calm(self, hosts: frozenset[str], now: float) -> bool:
-        """Tell whether a majority of others was fresh without a break for twice the limit."""
-        calm = [n for n in hosts if self._is_calm(n, now)]
+    def calm(self, hosts: frozenset[str], since: float, now: float) -> bool:
+        """Tell whether a majority of others has been fresh without a break since a time."""
+        calm = [n for n in hosts if self._is_calm(n, since, now)]
         return len(calm) > len(hosts) / 2
 
     def state(self, hosts: frozenset[str], now: float) -> State:
@@ -195,8 +195,8 @@
         since = known.since if unbroken else news.answered
         self._calm[name] = _Calm(since=since, confirmed=confirmed)
 
-    def _is_calm(self, name: str, now: float) -> bool:
+    def _is_calm(self, name: str, since: float, now: float) -> bool:
         known = self._calm.get(name)
         if known is None or now - known.confirmed > self._limit:
             return False
-        return now - known.since >= 2 * self._limit
+        return known.since <= since
--- a/src/wagtailloft/entry.py
+++ b/src/wagtailloft/entry.py
@@ -34,6 +34,7 @@
 OWNER_TRIES = 3
 OWNER_PAUSE_S = 0.1
 FIND_OUT_LEAST_S = 0.5
+COUNTED = frozenset({Action.RUN, Action.BEGIN})
 ELSEWHERE = frozenset({Kind.NO_OWNER, Kind.STOPPING})
 
 
@@ -115,7 +116,7 @@
         options = self._catalog.options(req.route, access.route.group)
         budget = min(req.deadline or options.deadline, options.deadline_limit)
         deadline = started + budget
-        if not req.transaction:
+        if req.action in COUNTED:
             limited = self._limits.admit(access.team.name, deadline)
             if isinstance(limited, Err):
                 return limited
@@ -156,6 +157,7 @@
     def _try_owners(self, call: Call, deadline: float) -> Result[Answer, Refusal]:
         hosts = self._owners_of(call.group)
         refusal = Refusal(kind=Kind.NO_OWNER, detail="no live host")
+        unknown: Refusal | None = None
         for host in hosts[:OWNER_TRIES]:
             try:
                 answered = self._send_to(host, call, deadline)
@@ -163,15 +165,18 @@
                 refusal = Refusal(kind=Kind.NO_OWNER, detail=str(exc))
             except Silent as exc:
                 refusal = Refusal(kind=Kind.OUTCOME_UNKNOWN, detail=str(exc))
+                unknown = refusal
                 if call.mode is Mode.WRITE:
                     return self._find_out(call, host, refusal, deadline)
             else:
-                if answered.is_ok() or answered.err_value.kind not in ELSEWHERE:
+                if answered.is_ok():
                     return answered
                 refusal = answered.err_value
+                if refusal.kind not in ELSEWHERE:
+                    break
             self._metrics.retries.labels("owner_unreachable").inc()
             self._decisions.add(call.request_id, f"{host.name} did not serve it", refusal.detail)
-        return Err(refusal)
+        return Err(unknown or refusal)
 
     def _send_to_holder(self, call: Call, deadline: float) -> Result[Answer, Refusal]:
         name = call.transaction.partition(".")[0]
--- a/src/wagtailloft/gate.py
+++ b/src/wagtailloft/gate.py
@@ -14,12 +14,13 @@
 
 
 class Place(Record):
-    """Hold who wants a slot and until when."""
+    """Hold who wants a slot and until when; inside tells of a transaction that is open."""
 
     team: str
     weight: float
     deadline: float
     limit: int
+    inside: bool = False
 
 
 class Gate:
@@ -50,7 +51,7 @@
             return 0.0 if self._busy < self._slots else self._queue.wait(self._slots)
 
     def pause(self, paused: bool) -> None:
-        """Hold back or let go the requests that wait."""
+        """Hold back or let go the requests that wait; open transactions go on."""
         with self._lock:
             self._paused = paused
             self._admit()
@@ -83,6 +84,10 @@
             if isinstance(pushed, Err):
                 return pushed
             ticket = pushed.ok_value
+            if self._paused and place.inside:
+                self._queue.remove(ticket)
+                self._busy += 1
+                return Ok(ticket)
             self._granted[ticket.number] = granted
             self._admit()
         if granted.wait(max(0.0, place.deadline - now)):
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -18,7 +18,7 @@
 from wagtailloft.models import Change, Host, HostState
 
 INTERVAL_S = 0.5
-FANOUT = 3
+FANOUT = 4
 HELPERS = 2
 
 
@@ -42,6 +42,7 @@
         self._executor = executor
         self._decisions = decisions
         self._rng = random.Random()
+        self._asked_all = 0.0
         self._spreaders: tuple[Host, ...] = ()
         self._spread_over: tuple[Host, ...] = ()
         self._lock = threading.RLock()
@@ -100,9 +101,22 @@
         """Tell whether a majority of the listed hosts has a revision."""
         return self._freshness.known_by_majority(self.listed(), revision)
 
-    def calm(self) -> bool:
-        """Tell whether a majority of other hosts has been fresh without a break."""
-        return self._freshness.calm(self.listed(), time.monotonic())
+    def calm(self, since: float) -> bool:
+        """Tell whether a majority of other hosts has been fresh without a break since a time."""
+        return self._freshness.calm(self.listed(), since, time.monotonic())
+
+    def ask_all(self) -> None:
+        """Trade digests with every live host, at most once an interval."""
+        now = time.monotonic()
+        with self._lock:
+            if now - self._asked_all < INTERVAL_S:
+                return
+            self._asked_all = now
+            own = self._membership.own.name
+            others = [h for h in self._membership.hosts() if h.name != own]
+        for host in others:
+            if host.state is not HostState.DEAD:
+                self._executor.submit(self.exchange, host)
 
     def tick(self) -> None:
         """Trade digests with a spreader and the next few peers."""
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -39,6 +39,7 @@
     seen: float = 0.0
     held_until: float = 0.0
     grants_from: float = math.inf
+    known_since: float = math.inf
     announced: int = 0
     clean: bool = False
     renewed: float = 0.0
@@ -133,6 +134,8 @@
             self._take(shard, change.revision, lease)
         elif now - shard.seen >= DURATION_S and self._gossip.hears_majority():
             self._take(shard, change.revision, lease)
+        elif now - shard.seen >= RENEW_S / 2:
+            self._gossip.ask_all()
 
     def _take(self, shard: _Shard, version: int, old: Lease) -> None:
         lease = Lease(name=shard.name, holder=self._holder, epoch=old.epoch + 1)
@@ -141,6 +144,7 @@
         if not self._announce(shard, lease):
             return
         shard.clean = not old.holder
+        shard.known_since = math.inf
         shard.grants_from = math.inf if old.epoch else 0.0
         why = f"epoch {lease.epoch}, before it {old.holder or 'nobody'}"
         logs.event("lease_taken", shard=shard.name, why=why)
@@ -152,12 +156,18 @@
         An earlier holder grants without the platform only in an outage. Once a majority knows our
         epoch it learns of it, and if a majority was fresh all along it was in no outage.
         """
+        self._gossip.ask_all()
         if not self._gossip.known_by_majority(shard.announced):
             return
-        calm = shard.clean or self._gossip.calm()
-        wait = LIFETIME_S if calm else STALE_S + LIFETIME_S
-        shard.grants_from = now + wait
-        self._decisions.add(shard.name, "grants begin", f"in {wait:.1f} s")
+        shard.known_since = min(shard.known_since, now)
+        calm = shard.clean or self._gossip.calm(shard.known_since - STALE_S)
+        if not calm and now - shard.known_since < STALE_S:
+            return
+        shard.grants_from = max(now, shard.known_since + LIFETIME_S)
+        if not calm:
+            shard.grants_from = shard.known_since + STALE_S + LIFETIME_S
+        wait = shard.grants_from - now
+        self._decisions.add(shard.name, "grants begin", f"in {wait:.1f} s, calm: {calm}")
 
     def _renew(self, shard: _Shard) -> None:
         lease = shard.lease
--- a/src/wagtailloft/limits.py
+++ b/src/wagtailloft/limits.py
@@ -16,7 +16,7 @@
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Team
 
-PATIENCE_S = 0.25
+PATIENCE_S = 0.5
 RETRY_S = 0.05
 REPORT_S = 0.05
 TOKEN_TIMEOUT_S = 0.5
@@ -121,7 +121,10 @@
             finally:
                 account.asking.release()
             refusal, pause = self._judge(asked)
-            until = deadline if refusal.kind is Kind.LIMITS_UNAVAILABLE else min(deadline, patience)
+            until = min(deadline, patience)
+            if refusal.kind is Kind.LIMITS_UNAVAILABLE:
+                until = deadline
+                patience = time.monotonic() + PATIENCE_S
             if time.monotonic() + pause >= until:
                 return Err(refusal)
             time.sleep(pause)
--- a/src/wagtailloft/models.py
+++ b/src/wagtailloft/models.py
@@ -199,14 +199,6 @@
     repeated: bool = False
 
 
-class Failure(Record):
-    """Carry a refusal between hosts."""
-
-    request_id: str
-    kind: str
-    detail: str = ""
-
-
 class Change(Record):
     """Carry one object of the platform at one revision; a null value is a removal."""
 
--- a/src/wagtailloft/owner.py
+++ b/src/wagtailloft/owner.py
@@ -5,6 +5,7 @@
 import time
 from dataclasses import dataclass
 
+from absl import logging
 from result import Err, Result
 
 from wagtailloft import logs
@@ -16,8 +17,7 @@
 from wagtailloft.controllers.views import NEVER, GroupView
 from wagtailloft.decisions import Decisions
 from wagtailloft.election import Election
-from wagtailloft.errors import Kind, Refusal
-from wagtailloft.gate import Gate
+from wagtailloft.errors import Kind, Refusal, Silent
 from wagtailloft.member import MakeLink, MemberDesk
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Action, Answer, Call, Group, Member, Team
@@ -26,6 +26,7 @@
 from wagtailloft.watch import GroupWatch, MakeControl
 
 HAND_OVER_LIMIT_S = 3.0
+HAND_OVER_LEAST_S = 0.5
 IDLE_LIMIT_S = 30.0
 HEARTBEAT_S = 0.25
 HEARTBEATS_PER_S = 16
@@ -99,6 +100,7 @@
         self.first = False
         self._failed_since = NEVER
         self._leader = ""
+        self._leaving_since = NEVER
         self.calls = 0
         self._counting = threading.Lock()
         self._ticking = threading.Lock()
@@ -150,6 +152,8 @@
             return
         try:
             self._tick()
+        except Exception:
+            logging.exception("event=tick_failed group=%s", self.group.name)
         finally:
             self._ticking.release()
 
@@ -185,7 +189,7 @@
         elif plan.move is Move.FOLLOW:
             self.election.follow(plan.members)
         elif plan.move is Move.HAND_OVER:
-            self._hand_over(plan.why)
+            self._hand_over(plan.why, now)
         self.transactions.sweep(now)
         self._measure()
         self.election.publish()
@@ -213,34 +217,43 @@
         leader = view.primary.member.name
         if self._leader and self._leader != leader:
             self.desks[self._leader].pool.cut()
+        if self._leaving_since != NEVER and not view.primary.member.leaving:
+            self._let_go()
         self._leader = leader
 
-    def _hand_over(self, why: str) -> None:
-        """Hold new work, let running work end and a replica catch up, then change the term."""
-        primary = self.watch.view().primary
-        if primary is None:
-            return
-        gate = self.desks[primary.member.name].gate
-        gate.pause(True)
-        try:
-            until = time.monotonic() + HAND_OVER_LIMIT_S
-            self._settle(gate, until)
-            self._elect(why, (primary.member.name,))
-        finally:
+    def _let_go(self) -> None:
+        """End the hold on new work: another member leads, or this one stays after all."""
+        self._leaving_since = NEVER
+        for desk in self.desks.values():
+            desk.gate.pause(False)
+
+    def _hand_over(self, why: str, now: float) -> None:
+        """Hold new work; once what runs has ended, the first owner changes the term.
+
+        Every holder of the group holds new work, and the first owner waits a little for the others.
+        """
+        gate = self.desks[self._leader].gate
+        if self._leaving_since == NEVER:
+            self._leaving_since = now
+            gate.pause(True)
+        waited = now - self._leaving_since
+        if waited > HAND_OVER_LIMIT_S + SECOND_OWNER_WAIT_S:
             gate.pause(False)
-
-    def _settle(self, gate: Gate, until: float) -> None:
-        while time.monotonic() < until:
-            if gate.busy == 0 and self.transactions.count == 0 and self._level():
-                return
-            time.sleep(0.01)
+        if not self.first or waited < HAND_OVER_LEAST_S:
+            return
+        settled = gate.busy == 0 and self.transactions.count == 0 and self._level()
+        if settled or waited >= HAND_OVER_LIMIT_S:
+            self._elect(why, (self._leader,))
 
     def _level(self) -> bool:
         view = self.watch.view()
         primary = view.primary
         if primary is None:
             return False
-        position = self.watch.ask(primary.member.name).received
+        try:
+            position = self.watch.ask(primary.member.name).received
+        except Silent:
+            return False
         return any(
             m.progress.received == position and not m.member.leaving for m in view.reachable()
         )
--- a/src/wagtailloft/statements.py
+++ b/src/wagtailloft/statements.py
@@ -13,7 +13,7 @@
 from wagtailloft.controllers.retries import RetryBudget, pause
 from wagtailloft.controllers.routing import Choice, Load, choose
 from wagtailloft.decisions import Decisions
-from wagtailloft.errors import Kind, NotSent, Refusal, Silent
+from wagtailloft.errors import Kind, NotSent, Ran, Refusal, Silent
 from wagtailloft.gate import Place
 from wagtailloft.member import MemberDesk
 from wagtailloft.metrics import Metrics
@@ -42,6 +42,7 @@
     tries: int = 0
     sent_term: int = 0
     behind: bool = False
+    unknown: bool = False
     reasons: list[str] = field(default_factory=list)
 
     def left(self) -> float:
@@ -55,6 +56,7 @@
             weight=self.weight,
             deadline=self.deadline,
             limit=self.options.queue_limit,
+            inside=bool(self.call.transaction),
         )
 
 
@@ -81,6 +83,13 @@
 
     def run(self, attempt: Attempt) -> Result[Answer, Refusal]:
         """Run one statement and return its whole answer or a true refusal."""
+        ran = self._run(attempt)
+        if ran.is_ok() or not attempt.unknown or ran.err_value.reply.ran is not Ran.NO:
+            return ran
+        detail = f"an earlier try may have run; {ran.err_value.kind.value}"
+        return Err(Refusal(kind=Kind.OUTCOME_UNKNOWN, detail=detail))
+
+    def _run(self, attempt: Attempt) -> Result[Answer, Refusal]:
         self._budget.share = attempt.options.retry_share
         self._budget.served()
         while True:
@@ -105,11 +114,13 @@
                 refusal, reason = Refusal(kind=Kind.NO_PRIMARY, detail=str(exc)), "not_sent"
             except Silent as exc:
                 refusal, reason = Refusal(kind=Kind.OUTCOME_UNKNOWN, detail=str(exc)), "silent"
+                attempt.unknown = True
             if self._must_look_up(attempt, Err(refusal)):
                 found = self.look_up(attempt, refusal)
                 if found.is_ok() or found.err_value.kind is not Kind.STALE_TERM:
                     return found
                 refusal, reason = found.err_value, "replaced"
+                attempt.unknown = False
             if not self._again(attempt, reason, refusal):
                 return Err(refusal)
 
--- a/src/wagtailloft/timers.py
+++ b/src/wagtailloft/timers.py
@@ -27,11 +27,6 @@
     interval: float
     action: Callable[[], None]
     running: bool = False
-    cancelled: bool = False
-
-    def cancel(self) -> None:
-        """Stop calling the subscriber."""
-        self.cancelled = True
 
 
 class Timers:
@@ -56,13 +51,12 @@
             self._stopped = True
             self._wake.notify()
 
-    def every(self, name: str, interval: float, action: Callable[[], None]) -> Subscription:
+    def every(self, name: str, interval: float, action: Callable[[], None]) -> None:
         """Subscribe an action to be called each interval in seconds."""
         subscription = Subscription(name=name, interval=interval, action=action)
         with self._wake:
             self._push(self._clock() + interval, subscription)
             self._wake.notify()
-        return subscription
 
     def _push(self, due: float, subscription: Subscription) -> None:
         heapq.heappush(self._heap, (due, next(self._order), subscription))
@@ -78,8 +72,6 @@
                     self._wake.wait(pause)
                     continue
                 _, _, subscription = heapq.heappop(self._heap)
-                if subscription.cancelled:
-                    continue
                 self._push(now + subscription.interval, subscription)
             self._call(subscription)
 
--- a/src/wagtailloft/transactions.py
+++ b/src/wagtailloft/transactions.py
@@ -124,21 +124,27 @@
             self._end(tx, "the owner is stopping")
 
     def _begin_on(self, attempt: Attempt, member: str) -> Result[Answer, Refusal]:
-        call, desk = attempt.call, self._desks[member]
+        desk = self._desks[member]
         if len(self._open) >= self._limit(desk):
             raise NotSent("all connections for transactions are in use")
         with desk.gate.slot(attempt.place()) as admitted:
             if isinstance(admitted, Err):
                 return admitted
-            link = desk.pool.take(attempt.left())
-            term = self._watch.view().term
-            begun = False
-            try:
-                link.call("begin", Work(term=term, mode="write"), attempt.left())
-                begun = True
-            finally:
-                if not begun:
-                    desk.pool.give_back(link, link.usable)
+            tx = self._open_on(attempt, desk)
+        return Ok(self._answer(attempt, tx, Rows(), Position()))
+
+    def _open_on(self, attempt: Attempt, desk: MemberDesk) -> _Open:
+        """Begin on a connection and remember it, while the caller holds a slot."""
+        call = attempt.call
+        link = desk.pool.take(attempt.left())
+        term = self._watch.view().term
+        begun = False
+        try:
+            link.call("begin", Work(term=term, mode="write"), attempt.left())
+            begun = True
+        finally:
+            if not begun:
+                desk.pool.give_back(link, link.usable)
         now = time.monotonic()
         tx = _Open(
             id=f"{self._host}.{uuid.uuid4().hex}",
@@ -154,7 +160,7 @@
         )
         with self._lock:
             self._open[tx.id] = tx
-        return Ok(self._answer(attempt, tx, Rows(), Position()))
+        return tx
 
     def _limit(self, desk: MemberDesk) -> int:
         return max(1, desk.pool.limit - desk.slots)
--- a/src/wagtailloft/watch.py
+++ b/src/wagtailloft/watch.py
@@ -118,7 +118,7 @@
     def ask(self, name: str) -> Progress:
         """Ask a member for its progress now; raise Silent."""
         member = self._view_of(name).member
-        progress = self._controls(member).progress(0, 0, 0)
+        progress = self._controls(member).ask()
         self.report(progress)
         return progress
 
@@ -136,7 +136,7 @@
 
     def _is_in(self, member: Member, term: int) -> bool:
         try:
-            return self._controls(member).progress(0, 0, 0).term == term
+            return self._controls(member).ask().term == term
         except Silent:
             return False
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -17,7 +17,7 @@
 import urllib3
 
 from wagtailloft import Session
-from wagtailloft.cli import Api
+from wagtailloft.operator_client import OperatorClient
 
 NET = f"127.{1 + os.getpid() // 250 % 250}.{os.getpid() % 250}"
 IP = f"{NET}.1"
@@ -220,10 +220,6 @@
         self.hosts[name] = at
         return at
 
-    def restart_host(self, name: str) -> None:
-        """Start a stopped daemon again with the same settings."""
-        self.hosts[name].process.start()
-
     def tool(self, *args: str, host: str = "", check: bool = True) -> Made | list[Made]:
         """Run the command-line tool and return what it printed as JSON."""
         done = self.tool_run(*args, "--json", host=host)
@@ -237,10 +233,10 @@
         command = [sys.executable, "-m", "wagtailloft.cli", *args, f"--host={at.operators}"]
         return subprocess.run(command, capture_output=True, text=True, timeout=60)
 
-    def api(self, host: str = "") -> Api:
+    def api(self, host: str = "") -> OperatorClient:
         """Return the operators' surface of a daemon."""
         at = self.hosts[host] if host else next(iter(self.hosts.values()))
-        return Api(host=at.operators)
+        return OperatorClient(host=at.operators)
 
     def write_group(self, name: str, slots: int = 2, connections: int = 16) -> None:
         """Tell the fleet of a group's members."""
--- a/standins/member.py
+++ b/standins/member.py
@@ -87,7 +87,6 @@
         self.folder = tempfile.mkdtemp(prefix=f"member-{name}-")
         self.applier = self._open()
         self.http = urllib3.PoolManager(retries=False, source_address=(ip, 0))
-        self.received_bytes: list[str] = []
         threading.Thread(target=self._pull_forever, daemon=True).start()
         threading.Thread(target=self._apply_forever, daemon=True).start()
 
--- a/standins/policies.py
+++ b/standins/policies.py
@@ -11,7 +11,7 @@
 from wagtailloft.controllers.limits import LIFETIME_S, Bucket, Purse
 from wagtailloft.models import Team
 
-PATIENCE_S = 0.25
+PATIENCE_S = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/standins/slopes.py
+++ b/standins/slopes.py
@@ -13,8 +13,8 @@
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
+from standins.bench import Report, commit, cpu_of, memory_of
 from standins.fleet import Fleet, until
-from standins.load import Report, cpu_of, memory_of
 from wagtailloft.adapters.members import HttpControl
 from wagtailloft.adapters.peers import Digest, write_delta, write_digest
 from wagtailloft.controllers.failover import plan
@@ -325,7 +325,7 @@
 
 def run(*names: str) -> None:
     """Measure the named slopes, or all; write out/capacity.json."""
-    report = Report(command="make capacity", seed=1, commit="")
+    report = Report(command="make capacity", seed=1, commit=commit())
     for name in names or PARTS:
         PARTS[name](report)
     report.save("capacity")
