Grant nothing while a lease is being taken again

Cause: a host that had held a shard's lease before kept the time from which it might grant; between the write of the lease and of the epoch a grant could begin at once, beside tokens of the holder before it. Found by reading.

Change: the right is closed before the lease is written and opened only by the wait for a majority.

Ruled out: a lock around take and grant, which would hold requests for two platform calls.

Figures: the new scenario in features/rates.feature failed before ([False, True, ...] in the middle of the write) and passes after.

--- a/features/rates.feature
+++ b/features/rates.feature
@@ -27,3 +27,7 @@
     Given a fleet of 1 daemons with a team of 5 a second and burst 5
     When 30 statements are run in one transaction as fast as they go
     Then no more ran than rate and burst allow, and the commit goes through
+
+  Scenario: A host that held a lease before grants nothing while it takes it again
+    Given a host that held and released a lease that another host took and lost
+    Then taking it again gives no right to grant before a majority knows the epoch
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -15,7 +15,7 @@
 from wagtailloft.controllers.spread import STALE_S, State
 from wagtailloft.decisions import Decisions
 from wagtailloft.gossip import Gossip
-from wagtailloft.models import Epoch, Lease
+from wagtailloft.models import Epoch, Lease, Record
 
 DURATION_S = 3.0
 RENEW_S = 1.0
@@ -23,12 +23,11 @@
 CALL_TIMEOUT_S = 0.8
 
 
-class Right:
-    """Name the right to grant within one epoch, and from when."""
+class Right(Record):
+    """Hold the right to grant within one epoch, and from when."""
 
-    def __init__(self, *, epoch: int, since: float) -> None:
-        self.epoch = epoch
-        self.since = since
+    epoch: int
+    since: float
 
 
 @dataclass(kw_only=True)
@@ -139,13 +138,15 @@
 
     def _take(self, shard: _Shard, version: int, old: Lease) -> None:
         lease = Lease(name=shard.name, holder=self._holder, epoch=old.epoch + 1)
+        shard.grants_from = math.inf
+        shard.known_since = math.inf
+        shard.clean = not old.holder
         if not self._write(shard, lease, version):
             return
         if not self._announce(shard, lease):
             return
-        shard.clean = not old.holder
-        shard.known_since = math.inf
-        shard.grants_from = math.inf if old.epoch else 0.0
+        if not old.epoch:
+            shard.grants_from = 0.0
         why = f"epoch {lease.epoch}, before it {old.holder or 'nobody'}"
         logs.event("lease_taken", shard=shard.name, why=why)
         self._decisions.add(shard.name, "lease taken", why)
