Count a group's majority in one place

Cause: the size of a majority was worked out four times (view, watch, election twice), and the options kept a function and an alias that nothing needed.

Change: Group.majority serves all four; the wrapper around the table of options and the unused Bytes alias are gone. Behaviour is the same.

--- a/src/wagtailloft/controllers/views.py
+++ b/src/wagtailloft/controllers/views.py
@@ -39,7 +39,7 @@
     @property
     def majority(self) -> int:
         """Return how many members make a majority."""
-        return len(self.members) // 2 + 1
+        return self.group.majority
 
     @property
     def term(self) -> int:
--- a/src/wagtailloft/election.py
+++ b/src/wagtailloft/election.py
@@ -73,7 +73,7 @@
         if term == 0:
             return False
         reports = self._fence(term)
-        majority = len(self.group.members) // 2 + 1
+        majority = self.group.majority
         if len(reports) < majority:
             self._note("election given up", f"{len(reports)} members took term {term}")
             return False
@@ -152,7 +152,7 @@
         executor = ThreadPoolExecutor(len(members))
         futs = [executor.submit(self._order, m, "fence", order) for m in members]
         executor.shutdown(wait=False)
-        return tuple(_gather(futs, len(members) // 2 + 1))
+        return tuple(_gather(futs, self.group.majority))
 
     def _promote(self, name: str, term: int) -> bool:
         member = next(m for m in self.group.members if m.name == name)
--- a/src/wagtailloft/models.py
+++ b/src/wagtailloft/models.py
@@ -87,6 +87,11 @@
     slots: int = 2
     connections: int = 16
 
+    @property
+    def majority(self) -> int:
+        """Return how many members make a majority."""
+        return len(self.members) // 2 + 1
+
 
 class Leadership(Record):
     """Hold a group's published term and primary."""
--- a/src/wagtailloft/options.py
+++ b/src/wagtailloft/options.py
@@ -16,7 +16,6 @@
 _AMOUNT = re.compile(r"(\d+(?:\.\d+)?)\s*([A-Za-z]*)")
 
 Seconds = Annotated[float, msgspec.Meta(extra={"unit": "duration"})]
-Bytes = Annotated[int, msgspec.Meta(extra={"unit": "size"})]
 
 
 def _seconds(low: float, high: float) -> Any:
@@ -60,9 +59,9 @@
 
 def parse(option: str, text: str) -> Result[Any, str]:
     """Return the value of an option, or say what would be right."""
-    field = _fields().get(option)
+    field = _FIELDS.get(option)
     if field is None:
-        return Err(f"unknown option '{option}'; known: {', '.join(sorted(_fields()))}")
+        return Err(f"unknown option '{option}'; known: {', '.join(sorted(_FIELDS))}")
     if field.type is bool:
         if text not in YES_NO:
             return Err(f"'{text}' is not yes or no")
@@ -96,7 +95,7 @@
 def explain(levels: tuple[Level, ...]) -> tuple[Explained, ...]:
     """Return each option's value with the level that gave it."""
     result: dict[str, Explained] = {}
-    for name, field in _fields().items():
+    for name, field in _FIELDS.items():
         result[name] = Explained(option=name, value=_text(field.default), level="built in")
     for level in levels:
         for option, text in level.options.items():
@@ -104,10 +103,6 @@
     return tuple(result[name] for name in sorted(result))
 
 
-def _fields() -> dict[str, msgspec.structs.FieldInfo]:
-    return _FIELDS
-
-
 def _amount(text: str, unit: str) -> float | int | None:
     match = _AMOUNT.fullmatch(text.strip())
     if match is None:
--- a/src/wagtailloft/watch.py
+++ b/src/wagtailloft/watch.py
@@ -109,7 +109,7 @@
             futs = [executor.submit(self._is_in, m, term) for m in members]
             wait(futs, timeout=timeout)
             agreed = sum(1 for f in futs if f.done() and f.result())
-        return agreed >= len(members) // 2 + 1
+        return agreed >= self.group.majority
 
     def reaches(self, name: str) -> bool:
         """Tell whether a member answered its last heartbeat."""
