Take a primary for new only in a later term, and a full target not for dead

Cause: after a power loss of all hosts the members keep the dead connections for 3 s and close new ones at once, which counted as unreachable: seven promotions a recovery. Ruled out: a fence that a host missed; all hosts had acknowledged. Change: only a member of a later term than the replaced one counts as leading; a connection that is closed at once means that the target is full; half of a target's connections are left free in calm.

--- a/src/wagtailloft/groups/pools.py
+++ b/src/wagtailloft/groups/pools.py
@@ -16,6 +16,7 @@
 from wagtailloft.sessions.statements import Outcome, State, Verb, refused
 
 QUEUE_LIMIT = 200  # statements of one team that may wait for a link of one target
+USUAL_SHARE = 0.5  # of a target's connections; the rest is free at once after a power loss
 SPARE_LINKS = 1  # left for a promoter's questions, which count at the target too
 CAPPED_S = 1.0  # how long a target's refusal of a connection bounds the pool
 SILENCE_S = 0.25  # above the longest usual statement with its wait for a slot
@@ -31,6 +32,7 @@
     def __init__(self, *, target: Target, limit: int, connect: Connect) -> None:
         self.target = target
         self.limit = max(1, limit - SPARE_LINKS)
+        self.usual = max(1, int(limit * USUAL_SHARE))
         self.running: set[Link] = set()
         self.leading: set[Link] = set()
         self._connect = connect
@@ -78,6 +80,12 @@
             self._open -= 1
         self._idle.clear()
 
+    def trim(self) -> None:
+        """Close the links that only a burst needed."""
+        while self._idle and self._open > self.usual:
+            self._idle.pop(0).close()
+            self._open -= 1
+
     def cut(self, links: set[Link]) -> None:
         """Close running links at once."""
         for link in list(links):
@@ -124,8 +132,10 @@
             future.set_result(None)
 
     def _free(self) -> int:
-        limit = self._ceiling if now() < self._capped_until else self.limit
-        return len(self._idle) + max(0, limit - self._open) - self._reserved
+        return len(self._idle) + max(0, self._room(self.limit) - self._open) - self._reserved
+
+    def _room(self, limit: int) -> int:
+        return min(limit, self._ceiling) if now() < self._capped_until else limit
 
     def _drop_closed(self) -> None:
         closed = [link for link in self._idle if link.closed]
@@ -143,8 +153,7 @@
     async def _open_link(self, team: str) -> Link:
         if self._unreachable and now() < self._unreachable[0]:
             raise self._unreachable[1]
-        limit = self._ceiling if now() < self._capped_until else self.limit
-        if self._open >= limit and self._idle:
+        if self._open >= self._room(self.usual) and self._idle:
             self._idle.pop(0).close()
             self._open -= 1
         opening = Opening(
@@ -242,6 +251,7 @@
                 pool.close()
                 if not pool.running:
                     del self._pools[key]
+            pool.trim()
 
     def close(self) -> None:
         """Close every link."""
--- a/src/wagtailloft/groups/promotion.py
+++ b/src/wagtailloft/groups/promotion.py
@@ -6,7 +6,7 @@
 
 from wagtailloft import logs
 from wagtailloft.clock import now
-from wagtailloft.errors import NotSent, Silent
+from wagtailloft.errors import Kind, NotSent, Silent
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh, Wire, quiet
 from wagtailloft.fleet.messages import Fence, Fenced, Message, Noted, Settled, Suspect
@@ -163,7 +163,12 @@
         target = self._directory.target(group, name)
         if target is None:
             return False
-        standing = await self._ask(target, lambda link: link.status(ASK_LIMIT_S))
+        try:
+            standing = await self._ask_surely(target, lambda link: link.status(ASK_LIMIT_S))
+        except NotSent as exc:
+            return exc.kind is Kind.TOO_MANY_LINKS
+        except Silent:
+            return False
         return standing is not None and standing.role is Role.PRIMARY
 
     async def _replace(self, group: str, replaced: str, why: str, planned: bool) -> None:
@@ -280,10 +285,11 @@
         until = now() + LEVEL_LIMIT_S
         while True:
             standings = await self._standings(lead, sync and not planned)
-            leading = [s for s in standings if s.role is Role.PRIMARY and s.target != lead.replaced]
+            leading = [s for s in standings if _leads_anew(s, lead)]
             if leading:
                 return max(leading, key=lambda s: s.term)
-            best = max(standings, key=lambda s: (s.received, s.target), default=None)
+            replicas = [s for s in standings if s.role is Role.REPLICA]
+            best = max(replicas, key=lambda s: (s.received, s.target), default=None)
             level = best and (acknowledged is None or best.received >= acknowledged)
             if best and (level or not (sync or planned)):
                 return best
@@ -298,8 +304,12 @@
 
         async def ask(link: Link) -> Standing | None:
             standing = await link.status(ASK_LIMIT_S)
-            if pause and standing and standing.role is Role.REPLICA:
+            if standing is None:
+                return None
+            if pause and standing.role is Role.REPLICA:
                 return await link.pause(standing.term + 1, ASK_LIMIT_S) or standing
+            if standing.role is Role.PRIMARY and standing.term < lead.term:
+                return await link.demote(lead.term, ASK_LIMIT_S) or standing
             return standing
 
         found = await asyncio.gather(*(self._ask(t, ask) for t in targets))
@@ -354,24 +364,32 @@
             pause = min(0.5, pause * 2)
 
     async def _ask(self, target: Target, question: Callable) -> Standing | None:
-        """Open a connection of its own for a question; return None if there is no answer."""
-        opening = Opening(
-            group=target.group, target=target.name, address=target.address, team=PROMOTER_TEAM
-        )
+        """Ask a member; return None, with a log line, if there is no answer."""
         try:
-            link = await self._connect.open(opening)
-        except NotSent as exc:
+            return await self._ask_surely(target, question)
+        except (NotSent, Silent) as exc:
             logs.event("member_unreachable", target=target.name, why=str(exc))
             return None
+
+    async def _ask_surely(self, target: Target, question: Callable) -> Standing | None:
+        """Ask over a connection of its own; raise NotSent or Silent."""
+        opening = Opening(
+            group=target.group, target=target.name, address=target.address, team=PROMOTER_TEAM
+        )
+        link = await self._connect.open(opening)
         try:
             return await question(link)
-        except (NotSent, Silent) as exc:
-            logs.event("member_silent", target=target.name, why=str(exc))
-            return None
         finally:
             link.close()
 
 
+def _leads_anew(standing: Standing, lead: Lead) -> bool:
+    """Tell whether a member leads a later term than the primary that is being replaced."""
+    if standing.role is not Role.PRIMARY or standing.target == lead.replaced:
+        return False
+    return standing.term > lead.term
+
+
 _TASKS: set[asyncio.Task] = set()
 
 
