--- /dev/null
+++ b/features/steps/site.py
@@ -0,0 +1,407 @@
+"""Steps over real hosts, a store and members that speak the platform's protocols."""
+
+import re
+import signal
+import socket
+import threading
+import time
+
+from behave import given, then, when
+
+from standins.fleet import until
+from standins.site import KEY, SECOND_KEY, Site
+
+SERVED_S = 3.0
+
+
+def put(context, **options):
+    """Start a site for the scenario."""
+    context.site = context.stack.enter_context(Site(**options))
+
+
+def served(lines):
+    """Tell whether an answer is a success."""
+    return any(line.startswith("DONE") for line in lines)
+
+
+def code(lines):
+    """Return the code of an answer that is an error."""
+    return next((line.split()[1] for line in lines if line.startswith("ERR")), "")
+
+
+class Writer(threading.Thread):
+    """Write numbered items without a pause, and note what came of each."""
+
+    def __init__(self, site, host, prefix):
+        """Prepare a writer at one host."""
+        super().__init__(daemon=True)
+        self.site, self.host, self.prefix = site, host, prefix
+        self.results, self.done = [], threading.Event()
+
+    def run(self):
+        """Write until told to end."""
+        caller = self.site.call(self.host, "orders")
+        number = 0
+        while not self.done.is_set():
+            number += 1
+            began = time.monotonic()
+            lines = caller.query(f"WRITE {self.prefix}{number} {number}")
+            if not lines:
+                caller = self.site.call(self.host, "orders")
+            self.results.append((began, time.monotonic(), number, lines))
+            time.sleep(0.01)
+
+    def finish(self):
+        """Stop and return the results."""
+        self.done.set()
+        self.join(10.0)
+        return self.results
+
+
+def start_writers(context):
+    """Start a writer at each host and let them run for a moment."""
+    site = context.site
+    context.writers = [Writer(site, h, f"{h}.") for h in site.hosts]
+    for writer in context.writers:
+        writer.start()
+    time.sleep(0.5)
+
+
+@given("a site with {count:d} hosts")
+def step_site(context, count):
+    put(context, hosts=count)
+
+
+@given("a site with {count:d} hosts and a rate of {rate:d} a second and a burst of {burst:d}")
+def step_rated(context, count, rate, burst):
+    put(context, hosts=count, rate=rate, burst=burst)
+
+
+@then("a session reads what it wrote, in and outside transactions")
+def step_reads(context):
+    for host in context.site.hosts:
+        caller = context.site.call(host, "accounts")
+        caller.ok(f"WRITE {host} one")
+        assert caller.ok(f"READ {host}")[0] == "ROW one"
+        caller.ok("BEGIN")
+        caller.ok(f"WRITE {host} two")
+        assert caller.ok(f"READ {host}")[0] == "ROW two"
+        assert caller.ok("ROLLBACK")[-1].startswith("READY I")
+        assert caller.ok(f"READ {host}")[0] == "ROW one"
+        caller.ok("BEGIN")
+        caller.ok(f"WRITE {host} three")
+        caller.ok("COMMIT")
+        assert caller.ok(f"READ {host}")[0] == "ROW three"
+        caller.ok("BEGIN READ")
+        caller.ok(f"READ {host}")
+        caller.ok("COMMIT")
+
+
+@then("prepared names of two sessions do not mix")
+def step_prepared(context):
+    first, second = (context.site.call("edge-0", "orders") for _ in range(2))
+    first.ok("PREPARE s READ shape-a")
+    second.ok("PREPARE s WRITE shape-b")
+    second.ok("EXEC s item value")
+    assert first.ok("EXEC s item")[0] == "ROW value"
+    first.ok("DEALLOC s")
+    assert code(first.query("EXEC s item")) == "NOSTMT"
+    second.ok("EXEC s item value")
+
+
+@then("session values reach the member before each statement")
+def step_values(context):
+    first, second = (context.site.call("edge-0", "orders") for _ in range(2))
+    first.ok("SET region north")
+    for caller, wanted in ((first, (("region", "north"),)), (second, ()), (first, None)):
+        caller.ok("READ item")
+        run = next(r for r in context.site.group.runs if r.request == caller.last)
+        assert wanted is None or run.values == wanted, run
+
+
+@then("what can't be understood, is unknown or too long is refused by its kind")
+def step_refused(context):
+    site = context.site
+    caller = site.call("edge-0", "orders")
+    for text, wanted in (
+        ("SELECT 1", "BADMSG"),
+        ("READ", "BADMSG"),
+        ("COMMIT", "BADMSG"),
+        ("EXEC none x", "NOSTMT"),
+        ("WRITE a " + "x" * (1 << 20), "TOOBIG"),
+    ):
+        assert code(caller.query(text)) == wanted, text[:20]
+    caller.ok("READ a")
+    assert code(site.call("edge-0", "nowhere").greeting) == "NODB"
+    assert code(site.call("edge-0", "orders", "no-key").greeting) == "NOAUTH"
+    assert code(site.call("edge-0", "orders").send("QUERY")) == "BADMSG"
+
+
+@when("callers of two teams write at every host")
+def step_teams(context):
+    for host in context.site.hosts:
+        for key in (KEY, SECOND_KEY):
+            caller = context.site.call(host, "orders", key)
+            caller.ok(f"WRITE {host} {key[-3:]}")
+            caller.ok("READ x")
+
+
+@then("members saw each team under its name and no key")
+def step_names(context):
+    runs = context.site.group.runs
+    assert {r.team for r in runs} == {"one", "two"}
+    for run in runs:
+        if run.text.startswith("WRITE"):
+            assert run.text.endswith(run.team), run
+
+
+@when("callers write while the primary goes dark")
+def step_dark(context):
+    start_writers(context)
+    context.old = context.site.group.primary
+    context.old.dark = True
+    context.since = time.monotonic()
+
+
+@when("callers write while the primary reports that it leaves")
+def step_leaves(context):
+    start_writers(context)
+    context.old = context.site.group.primary
+    context.since = time.monotonic()
+    context.site.list_member(context.old, state="draining")
+
+
+@then("writes are served again within {limit:d} s")
+def step_again(context, limit):
+    group = context.site.group
+    until(lambda: group.primary is not context.old, limit, "nobody else leads")
+    since = time.monotonic()
+    late = context.since + limit - since
+    until(
+        lambda: all(any(served(r[3]) and r[0] > since for r in w.results) for w in context.writers),
+        max(0.5, late),
+        "writes are not served",
+    )
+
+
+@then("no write was kept twice, and none that was refused was kept")
+def step_once(context):
+    results = {w.prefix: w.finish() for w in context.writers}
+    group = context.site.group
+    kept = [i for _, writes in group.primary.log for i in writes]
+    assert len(kept) == len(set(kept))
+    promised = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY")
+    for prefix, told in results.items():
+        for _, _, number, lines in told:
+            if code(lines) in promised:
+                assert f"{prefix}{number}" not in kept, lines
+
+
+@then("the old primary follows once it is back")
+def step_follows(context):
+    context.old.dark = False
+    until(lambda: context.old.role == "replica", 5.0, "the old primary still leads")
+
+
+@then("no acknowledged write is missing at the new primary")
+def step_complete(context):
+    kept = {}
+    for writer in context.writers:
+        for _, _, number, lines in writer.finish():
+            if served(lines):
+                kept[f"{writer.prefix}{number}"] = str(number)
+    data = context.site.group.primary.items()
+    missing = [k for k, v in kept.items() if data.get(k) != v]
+    assert not missing, missing
+
+
+@when("strangers take all connections of the primary for 2 s")
+def step_strangers(context):
+    site = context.site
+    member = site.group.primary
+    ip, _, port = site._member_address(member).partition(":")
+    links = [socket.create_connection((ip, int(port))) for _ in range(member.limit)]
+    until(lambda: len(member.links) >= member.limit, 2.0, "the member has room")
+    caller = site.call("edge-1", "orders")
+    began = time.monotonic()
+    while time.monotonic() - began < 2.0:
+        assert code(caller.query("WRITE a b")) == "BUSY"
+    for link in links:
+        link.close()
+
+
+@then("nobody was promoted, and writes are served afterwards")
+def step_nobody(context):
+    assert context.site.group.primary.term == 1
+    caller = context.site.call("edge-0", "orders")
+    until(lambda: served(caller.query("WRITE a b")), 3.0, "writes are not served")
+
+
+@when("a key is withdrawn that an open session uses")
+def step_withdraw(context):
+    site = context.site
+    context.sessions = [site.call(h, "orders", SECOND_KEY) for h in site.hosts]
+    for session in context.sessions:
+        session.ok("READ a")
+    site.keys["two"] = []
+    site.configure()
+
+
+@then("the session is refused within {limit:d} s and the other team is served")
+def step_withdrawn(context, limit):
+    for session in context.sessions:
+        until(lambda s=session: code(s.query("READ a")) == "NOAUTH", limit, "still served")
+    context.site.call("edge-0", "orders").ok("READ a")
+
+
+@when("the store is down for 5 s")
+def step_down(context):
+    site = context.site
+    context.sessions = [site.call(h, "orders") for h in site.hosts]
+    site.store.down = True
+    with site.store.changed:
+        site.store.changed.notify_all()
+    context.down = []
+    began = time.monotonic()
+    while time.monotonic() - began < 5.0:
+        for session in context.sessions:
+            context.down.append((time.monotonic() - began, session.query("READ a")))
+        time.sleep(0.05)
+    site.store.down = False
+
+
+@then("keyed statements are refused from 4 s on, and served again after its return")
+def step_refused_down(context):
+    early = [lines for at, lines in context.down if at < 2.0]
+    late = [lines for at, lines in context.down if at > 4.0]
+    assert early and all(served(lines) for lines in early)
+    assert late and all(code(lines) == "BUSY" for lines in late)
+    for session in context.sessions:
+        until(lambda s=session: served(s.query("READ a")), 3.0, "not served again")
+
+
+@when("the store forgets its history and loses half of the answers to writes")
+def step_forgets(context):
+    context.site.store.lost_share = 0.5
+    context.site.store.forget_history()
+
+
+@then("a new configuration is in force within {limit:d} s at every host")
+def step_in_force(context, limit):
+    site = context.site
+    site.keys["two"] = ["another-key"]
+    site.configure()
+    for host in site.hosts:
+        until(
+            lambda h=host: site.call(h, "orders", "another-key").greeting == ["READY I -"],
+            limit,
+            f"not in force at {host}",
+        )
+
+
+@when("a host is told to stop while callers use it")
+def step_stop(context):
+    start_writers(context)
+    context.stopped = "edge-0"
+    context.process = context.site.hosts["edge-0"]
+    context.since = time.monotonic()
+    context.process.handle.send_signal(signal.SIGTERM)
+
+
+@then("it is not ready, finishes what it has read, and ends in time")
+def step_stopped(context):
+    until(lambda: not context.site.is_ready("edge-0"), 1.0, "still ready")
+    assert context.process.handle.wait(7.0) == 0
+    context.writers[0].done.set()
+    for _, _, number, lines in context.writers[0].results:
+        assert not lines or served(lines) or code(lines) == "BUSY", (number, lines)
+
+
+@then("callers at the other hosts noticed nothing")
+def step_nothing(context):
+    time.sleep(0.5)
+    for writer in context.writers[1:]:
+        bad = [r for r in writer.finish() if not served(r[3])]
+        assert not bad, bad[:3]
+
+
+@when("a host gets SIGHUP, also with a broken file")
+def step_hangup(context):
+    site = context.site
+    process = site.hosts["edge-0"]
+    process.handle.send_signal(signal.SIGHUP)
+    until(lambda: "event=reloaded" in site.log("edge-0"), 2.0, "not reloaded")
+    (site.folder / "edge-0.toml").write_text("node_name = 7\n")
+    process.handle.send_signal(signal.SIGHUP)
+    until(lambda: "event=reload_refused" in site.log("edge-0"), 2.0, "not refused")
+
+
+@then("it goes on serving")
+def step_goes_on(context):
+    context.site.call("edge-0", "orders").ok("WRITE a b")
+
+
+@when("a team presses at every host for {seconds:d} s")
+def step_press(context, seconds):
+    site = context.site
+    context.admitted = []
+    end = time.monotonic() + seconds
+
+    def press(host):
+        caller = site.call(host, "orders")
+        while time.monotonic() < end:
+            if served(caller.query("READ a")):
+                context.admitted.append(time.monotonic())
+
+    threads = [threading.Thread(target=press, args=(h,)) for h in site.hosts]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@then("no 5 s hold more than its rate and burst allow, and it got most of them")
+def step_window(context):
+    times = sorted(context.admitted)
+    allowed = (context.site.rate * 5 + context.site.burst) * 1.1 + 20
+    for index, at in enumerate(times):
+        inside = sum(1 for t in times[index:] if t < at + 5.0)
+        assert inside <= allowed, (inside, allowed)
+    assert len(times) > 0.7 * context.site.rate * 6, len(times)
+
+
+@when("a transaction rests longer than the configuration allows")
+def step_rests(context):
+    context.caller = context.site.call("edge-0", "orders")
+    context.caller.ok("BEGIN")
+    context.caller.ok("WRITE rested 1")
+    time.sleep(1.6)
+
+
+@then("its next statement is refused, it is rolled back, and the session goes on")
+def step_rested(context):
+    assert code(context.caller.query("READ rested")) == "BADMSG"
+    assert context.caller.ok("ROLLBACK")[-1].startswith("READY I")
+    assert context.caller.ok("READ rested")[0] == "ROW none"
+
+
+@when("the host that holds the primary's links is killed during a transaction")
+def step_kill_holder(context):
+    site = context.site
+    callers = {h: site.call(h, "orders") for h in site.hosts}
+    for caller in callers.values():
+        caller.ok("WRITE a b")
+    holder = re.findall(r"verb=write .*?holder=(\S+)", site.log("edge-0"))[-1]
+    other = next(h for h in site.hosts if h != holder)
+    context.caller = callers[other]
+    context.caller.ok("BEGIN")
+    context.caller.ok("WRITE lost 1")
+    site.hosts[holder].kill()
+    context.since = time.monotonic()
+
+
+@then("the transaction's end is refused or unknown, and writes are served again within 3 s")
+def step_killed(context):
+    assert code(context.caller.query("COMMIT")) in ("ABORTED", "INDOUBT")
+    until(lambda: served(context.caller.query("WRITE a c")), 3.0, "writes are not served")
+    assert "lost" not in context.site.group.primary.items()
