--- a/src/wagtailloft/groups/choice.py
+++ b/src/wagtailloft/groups/choice.py
@@ -5,9 +5,10 @@
 from wagtailloft.models import Position, Record
 
 SAMPLE_MARGIN_S = 0.45  # a wait for a link (WAIT_LIMIT_S) and two ways across zones
-REMOTE_COST_S = 0.009  # a round trip across zones; SYSTEM.md, "Places"
-PRIMARY_COST_S = 0.012  # keeps replicas' reads off the slots that writes need
-RUNNING_COST_S = 0.010  # about half of a statement's work, with two slots a member
+REMOTE_COST_S = 0.012  # a round trip across zones with jitter; MEASUREMENTS.md
+STATEMENTS = 5  # of a transaction, about half of the most that callers send; PROTOCOL.md
+PRIMARY_COST_S = 0.005  # keeps reads off the slots that writes need, unless that costs a hop
+WORK_S = 0.015  # a usual statement at a member; SYSTEM.md
 
 
 class Choice(Record):
@@ -26,6 +27,7 @@
     writes: bool
     seen: Position | None = None
     avoid: tuple[str, ...] = ()
+    begins: bool = False
 
 
 class Scene(Record):
@@ -50,8 +52,9 @@
     ready = [t for t in scene.targets if _may_read(t, asked, scene, samples, at)]
     if not ready:
         return leader
-    best = min(ready, key=lambda t: (_cost(t, scene), t.name))
-    if leader and scene.primary and _cost(scene.primary, scene) < _cost(best, scene):
+    hops = STATEMENTS if asked.begins else 1
+    best = min(ready, key=lambda t: (_cost(t, scene, hops), t.name))
+    if leader and _cost(scene.primary, scene, hops) < _cost(best, scene, hops):
         return leader
     return Choice(target=best.name, leading=False, after=needed, why="replica")
 
@@ -70,10 +73,12 @@
     return not samples.is_behind(target.name, at)
 
 
-def _cost(target: Target, scene: Scene) -> float:
-    cost = RUNNING_COST_S * scene.running.get(target.name, 0)
+def _cost(target: Target, scene: Scene, hops: int) -> float:
+    """Return the seconds that a statement or transaction is expected to lose at a member."""
+    waiting = max(0, scene.running.get(target.name, 0) + 1 - target.slots)
+    cost = WORK_S * waiting / target.slots
     if target.zone != scene.zone:
-        cost += REMOTE_COST_S
+        cost += REMOTE_COST_S * hops
     if scene.primary and target.name == scene.primary.name:
         cost += PRIMARY_COST_S
     return cost
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -16,7 +16,7 @@
 from wagtailloft.groups.relay import Relay
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Position, Record
-from wagtailloft.sessions.statements import Outcome, State, Statement, Verb, refused
+from wagtailloft.sessions.statements import Outcome, Verb, refused
 
 READ_LIMIT_S = 0.35  # a slow statement behind others; then another member is asked
 SETTLE_WAIT_S = 0.03  # between looks for a primary that is being settled
@@ -91,6 +91,8 @@
         )
         done = await self._relay.run(place.holder, work)
         self._learn(place.group, place.leading, done.outcome, asked)
+        choice = Choice(target=place.target, leading=place.leading, why="transaction")
+        _log(wanted, step, choice, place.holder, done.outcome, now() - asked)
         return done.outcome
 
     async def forget(self, place: Place) -> None:
@@ -108,7 +110,7 @@
         last = refused(Kind.NO_PRIMARY, "no member leads the group")
         attempt = 0
         while now() < until:
-            choice = self._choose(wanted, writes, avoid)
+            choice = self._choose(wanted, writes, avoid, begins)
             if choice is None:
                 await asyncio.sleep(min(SETTLE_WAIT_S, max(0.0, until - now())))
                 continue
@@ -172,18 +174,7 @@
             samples.behind(choice.target, now())
         elif done.outcome.ok and not choice.leading:
             samples.level(choice.target)
-        logs.event(
-            "statement",
-            request=step.request_id,
-            verb=step.statement.verb.value,
-            target=choice.target,
-            holder=holder,
-            why=choice.why,
-            after=_text(choice.after),
-            outcome=done.outcome.kind.value if done.outcome.kind else "ok",
-            detail=done.outcome.detail,
-            ms=round((now() - asked) * 1000, 1),
-        )
+        _log(wanted, step, choice, holder, done.outcome, now() - asked)
         place = None
         if done.transaction:
             place = Place(
@@ -195,7 +186,9 @@
             )
         return done.outcome, place
 
-    def _choose(self, wanted: Wanted, writes: bool, avoid: tuple[str, ...]) -> Choice | None:
+    def _choose(
+        self, wanted: Wanted, writes: bool, avoid: tuple[str, ...], begins: bool
+    ) -> Choice | None:
         group = wanted.rule.group
         scene = Scene(
             targets=self._directory.targets(group),
@@ -203,7 +196,7 @@
             zone=self._zone,
             running=dict(self._running),
         )
-        asked = Asked(rule=wanted.rule, writes=writes, seen=wanted.seen, avoid=avoid)
+        asked = Asked(rule=wanted.rule, writes=writes, seen=wanted.seen, avoid=avoid, begins=begins)
         return choose(asked, scene, self._directory.samples(group), now())
 
     def _holder(self, group: str, name: str, faults: int) -> str | None:
@@ -221,15 +214,23 @@
         self._metrics.retries.labels(outcome.kind.value).inc()
 
 
-def _text(position: Position | None) -> str:
-    return f"{position.term}.{position.index}" if position else ""
-
-
-def is_open(outcome: Outcome) -> bool:
-    """Tell whether a transaction goes on after an outcome."""
-    return outcome.state is State.OPEN
+def _log(
+    wanted: Wanted, step: Step, choice: Choice, holder: str, outcome: Outcome, seconds: float
+) -> None:
+    logs.event(
+        "statement",
+        request=step.request_id,
+        team=wanted.team,
+        verb=step.statement.verb.value,
+        target=choice.target,
+        holder=holder,
+        why=choice.why,
+        after=_text(choice.after),
+        outcome=outcome.kind.value if outcome.kind else "ok",
+        detail=outcome.detail,
+        ms=round(seconds * 1000, 1),
+    )
 
 
-def own_step(statement: Statement, values: dict[str, str], request_id: str) -> Step:
-    """Return a step that the system sends by itself."""
-    return Step(request_id=request_id, statement=statement, values=values)
+def _text(position: Position | None) -> str:
+    return f"{position.term}.{position.index}" if position else ""
--- a/src/wagtailloft/groups/pools.py
+++ b/src/wagtailloft/groups/pools.py
@@ -16,7 +16,7 @@
 from wagtailloft.sessions.statements import Outcome, State, Verb, refused
 
 QUEUE_LIMIT = 200  # statements of one team that may wait for a link of one target
-USUAL_SHARE = 0.5  # of a target's connections; the rest is free at once after a power loss
+USUAL_SHARE = 0.65  # of a target's connections; the rest is free at once after a power loss
 SPARE_LINKS = 1  # left for a promoter's questions, which count at the target too
 CAPPED_S = 1.0  # how long a target's refusal of a connection bounds the pool
 SILENCE_S = 0.25  # above the longest usual statement with its wait for a slot
--- a/src/wagtailloft/node.py
+++ b/src/wagtailloft/node.py
@@ -25,6 +25,7 @@
 from wagtailloft.groups.relay import Relay
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Host, HostState, Record
+from wagtailloft.rates.pool import Tolerance
 from wagtailloft.rates.purses import Purses
 from wagtailloft.sessions.admission import Admission
 from wagtailloft.sessions.session import Session
@@ -40,12 +41,12 @@
 
 
 class Bounds(Record):
-    """Hold the deployment's bounds, in seconds and operations."""
+    """Hold the deployment's bounds, in seconds."""
 
     revoke: float
     apply: float
     grace: float
-    quota_slack: float
+    tolerance: Tolerance
 
 
 class NodeSettings(Record):
@@ -104,7 +105,7 @@
         self.dispatch = Dispatch(
             directory=self.directory, relay=self.relay, zone=own.zone, metrics=self.metrics
         )
-        self.purses = Purses(hosts=self.hosts, mesh=self.mesh, spare=cfg.bounds.quota_slack / 2)
+        self.purses = Purses(hosts=self.hosts, mesh=self.mesh, tolerance=cfg.bounds.tolerance)
         self.admission = Admission(spread=self.spread, purses=self.purses, metrics=self.metrics)
         self.promotion = Promotion(
             hosts=self.hosts,
--- a/src/wagtailloft/rates/pool.py
+++ b/src/wagtailloft/rates/pool.py
@@ -2,19 +2,32 @@
 
 from wagtailloft.controllers.limits import Ask, Bucket
 from wagtailloft.fleet.records import TeamRule
-from wagtailloft.models import Team
+from wagtailloft.models import Record, Team
 
 LENT_S = (
     0.8  # three asks of a host; a share that is lent twice for so long stays within quota_slack
 )
 UNKNOWN_S = 1.0  # pause of asks for a team that is not configured here yet
+START_SHARE = 0.4  # of what is borne over a limit; the pool may move twice in a window
+
+
+class Tolerance(Record):
+    """Hold what is borne over a team's limit in a window of so many seconds."""
+
+    window: float
+    excess: float
+    slack: float
+
+    def of(self, rule: TeamRule) -> float:
+        """Return the operations over a team's limit that are borne in one window."""
+        return self.excess * (rule.rate * self.window + rule.burst) + self.slack
 
 
 class Pool:
     """Grant tokens out of lent shares; a share is one host's part of every team's rate."""
 
-    def __init__(self, *, spare: float) -> None:
-        self._spare = spare
+    def __init__(self, *, tolerance: Tolerance) -> None:
+        self._tolerance = tolerance
         self._rules: dict[str, TeamRule] = {}
         self._buckets: dict[str, Bucket] = {}
         self._lenders: dict[str, float] = {}
@@ -41,7 +54,7 @@
         if bucket is None:
             # Nothing is known of what was spent before, so the bucket starts nearly empty.
             bucket = Bucket(team=self._team(ask.team), now=at, blocked_until=at)
-            bucket.allow(self._spare * self._part)
+            bucket.allow(self._tolerance.of(self._rules[ask.team]) * START_SHARE * self._part)
             self._buckets[ask.team] = bucket
         grant = bucket.take(ask, at, renew=True)
         return (grant.tokens, grant.wait) if grant else (0.0, 0.0)
--- a/src/wagtailloft/rates/purses.py
+++ b/src/wagtailloft/rates/purses.py
@@ -14,7 +14,7 @@
 from wagtailloft.fleet.mesh import Mesh, Wire
 from wagtailloft.fleet.messages import Ask, Given, Grants, Message, Need
 from wagtailloft.fleet.records import TeamRule
-from wagtailloft.rates.pool import Pool
+from wagtailloft.rates.pool import Pool, Tolerance
 
 RENEW_S = 0.25  # several asks while a share is lent
 SOON_S = 0.02  # gathers what waits into one ask
@@ -26,9 +26,9 @@
 class Purses:
     """Spend tokens of teams, and keep enough of them here."""
 
-    def __init__(self, *, hosts: Hosts, mesh: Mesh, spare: float) -> None:
+    def __init__(self, *, hosts: Hosts, mesh: Mesh, tolerance: Tolerance) -> None:
         self._hosts = hosts
-        self._pool = Pool(spare=spare)
+        self._pool = Pool(tolerance=tolerance)
         self._purses: dict[str, Purse] = {}
         self._waiters: dict[str, list[asyncio.Future]] = defaultdict(list)
         self._not_before: dict[str, float] = {}
