--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -43,10 +43,11 @@
 
 
 class News(Record, tag="news"):
-    """Answer a pull."""
+    """Answer a pull; sure says that the leads were current since the sender's process began."""
 
     parts: tuple[Aged, ...]
     leads: tuple[Lead, ...] = ()
+    sure: bool = False
 
 
 class Work(Record, tag="work", omit_defaults=True):
--- a/src/wagtailloft/fleet/spread.py
+++ b/src/wagtailloft/fleet/spread.py
@@ -21,6 +21,7 @@
 PULL_MOST = 150  # more could not be heard within the limit for leads
 DOUBT_S = 1.9  # a store wait, a pull interval and a slow answer; then other sources are asked
 RETRY_S = 0.4  # refused calls are priced; several tries within revoke_ms
+OUTAGE_LIMIT_S = 10.0  # a promoter that finds no majority of hosts waits so long
 CHECKED = (Topic.SETTINGS, Topic.FLEET)
 
 
@@ -36,6 +37,7 @@
         self._watchers: dict[Topic, list[Callable[[Entry], None]]] = {t: [] for t in Topic}
         self._rng = random.Random()
         self._heard: dict[str, float] = {}
+        self._started = now()
         self._lost: set[Topic] = set()
         mesh.serve(Pull, self._pulled)
         mesh.serve(Settled, self._settled)
@@ -64,14 +66,22 @@
     def leads_hold(self) -> bool:
         """Tell whether no lead can have changed without this host.
 
-        Either the copy is fresh, or every other host has just told its leads: a promoter among
-        them would have had to tell this host before going on.
+        Either the copy is fresh, or the store is away and a majority of the hosts has just told
+        its leads: a promoter tells a majority, and then waits until older answers are void.
         """
-        if self.fresh():
+        age = self.age()
+        if age <= self.limit:
             return True
+        if age > OUTAGE_LIMIT_S:
+            return False
+        return self.hears_majority()
+
+    def hears_majority(self) -> bool:
+        """Tell whether most hosts, this one included, have just told what they know."""
         since = now() - self.limit
-        others = [h.name for h in self._hosts.all() if h.name != self._hosts.own.name]
-        return bool(others) and all(self._heard.get(name, 0.0) >= since for name in others)
+        hosts = self._hosts.all()
+        heard = [h for h in hosts if self._heard.get(h.name, 0.0) >= since]
+        return 2 * (len(heard) + 1) > len(hosts)
 
     def is_listed(self) -> bool:
         """Tell whether this host's copy lists it, so that a promoter counts it."""
@@ -146,7 +156,12 @@
             self._apply(part.changes, asked - part.age)
         for lead in news.leads:
             self.take_lead(lead)
-        self._heard[name] = asked
+        if news.sure:
+            self._heard[name] = asked
+
+    def _is_sure(self) -> bool:
+        """Tell whether the copy was current at some time in this process's life."""
+        return all(self._copies[topic].confirmed >= self._started for topic in CHECKED)
 
     def _reads(self) -> bool:
         near = self._hosts.in_zone()
@@ -211,7 +226,8 @@
             copy = self._copies[known.topic]
             if copy.at and copy.at >= known.at:
                 parts.append(Aged(changes=copy.since(known.at), age=copy.age(at)))
-        return News(parts=tuple(parts), leads=tuple(self._leads.values()))
+        leads = tuple(self._leads.values())
+        return News(parts=tuple(parts), leads=leads, sure=self._is_sure())
 
     async def _settled(self, wire: Wire, message: Message) -> Message:
         assert isinstance(message, Settled)
--- a/src/wagtailloft/groups/pools.py
+++ b/src/wagtailloft/groups/pools.py
@@ -20,7 +20,9 @@
 SPARE_LINKS = 1  # left for a promoter's questions, which count at the target too
 CAPPED_S = 1.0  # how long a target's refusal of a connection bounds the pool
 SILENCE_S = 0.18  # above the longest usual statement; asking in vain costs two slots' use
-CHARGE_LIMIT_S = 0.1  # a pause or a lost answer says nothing of the next statement's cost
+CHARGE_LIMIT_S = (
+    0.03  # two usual statements; a pause or a lost answer says nothing of the next statement's cost
+)
 WAIT_LIMIT_S = 0.25  # within the margin that is left when a position is chosen for a read
 SETTLE_LIMIT_S = 1.0  # how long a planned change of primary lets running work end
 BUSY_PAUSE_S = 0.02  # about one statement's work at a target
--- a/src/wagtailloft/groups/promotion.py
+++ b/src/wagtailloft/groups/promotion.py
@@ -12,7 +12,7 @@
 from wagtailloft.fleet.messages import Fence, Fenced, Message, Noted, Settled, Suspect
 from wagtailloft.fleet.ports import Conflict, Store, StoreDown
 from wagtailloft.fleet.records import Lead, Target, Topic, listing_name
-from wagtailloft.fleet.spread import Spread
+from wagtailloft.fleet.spread import OUTAGE_LIMIT_S, Spread
 from wagtailloft.groups.directory import Directory
 from wagtailloft.groups.duty import DutyLease
 from wagtailloft.groups.pools import Pools
@@ -265,31 +265,31 @@
 
         A host that does not answer has stopped when its copy of the lead is too old to use.
         """
-        wait_until = now() + self._spread.limit + LEASE_SLACK_S
-        own = self._pools.fence(lead, not planned)
         await self._spread.read_now(Topic.FLEET)
         known = (*self._hosts.all(), *self._hosts.lately_gone(self._spread.limit))
         others = [h for h in known if h.name != self._hosts.own.name]
-        calls = [self._fence_host(h, lead, planned, wait_until) for h in others]
+        fence = _Fencing(lead=lead, planned=planned, count=len(others) + 1, began=now())
+        own = self._pools.fence(lead, not planned)
+        calls = [self._fence_host(h, fence) for h in others]
         positions = await asyncio.gather(own, *calls)
         return max((p for p in positions if p), default=None)
 
-    async def _fence_host(
-        self, host: Host, lead: Lead, planned: bool, wait_until: float
-    ) -> Position | None:
-        message = Fence(lead=lead, cut=not planned)
-        limit = FENCE_LIMIT_S if planned else CUT_LIMIT_S
-        while now() < wait_until:
+    async def _fence_host(self, host: Host, fence: "_Fencing") -> Position | None:
+        message = Fence(lead=fence.lead, cut=not fence.planned)
+        limit = FENCE_LIMIT_S if fence.planned else CUT_LIMIT_S
+        while now() < fence.wait_until(self._spread.limit):
             try:
                 answer = await self._hosts.call(host.name, message, limit)
             except (NotSent, Silent) as exc:
                 if self._hosts.refused(host.name):
                     logs.event("fence_needless", host=host.name, why=str(exc))
+                    fence.note()
                     return None
                 await asyncio.sleep(POLL_S)
                 continue
+            fence.note()
             return answer.acknowledged if isinstance(answer, Fenced) else None
-        logs.warn("fence_waited_out", host=host.name, group=lead.group)
+        logs.warn("fence_waited_out", host=host.name, group=fence.lead.group)
         return None
 
     async def _fenced(self, wire: Wire, message: Message) -> Message:
@@ -403,6 +403,29 @@
             link.close()
 
 
+class _Fencing:
+    """Count the hosts that stopped using a primary, and tell how long to wait for the others."""
+
+    def __init__(self, *, lead: Lead, planned: bool, count: int, began: float) -> None:
+        self.lead = lead
+        self.planned = planned
+        self._count = count
+        self._began = began
+        self._told = 1
+        self._last = began
+
+    def note(self) -> None:
+        """Count one more host."""
+        self._told += 1
+        self._last = now()
+
+    def wait_until(self, limit: float) -> float:
+        """Return when a host that does not answer can't rely on the old lead any more."""
+        if 2 * self._told > self._count:
+            return self._last + limit + LEASE_SLACK_S
+        return self._began + OUTAGE_LIMIT_S + limit + LEASE_SLACK_S
+
+
 async def _until_leading(link: Link, until: float) -> Standing | None:
     """Look over one link until its target leads."""
     while True:
--- a/src/wagtailloft/node.py
+++ b/src/wagtailloft/node.py
@@ -207,9 +207,10 @@
         return HttpResponse(status=200 if self._is_ready() else 503, body=b"{}")
 
     def _is_ready(self) -> bool:
-        return (
-            not self._stopping.is_set() and self.admission.ready and self.spread.age() < READY_AGE_S
-        )
+        if self._stopping.is_set() or not self.admission.ready:
+            return False
+        # While the store is away from most hosts, callers are not better served elsewhere.
+        return self.spread.age() < READY_AGE_S or self.spread.hears_majority()
 
     def _reload_settings(self) -> None:
         try:
