--- a/src/wagtailloft/fleet/spread.py
+++ b/src/wagtailloft/fleet/spread.py
@@ -22,6 +22,7 @@
 DOUBT_S = 1.9  # a store wait, a pull interval and a slow answer; then other sources are asked
 RETRY_S = 0.4  # refused calls are priced; several tries within revoke_ms
 OUTAGE_LIMIT_S = 10.0  # a promoter that finds no majority of hosts waits so long
+PROBED = Topic.SETTINGS  # read alone while the store is away, since refused calls are priced
 CHECKED = (Topic.SETTINGS, Topic.FLEET)
 
 
@@ -38,7 +39,7 @@
         self._rng = random.Random()
         self._heard: dict[str, float] = {}
         self._started = now()
-        self._lost: set[Topic] = set()
+        self._away = False
         mesh.serve(Pull, self._pulled)
         mesh.serve(Settled, self._settled)
 
@@ -121,11 +122,13 @@
     async def watch_store(self, topic: Topic) -> None:
         """Read a topic for as long as it is this host's part, or nobody else serves it."""
         while True:
-            if not self._reads():
+            away = self._away
+            if not self._reads() or (away and topic is not PROBED):
                 await asyncio.sleep(PULL_S / 2)
                 continue
             try:
-                await self._read(topic, WAITS_S[topic])
+                await self._read(topic, 0.0 if away else WAITS_S[topic])
+                self._note_back(topic)
             except StoreDown as exc:
                 self._note_lost(topic, exc)
                 await asyncio.sleep(RETRY_S * self._rng.uniform(0.8, 1.4))
@@ -185,9 +188,6 @@
         quiet = not changes.whole and not changes.entries
         confirmed = started + (wait if quiet else 0.0)
         self._apply(changes, min(confirmed, now()))
-        if topic in self._lost:
-            self._lost.discard(topic)
-            logs.event("store_back", topic=topic.value, at=changes.at)
 
     def _apply(self, changes, confirmed: float) -> None:
         for entry in self._copies[changes.topic].apply(changes, confirmed):
@@ -214,10 +214,15 @@
             action(entry)
 
     def _note_lost(self, topic: Topic, exc: StoreDown) -> None:
-        if topic not in self._lost:
-            self._lost.add(topic)
+        if not self._away:
+            self._away = True
             logs.warn("store_lost", topic=topic.value, why=str(exc), age=self.age())
 
+    def _note_back(self, topic: Topic) -> None:
+        if self._away:
+            self._away = False
+            logs.event("store_back", topic=topic.value, at=self.revision(topic))
+
     async def _pulled(self, wire: Wire, message: Message) -> Message:
         assert isinstance(message, Pull)
         at = now()
--- a/src/wagtailloft/groups/choice.py
+++ b/src/wagtailloft/groups/choice.py
@@ -1,9 +1,12 @@
 """Choose the member for a statement: pure, from what this host believes."""
 
+import msgspec
+
 from wagtailloft.fleet.records import Freshness, RouteRule, Target
 from wagtailloft.groups.samples import Samples
 from wagtailloft.models import Position, Record
 
+NO_SAMPLE = "no position is young enough"
 SAMPLE_MARGIN_S = 0.45  # a wait for a link (WAIT_LIMIT_S) and two ways across zones
 REMOTE_COST_S = 0.012  # a round trip across zones with jitter; MEASUREMENTS.md
 STATEMENTS = 5  # of a transaction, about half of the most that callers send; PROTOCOL.md
@@ -46,7 +49,7 @@
         return leader
     needed = samples.at_least(at - asked.rule.max_age + SAMPLE_MARGIN_S)
     if needed is None:
-        return leader
+        return leader and msgspec.structs.replace(leader, why=NO_SAMPLE)
     if asked.seen and asked.seen.term >= needed.term:
         needed = max(needed, asked.seen)
     ready = [t for t in scene.targets if _may_read(t, asked, scene, samples, at)]
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -10,7 +10,7 @@
 from wagtailloft.errors import Kind
 from wagtailloft.fleet.messages import Work
 from wagtailloft.fleet.records import RouteRule
-from wagtailloft.groups.choice import Asked, Choice, Scene, choose
+from wagtailloft.groups.choice import NO_SAMPLE, Asked, Choice, Scene, choose
 from wagtailloft.groups.directory import Directory
 from wagtailloft.groups.ports import Step
 from wagtailloft.groups.relay import Relay
@@ -19,6 +19,7 @@
 from wagtailloft.sessions.statements import Outcome, Verb, refused
 
 READ_LIMIT_S = 0.35  # a slow statement behind others; then another member is asked
+SAMPLE_WAIT_S = 0.06  # a statement at the primary across zones; spares it a burst of reads
 SETTLE_WAIT_S = 0.03  # between looks for a primary that is being settled
 
 # What did not run for a reason that may pass within the statement's time.
@@ -114,6 +115,8 @@
             if choice is None:
                 await asyncio.sleep(min(SETTLE_WAIT_S, max(0.0, until - now())))
                 continue
+            if choice.why == NO_SAMPLE and await self._sampled(group):
+                continue
             holder = self._holder(group, choice.target, faults[choice.target])
             if holder is None:
                 await asyncio.sleep(SETTLE_WAIT_S)
@@ -163,13 +166,17 @@
             leading=choice.leading,
             begins=begins,
         )
+        samples = self._directory.samples(wanted.rule.group)
         self._running[choice.target] += 1
+        if choice.leading:
+            samples.ask()
         try:
             done = await self._relay.run(holder, work)
         finally:
             self._running[choice.target] -= 1
+            if choice.leading:
+                samples.answered()
         self._learn(wanted.rule.group, choice.leading, done.outcome, asked)
-        samples = self._directory.samples(wanted.rule.group)
         if done.outcome.kind is Kind.TARGET_BEHIND:
             samples.behind(choice.target, now())
         elif done.outcome.ok and not choice.leading:
@@ -186,6 +193,17 @@
             )
         return done.outcome, place
 
+    async def _sampled(self, group: str) -> bool:
+        """Wait for a position that another statement is about to bring; tell whether it came."""
+        samples = self._directory.samples(group)
+        if not samples.asked:
+            return False
+        taken = samples.taken
+        until = now() + SAMPLE_WAIT_S
+        while samples.asked and samples.taken == taken and now() < until:
+            await asyncio.sleep(SAMPLE_WAIT_S / 10)
+        return samples.taken != taken
+
     def _choose(
         self, wanted: Wanted, writes: bool, avoid: tuple[str, ...], begins: bool
     ) -> Choice | None:
--- a/src/wagtailloft/groups/samples.py
+++ b/src/wagtailloft/groups/samples.py
@@ -16,6 +16,16 @@
     def __init__(self) -> None:
         self._taken: deque[tuple[float, Position]] = deque()
         self._behind: dict[str, tuple[float, float]] = {}
+        self.asked = 0
+        self.taken = 0
+
+    def ask(self) -> None:
+        """Note that a statement is on its way to the primary."""
+        self.asked += 1
+
+    def answered(self) -> None:
+        """Note that a statement came back from the primary."""
+        self.asked -= 1
 
     def add(self, asked: float, position: Position) -> None:
         """Note that a primary had a position at some time after it was asked."""
@@ -26,6 +36,7 @@
         if self._taken and asked - self._taken[-1][0] < STEP_S:
             return
         self._taken.append((asked, position))
+        self.taken += 1
         while self._taken and asked - self._taken[0][0] > KEPT_S:
             self._taken.popleft()
 
