Hand links on as soon as another host holds a target; leave half of them free

Cause: after a power loss the members keep dead connections for 3 s; hosts that started first took the few free ones for targets that others were to hold, and kept them until the next look a second later. Ruled out: slow starts; hosts were up within 0.5 s of each other.

--- a/src/wagtailloft/groups/pools.py
+++ b/src/wagtailloft/groups/pools.py
@@ -16,8 +16,9 @@
 from wagtailloft.sessions.statements import Outcome, State, Verb, refused
 
 QUEUE_LIMIT = 200  # statements of one team that may wait for a link of one target
-USUAL_SHARE = 0.65  # of a target's connections; the rest is free at once after a power loss
+USUAL_SHARE = 0.5  # of a target's connections; the rest is free at once after a power loss
 SPARE_LINKS = 1  # left for a promoter's questions, which count at the target too
+FULL_S = 0.04  # between two attempts at a target that has no connection left for this host
 CAPPED_S = 1.0  # how long a target's refusal of a connection bounds the pool
 SILENCE_S = 0.18  # above the longest usual statement; asking in vain costs two slots' use
 CHARGE_LIMIT_S = (
@@ -173,6 +174,8 @@
             if exc.kind is Kind.TOO_MANY_LINKS:
                 self._capped_until = now() + CAPPED_S
                 self._ceiling = max(1, self._open)
+                if self._open == 0:
+                    self._unreachable = (now() + FULL_S, exc)
             elif exc.kind is None:
                 self._unreachable = (now() + UNREACHABLE_S, exc)
             logs.warn("link_refused", target=self.target.name, team=team, why=str(exc))
--- a/src/wagtailloft/node.py
+++ b/src/wagtailloft/node.py
@@ -153,6 +153,7 @@
         own = self.hosts.own
         logs.event("started", host=own.name, zone=own.zone, ip=own.ip, process=own.incarnation)
         self.spread.on_change(Topic.FLEET, self._fleet_changed)
+        self.hosts.on_change.append(self._hand_on_links)
         for topic in Topic:
             self._start(self.spread.watch_store(topic))
         self._start(self.spread.pull_peers())
@@ -252,7 +253,11 @@
         while True:
             await asyncio.sleep(TIDY_S)
             self.pools.tidy()
-            self.pools.release(self.relay.is_mine)
+            self._hand_on_links()
+
+    def _hand_on_links(self) -> None:
+        """Close idle links to targets whose links another host holds now."""
+        self.pools.release(self.relay.is_mine)
 
 
 def _report_failure(task: asyncio.Task) -> None:
