--- a/Makefile
+++ b/Makefile
@@ -13,12 +13,12 @@
 setup: $(VENV)/ready
 
 lint: setup
-	$(BIN)/black -q --check src standins features
-	$(BIN)/ruff check -q src standins features
+	$(BIN)/black -q --check src platform standins features
+	$(BIN)/ruff check -q src platform standins features
 
 format: setup
-	$(BIN)/black -q src standins features
-	$(BIN)/ruff check -q --fix src standins features
+	$(BIN)/black -q src platform standins features
+	$(BIN)/ruff check -q --fix src platform standins features
 
 test: lint
 	$(BIN)/python -m features.run
--- a/src/wagtailloft/cli.py
+++ b/src/wagtailloft/cli.py
@@ -5,6 +5,7 @@
 import secrets
 import sys
 import warnings
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +13,7 @@
 
 from wagtailloft import options
 from wagtailloft.catalog import key_digest
+from wagtailloft.operations import logbook
 from wagtailloft.operator_client import Exit, Failure, OperatorClient, safe
 from wagtailloft.printer import Printer, clock, flat, group_rows, host_row, table
 
@@ -232,12 +234,36 @@
         rows = [{**d, "time": clock(d["time"])} for d in value]
         self._printer.show(value, rows)
 
+    def trace(self, request: str, *files: str) -> None:
+        """Show what hosts logged about a request; give the log files, one a host."""
+        lines = _from_logs(files, lambda: logbook.trace(str(request), map(str, files)))
+        if not lines:
+            raise Failure(f"no log names request '{request}'", Exit.NOT_FOUND)
+        self._printer.show(logbook.rows(lines))
+
+    def timeline(self, *files: str) -> None:
+        """Show what hosts believed over time; give the log files, one a host."""
+        self._printer.show(
+            logbook.rows(_from_logs(files, lambda: logbook.timeline(map(str, files))))
+        )
+
     def drain(self) -> None:
         """Stop the daemon behind --host gracefully."""
         self._api.call("POST", "drain")
         self._printer.show({"draining": True})
 
 
+def _from_logs(
+    files: tuple[str, ...], read: Callable[[], list[logbook.LogLine]]
+) -> list[logbook.LogLine]:
+    if not files:
+        raise Failure("give one log file or more", Exit.USAGE)
+    try:
+        return read()
+    except OSError as exc:
+        raise Failure(f"{exc.filename}: {exc.strerror}", Exit.USAGE) from exc
+
+
 def _read_tree(file: str) -> dict[str, dict[str, str]]:
     parser = configparser.ConfigParser(interpolation=None)
     try:
