--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -474,6 +474,19 @@
     asyncio.run(check())
 
 
+@then("a pool that saw links hang still lets reads in")
+def step_hung(context):
+    async def check():
+        pool = Pool(target=target(), limit=4, connect=FakeConnect(limit=16))
+        for _ in range(40):
+            link, ticket = await pool.take("t", pool_now() + 1)
+            pool.give_back(link, ticket, 0.8)
+        link, ticket = await pool.take("t", pool_now() + 0.25)
+        pool.give_back(link, ticket, 0.01)
+
+    asyncio.run(check())
+
+
 @then("a pool keeps half of a target's links free after a burst")
 def step_half(context):
     async def check():
--- a/features/units.feature
+++ b/features/units.feature
@@ -38,6 +38,9 @@
     And requirements.txt lists what pyproject.toml does
     And no module outside the adapter imports it or spells the platform's names
 
+  Scenario: A hung link says nothing of the next statement's wait
+    Then a pool that saw links hang still lets reads in
+
   Scenario: Links are shared, handed on and held back
     Then a target that is full is waited for and not taken for dead
     And a pool keeps half of a target's links free after a burst
