Drop what nothing calls; keep the platform's name of a bound out of a comment

Found on the last reading of the change: Pools.acknowledged and Hosts.version had no caller, a retry's counter was wrapped in a function with three unused arguments, and samples.py spelled a name of the wire. No behaviour changes. Run: features/units.feature, 15 passed, 0 failed; lint clean.

--- a/src/wagtailloft/fleet/hosts.py
+++ b/src/wagtailloft/fleet/hosts.py
@@ -22,7 +22,6 @@
 
     def __init__(self, *, own: Host, mesh: Mesh) -> None:
         self.own = own
-        self.version = 0
         self._mesh = mesh
         self._cards: dict[str, Host] = {own.name: own}
         self._ranks: dict[tuple[str, str], tuple[Host, ...]] = {}
@@ -192,7 +191,6 @@
         self._changed()
 
     def _changed(self) -> None:
-        self.version += 1
         self._ranks.clear()
         for hook in self.on_change:
             hook()
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -133,7 +133,7 @@
             )
             if last.kind not in RETRIED and not reads_again:
                 return last, None
-            self._note_retry(step, choice, holder, last)
+            self._metrics.retries.labels(last.kind.value).inc()
             if last.kind in HOLDER_FAULTS:
                 faults[choice.target] += 1
             if not choice.leading and last.kind is not Kind.TARGET_BUSY:
@@ -245,9 +245,6 @@
         if leading and outcome.ok and outcome.position:
             self._directory.samples(group).add(asked, outcome.position)
 
-    def _note_retry(self, step: Step, choice: Choice, holder: str, outcome: Outcome) -> None:
-        self._metrics.retries.labels(outcome.kind.value).inc()
-
 
 def _log(
     wanted: Wanted, step: Step, choice: Choice, holder: str, outcome: Outcome, seconds: float
--- a/src/wagtailloft/groups/pools.py
+++ b/src/wagtailloft/groups/pools.py
@@ -54,10 +54,6 @@
         """Return how many statements and transactions hold a link."""
         return sum(len(p.running) for p in self._pools.values())
 
-    def acknowledged(self, group: str) -> Position | None:
-        """Return the last position of a group that this host saw a commit acknowledged at."""
-        return self._acknowledged.get(group)
-
     async def run(self, work: Work) -> Worked:
         """Run one piece of work."""
         if work.transaction:
--- a/src/wagtailloft/groups/samples.py
+++ b/src/wagtailloft/groups/samples.py
@@ -4,7 +4,7 @@
 
 from wagtailloft.models import Position
 
-KEPT_S = 4.0  # above the largest max_staleness_ms of the deployments, 2.5 s
+KEPT_S = 4.0  # above the largest age that a deployment's reads allow, 2.5 s
 STEP_S = 0.05  # samples closer together than this add nothing to a bound of seconds
 BEHIND_FIRST_S = 0.05  # about a replica's usual lag
 BEHIND_LIMIT_S = 0.8  # tries again soon after a lag of seconds ends
--- a/src/wagtailloft/rates/pool.py
+++ b/src/wagtailloft/rates/pool.py
@@ -4,9 +4,7 @@
 from wagtailloft.fleet.records import TeamRule
 from wagtailloft.models import Record, Team
 
-LENT_S = (
-    0.8  # three asks of a host; a share that is lent twice for so long stays within quota_slack
-)
+LENT_S = 0.8  # three asks of a host; a share that is lent twice for so long is borne
 UNKNOWN_S = 0.05  # pause of asks for a team that a host which has just started does not know yet
 START_SHARE = 0.4  # of what is borne over a limit; the pool may move twice in a window
 
