Write the fleet's objects in one place

The duty, the leads and a host's listing each wrote an object over the revision known here, and took what stood on a conflict: three copies of one rule, now Spread.write. Requests and their conditions are the same; the event lead_conflict is now write_conflict, and a lost duty logs both. The unit test's fake gained write; its assertions are as they were.

--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -535,8 +535,10 @@
         """Return the object."""
         return self.store.entry
 
-    def take(self, topic, entry):
-        """Take an object."""
+    async def write(self, topic, name, value):
+        """Write over the revision that is shown."""
+        known = self.store.entry
+        return await self.store.put(topic, name, value, known.revision if known else 0)
 
 
 @then("another holder waits, and the fence grows")
@@ -547,7 +549,6 @@
             duties.DutyLease(
                 holder=n,
                 process=1,
-                store=store,
                 spread=FakeSpread(store),
                 has_ended=lambda name, process: name == "b",
             )
--- a/src/wagtailloft/fleet/spread.py
+++ b/src/wagtailloft/fleet/spread.py
@@ -11,8 +11,8 @@
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh, Wire
 from wagtailloft.fleet.messages import Aged, Known, Message, News, Pull, Settled
-from wagtailloft.fleet.ports import Store, StoreDown
-from wagtailloft.fleet.records import Entry, Lead, Listing, Topic, listing_name
+from wagtailloft.fleet.ports import Conflict, Store, StoreDown
+from wagtailloft.fleet.records import Entry, Lead, Listing, Topic, Value, listing_name
 
 WAITS_S = {Topic.SETTINGS: 1.0, Topic.FLEET: 1.0, Topic.TARGETS: 2.0}  # against calls' price
 PULL_S = 0.4  # several pulls within config_apply_ms
@@ -118,6 +118,22 @@
         if self._copies[topic].put(entry):
             self._changed(topic, entry)
 
+    async def write(self, topic: Topic, name: str, value: Value) -> Entry | None:
+        """Write an object over the revision known here, and take what stands afterwards.
+
+        Return None if another revision stands; raise StoreDown.
+        """
+        known = self.get(topic, name)
+        try:
+            written = await self._store.put(topic, name, value, known.revision if known else 0)
+        except Conflict as exc:
+            if exc.entry is not None:
+                self.take(topic, exc.entry)
+            logs.event("write_conflict", topic=topic.value, name=name, why=str(exc))
+            return None
+        self.take(topic, written)
+        return written
+
     async def read_now(self, topic: Topic) -> None:
         """Read what changed straight from the store; raise StoreDown."""
         await self._read(topic, 0.0)
--- a/src/wagtailloft/groups/duty.py
+++ b/src/wagtailloft/groups/duty.py
@@ -5,7 +5,6 @@
 
 from wagtailloft import logs
 from wagtailloft.clock import now
-from wagtailloft.fleet.ports import Conflict, Store
 from wagtailloft.fleet.records import Duty, Entry, Topic
 from wagtailloft.fleet.spread import Spread
 
@@ -23,13 +22,11 @@
         *,
         holder: str,
         process: int,
-        store: Store,
         spread: Spread,
         has_ended: Callable[[str, int], bool],
     ) -> None:
         self.holder = holder
         self._name = f"{holder}/{process}"
-        self._store = store
         self._spread = spread
         self._has_ended = has_ended
         self._until = 0.0
@@ -53,16 +50,10 @@
         mine = isinstance(duty, Duty) and duty.holder == self._name
         wanted = Duty(holder=self._name, fence=fence if mine else fence + 1, taken=taken + 1)
         sent = now()
-        try:
-            written = await self._store.put(
-                Topic.FLEET, NAME, wanted, entry.revision if entry else 0
-            )
-        except Conflict as exc:
-            if exc.entry is not None:
-                self._spread.take(Topic.FLEET, exc.entry)
-            logs.event("duty_lost", holder=self._name, why=str(exc))
+        written = await self._spread.write(Topic.FLEET, NAME, wanted)
+        if written is None:
+            logs.event("duty_lost", holder=self._name)
             return False
-        self._spread.take(Topic.FLEET, written)
         self._until = sent + HOLD_S
         self.fence = wanted.fence
         logs.event("duty_taken", holder=self._name, fence=self.fence, revision=written.revision)
--- a/src/wagtailloft/groups/promotion.py
+++ b/src/wagtailloft/groups/promotion.py
@@ -254,18 +254,8 @@
         return lead if await self._write(lead) else None
 
     async def _write(self, lead: Lead) -> bool:
-        name = LEAD_PREFIX + lead.group
-        entry = self._spread.get(Topic.FLEET, name)
-        revision = entry.revision if entry else 0
-        try:
-            written = await self._store.put(Topic.FLEET, name, lead, revision)
-        except Conflict as exc:
-            if exc.entry is not None:
-                self._spread.take(Topic.FLEET, exc.entry)
-            logs.event("lead_conflict", group=lead.group, why=str(exc))
-            return False
-        self._spread.take(Topic.FLEET, written)
-        return True
+        written = await self._spread.write(Topic.FLEET, LEAD_PREFIX + lead.group, lead)
+        return written is not None
 
     async def _best(
         self, lead: Lead, acknowledged: Position | None, planned: bool
--- a/src/wagtailloft/node.py
+++ b/src/wagtailloft/node.py
@@ -13,7 +13,7 @@
 from wagtailloft.errors import FixSettings
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh
-from wagtailloft.fleet.ports import Conflict, Store, StoreDown
+from wagtailloft.fleet.ports import Store, StoreDown
 from wagtailloft.fleet.records import (
     LISTING_PREFIX,
     Entry,
@@ -94,7 +94,6 @@
         metrics_port: int,
     ) -> None:
         self._cfg = cfg
-        self._store = store
         self._reload = reload
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
@@ -131,7 +130,6 @@
             duty=DutyLease(
                 holder=own.name,
                 process=process,
-                store=store,
                 spread=self.spread,
                 has_ended=self.hosts.has_ended,
             ),
@@ -252,12 +250,7 @@
                 await asyncio.sleep(TIDY_S)
                 continue
             try:
-                revision = entry.revision if entry else 0
-                written = await self._store.put(Topic.FLEET, name, Listing(host=listed), revision)
-                self.spread.take(Topic.FLEET, written)
-            except Conflict as exc:
-                if exc.entry is not None:
-                    self.spread.take(Topic.FLEET, exc.entry)
+                await self.spread.write(Topic.FLEET, name, Listing(host=listed))
             except StoreDown as exc:
                 logs.warn("listing_failed", why=str(exc))
                 await asyncio.sleep(TIDY_S)
