Grant tokens on demand, and never call an unanswered ask a used-up rate

Change: a pool leaves teams that it does not know out of its answer; without any answer an operation waits for its goal and is refused as limits_unavailable; the configuration is checked again after the wait; tokens for waiting operations are never out; what is held and spent is reported once; a host keeps a token ahead only where the burst has one for each host.

--- a/src/wagtailloft/controllers/limits.py
+++ b/src/wagtailloft/controllers/limits.py
@@ -13,13 +13,17 @@
 
 
 class Ask(Record):
-    """Ask for tokens; held counts those the host still has."""
+    """Ask for tokens; held counts those the host still has.
+
+    waiting tells how many of the wanted ones are spent as soon as they arrive.
+    """
 
     team: str
     host: str
     number: int
     held: float
     wanted: float
+    waiting: float = 0.0
 
 
 class Grant(Record):
@@ -82,18 +86,18 @@
         self._cap()
         if now < self._blocked_until:
             return Grant(number=ask.number, tokens=0.0, wait=self._blocked_until - now)
-        tokens = float(math.floor(min(self._batch(ask.wanted), self._tokens + WHOLE)))
+        tokens = float(math.floor(min(self._batch(ask), self._tokens + WHOLE)))
         if tokens > 0:
             self._tokens = max(0.0, self._tokens - tokens)
-            out.tokens += tokens
+            out.tokens += max(0.0, tokens - ask.waiting)
             out.expires = now + LIFETIME_S
         wait = 0.0 if tokens or not ask.wanted else self._wait()
         return Grant(number=ask.number, tokens=tokens, wait=wait)
 
-    def _batch(self, wanted: float) -> float:
+    def _batch(self, ask: Ask) -> float:
         holders = max(1, len(self._out))
         share = max(1.0, self.team.burst * BATCH_SHARE / holders)
-        return min(wanted, share)
+        return min(ask.wanted, max(share, ask.waiting))
 
     def _wait(self) -> float:
         return max(0.001, (1.0 - self._tokens) / self.team.rate)
@@ -176,6 +180,15 @@
         if grant.tokens > 0:
             self._batches.append((grant.tokens, asked + LIFETIME_S))
 
+    def keep(self, tokens: float) -> None:
+        """Drop what is held beyond so many tokens."""
+        surplus = sum(held for held, _ in self._batches) - tokens
+        while self._batches and surplus > 0:
+            held, expires = self._batches.pop()
+            if held > surplus:
+                self._batches.append((held - surplus, expires))
+            surplus -= held
+
     def _drop(self, now: float) -> None:
         self._batches = [b for b in self._batches if b[1] > now]
 
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -109,11 +109,15 @@
 
 
 class Need(Record, array_like=True):
-    """Hold a team's tokens at the sender: those it holds, and those it wants besides."""
+    """Hold a team's tokens at the sender: those it holds, and those it wants besides.
+
+    waiting tells how many of the wanted ones are spent as soon as they arrive.
+    """
 
     team: str
     held: float
     wanted: float
+    waiting: float = 0.0
 
 
 class Ask(Record, tag="ask", array_like=True):
--- a/src/wagtailloft/rates/pool.py
+++ b/src/wagtailloft/rates/pool.py
@@ -5,7 +5,6 @@
 from wagtailloft.models import Record, Team
 
 LENT_S = 0.8  # three asks of a host; a share that is lent twice for so long is borne
-UNKNOWN_S = 0.05  # pause of asks for a team that a host which has just started does not know yet
 START_SHARE = 0.4  # of what is borne over a limit; the pool may move twice in a window
 
 
@@ -45,10 +44,13 @@
         self._lenders[host] = at + LENT_S
         self._measure(hosts, at)
 
-    def take(self, ask: Ask, at: float) -> tuple[float, float]:
-        """Return granted tokens, and the seconds after which another ask may succeed."""
+    def take(self, ask: Ask, at: float) -> tuple[float, float] | None:
+        """Return granted tokens, and the seconds after which another ask may succeed.
+
+        None stands for no answer: the team is not known here yet, or the ask came late.
+        """
         if ask.team not in self._rules:
-            return 0.0, UNKNOWN_S
+            return None
         bucket = self._buckets.get(ask.team)
         if bucket is None:
             # Nothing is known of what was spent before, so the bucket starts nearly empty.
@@ -56,7 +58,7 @@
             self._buckets[ask.team] = bucket
         self._allow_start(ask.team, bucket)
         grant = bucket.take(ask, at, renew=True)
-        return (grant.tokens, grant.wait) if grant else (0.0, 0.0)
+        return (grant.tokens, grant.wait) if grant else None
 
     def _allow_start(self, team: str, bucket: Bucket) -> None:
         """Allow the start's tokens once for each share that is lent here."""
--- a/src/wagtailloft/rates/purses.py
+++ b/src/wagtailloft/rates/purses.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import itertools
+import math
 from collections import defaultdict
+from dataclasses import dataclass
+from enum import Enum
 
 from wagtailloft import logs
 from wagtailloft.clock import now
@@ -17,12 +20,28 @@
 from wagtailloft.rates.pool import Pool, Tolerance
 
 RENEW_S = 0.25  # several asks while a share is lent
-SOON_S = 0.02  # gathers what waits into one ask
+GATHER_S = 0.002  # what comes meanwhile is asked for at once; a hop across zones takes 4.5 ms
+SOON_S = 0.02  # between two asks for those that still wait
 AHEAD_S = 0.35  # tokens for the time until the next ask is answered
 ASK_LIMIT_S = 0.4  # a connect and a round trip across zones
+USED_LEAST_S = 0.05  # uses a second below which a team counts as absent here
 SUBJECT = "rates"
 
 
+class Spent(Enum):
+    """Say whether a token was used; a pool that did not answer says nothing of the rate."""
+
+    YES = "yes"
+    OVER_RATE = "over_rate"
+    UNANSWERED = "unanswered"
+
+
+@dataclass(kw_only=True)
+class _Waiter:
+    future: asyncio.Future[bool]
+    until: float  # later, an answer without a token is the last word
+
+
 class Purses:
     """Spend tokens of teams, and keep enough of them here."""
 
@@ -30,8 +49,11 @@
         self._hosts = hosts
         self._pool = Pool(tolerance=tolerance)
         self._purses: dict[str, Purse] = {}
-        self._waiters: dict[str, list[asyncio.Future]] = defaultdict(list)
+        self._waiters: dict[str, list[_Waiter]] = defaultdict(list)
         self._not_before: dict[str, float] = {}
+        self._answered: dict[str, float] = {}
+        self._holding: set[str] = set()
+        self._bursts: dict[str, float] = {}
         self._numbers = itertools.count(1)
         self._wake = asyncio.Event()
         self._holder = ""
@@ -40,29 +62,34 @@
     def configure(self, rules: tuple[TeamRule, ...], at: float) -> None:
         """Take the teams' rates."""
         self._pool.configure(rules, at)
-        names = {r.name for r in rules}
-        self._purses = {n: p for n, p in self._purses.items() if n in names}
+        self._bursts = {r.name: r.burst for r in rules}
+        self._purses = {n: p for n, p in self._purses.items() if n in self._bursts}
 
-    async def spend(self, team: str, patience: float) -> bool:
-        """Use one token; wait so many seconds for one; return whether there was one."""
+    async def spend(self, team: str, patience: float, limit: float) -> Spent:
+        """Use one token.
+
+        Wait patience seconds for one if the pool has none, and limit seconds for the pool.
+        """
         at = now()
         purse = self._purse(team)
         if not self._waiters[team] and purse.spend(at):
-            return True
+            return Spent.YES
         if self._not_before.get(team, 0.0) > at + patience:
-            return False
+            return Spent.OVER_RATE
         future = asyncio.get_running_loop().create_future()
-        self._waiters[team].append(future)
+        waiter = _Waiter(future=future, until=at + patience)
+        self._waiters[team].append(waiter)
         self._wake.set()
         try:
-            async with asyncio.timeout(patience):
-                await future
-        except TimeoutError:
-            return False
+            await asyncio.wait([future], timeout=patience)
+            if not future.done() and self._answered.get(team, 0.0) < at:
+                await asyncio.wait([future], timeout=max(0.0, limit - patience))
         finally:
-            if future in self._waiters[team]:
-                self._waiters[team].remove(future)
-        return True
+            if waiter in self._waiters[team]:
+                self._waiters[team].remove(waiter)
+        if future.done() and future.result():
+            return Spent.YES
+        return Spent.OVER_RATE if self._answered.get(team, 0.0) >= at else Spent.UNANSWERED
 
     async def run(self) -> None:
         """Ask for tokens, at intervals and when somebody waits."""
@@ -70,7 +97,7 @@
             try:
                 async with asyncio.timeout(RENEW_S):
                     await self._wake.wait()
-                    await asyncio.sleep(SOON_S / 4)
+                    await asyncio.sleep(GATHER_S)
             except TimeoutError:
                 pass
             self._wake.clear()
@@ -106,32 +133,62 @@
 
     def _needs(self, at: float) -> list[Need]:
         needs = []
+        hosts = len(self._hosts.all())
         for team, purse in self._purses.items():
-            waiting = len(self._waiters[team])
             held = purse.held(at)
-            use = purse.use(at)
-            target = waiting + (max(1.0, use * AHEAD_S) if use > 0.05 else 0.0)
-            wanted = max(0.0, target - held)
-            if self._not_before.get(team, 0.0) > at:
-                wanted = 0.0
-            if held or wanted:
-                needs.append(Need(team=team, held=held, wanted=float(round(wanted + 0.49))))
+            waiting = wanted = 0
+            if self._not_before.get(team, 0.0) <= at:
+                waiting = len(self._waiters[team])
+                ahead = self._ahead(team, purse.use(at), hosts)
+                wanted = max(0, math.ceil(waiting + ahead - held))
+            # What was held and is spent is told once, so that the pool does not count it on.
+            if held or wanted or team in self._holding:
+                needs.append(Need(team=team, held=held, wanted=wanted, waiting=waiting))
+                self._holding.discard(team)
+            if held:
+                self._holding.add(team)
         return needs
 
+    def _ahead(self, team: str, use: float, hosts: int) -> int:
+        """Return how many tokens to hold before anybody asks for them.
+
+        A burst that has no token for each host is not spread over hosts that may not need it.
+        """
+        if use <= USED_LEAST_S:
+            return 0
+        spare = 1 if hosts <= self._bursts.get(team, 0.0) else 0
+        return max(spare, math.floor(use * AHEAD_S))
+
     def _take(self, grants: Grants, asked: float) -> None:
         at = now()
+        hosts = len(self._hosts.all())
         for given in grants.given:
+            self._answered[given.team] = asked
             purse = self._purse(given.team)
             purse.renew(asked)
+            held = purse.held(at)
             if given.tokens:
                 purse.add(BucketGrant(number=0, tokens=given.tokens), asked)
+                self._holding.add(given.team)
             elif given.wait:
                 self._not_before[given.team] = at + given.wait
-            waiters = self._waiters[given.team]
-            while waiters and purse.spend(at):
-                future = waiters.pop(0)
-                if not future.done():
-                    future.set_result(None)
+            self._hand_out(given.team, purse, at)
+            # Tokens of waiters that have left are not counted by the pool, so they are not kept.
+            purse.keep(max(held, self._ahead(given.team, purse.use(at), hosts)))
+
+    def _hand_out(self, team: str, purse: Purse, at: float) -> None:
+        """Give tokens to those that wait, and an end to those that have waited long enough."""
+        for waiter in list(self._waiters[team]):
+            if waiter.future.done():
+                continue
+            if purse.spend(at):
+                waiter.future.set_result(True)
+            elif waiter.until <= at:
+                waiter.future.set_result(False)
+                continue
+            else:
+                return
+            self._waiters[team].remove(waiter)
 
     def _purse(self, team: str) -> Purse:
         if team not in self._purses:
@@ -153,7 +210,9 @@
                 number=message.number,
                 held=need.held,
                 wanted=need.wanted,
+                waiting=need.waiting,
             )
-            tokens, wait = self._pool.take(ask, at)
-            given.append(Given(team=need.team, tokens=tokens, wait=wait))
+            took = self._pool.take(ask, at)
+            if took is not None:
+                given.append(Given(team=need.team, tokens=took[0], wait=took[1]))
         return Grants(given=tuple(given))
--- a/src/wagtailloft/sessions/admission.py
+++ b/src/wagtailloft/sessions/admission.py
@@ -8,7 +8,7 @@
 from wagtailloft.fleet.spread import Spread
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Record
-from wagtailloft.rates.purses import Purses
+from wagtailloft.rates.purses import Purses, Spent
 from wagtailloft.sessions.statements import DONE, Outcome, refused
 
 PUBLIC_TEAM = "-"
@@ -79,17 +79,26 @@
         if team is None:
             return Admitted(rule=rule, team=PUBLIC_TEAM)
         patience = min(RATE_PATIENCE_S, rule.goal / 4)
-        if await self._purses.spend(team, patience):
-            return Admitted(rule=rule, team=team)
-        limit = self._teams[team]
+        spent = await self._purses.spend(team, patience, rule.goal)
+        # The configuration may have changed while the operation waited.
+        refusal = self.check(database, digest)
+        if not refusal.ok:
+            return refusal
+        if spent is Spent.YES:
+            return Admitted(rule=self._routes[database], team=team)
+        return self._without_token(self._teams[team], spent, request_id)
+
+    def _without_token(self, limit: TeamRule, spent: Spent, request_id: str) -> Outcome:
         logs.warn(
-            "over_rate",
+            spent.value if spent is Spent.OVER_RATE else "rates_unanswered",
             request=request_id,
-            team=team,
+            team=limit.name,
             rate=limit.rate,
             burst=limit.burst,
             version=self._version,
         )
+        if spent is Spent.UNANSWERED:
+            return refused(Kind.LIMITS_UNAVAILABLE, "no host has answered for the team's rate")
         wait = 1000 / limit.rate if limit.rate else 1000
         return refused(Kind.OVER_RATE, f"retry in {wait:.0f} ms")
 
