Keep more links to a target open, and greet without the list of hosts

Each of 68 hosts was sent all 68 host cards by each of the others at start, about half of the bytes between zones.

Change: at most four connections a slot are left free (12 of 52, 8 of 16 as before); a greeting is answered with the known hosts only to a host that joins.

Tests: units, links after a burst at 52 connections (40 kept; 26 before) and at 8.

--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -449,9 +449,9 @@
         self.closed = True
 
 
-def target(name="m"):
+def target(name="m", slots=2):
     """Return a member of a group."""
-    return Target(name=name, group="g", address="1.1.1.1:1", role=Role.PRIMARY)
+    return Target(name=name, group="g", address="1.1.1.1:1", role=Role.PRIMARY, slots=slots)
 
 
 @then("a target that is full is waited for and not taken for dead")
@@ -488,17 +488,17 @@
     asyncio.run(check())
 
 
-@then("a pool keeps half of a target's links free after a burst")
-def step_half(context):
+@then("after a burst a pool of {limit:d} connections at {slots:d} slots keeps {kept:d}")
+def step_kept(context, limit, slots, kept):
     async def check():
-        connect = FakeConnect(limit=16)
-        pool = Pool(target=target(), limit=16, connect=connect)
-        taken = [await pool.take(f"t{n}", pool_now() + 1) for n in range(14)]
+        connect = FakeConnect(limit=limit)
+        pool = Pool(target=target(slots=slots), limit=limit, connect=connect)
+        taken = [await pool.take(f"t{n}", pool_now() + 1) for n in range(limit - 2)]
         for link, ticket in taken:
             pool.give_back(link, ticket, 0.01)
         pool.trim()
-        assert pool.links == 8
-        assert len([x for x in connect.open_links if not x.closed]) == 8
+        assert pool.links == kept, pool.links
+        assert len([x for x in connect.open_links if not x.closed]) == kept
 
     asyncio.run(check())
 
--- a/features/units.feature
+++ b/features/units.feature
@@ -43,7 +43,9 @@
 
   Scenario: Links are shared, handed on and held back
     Then a target that is full is waited for and not taken for dead
-    And a pool keeps half of a target's links free after a burst
+    And after a burst a pool of 16 connections at 2 slots keeps 8
+    And after a burst a pool of 52 connections at 3 slots keeps 40
+    And after a burst a pool of 8 connections at 2 slots keeps 4
 
   Scenario: The duty passes on only after its holder can't act any more
     Then another holder waits, and the fence grows
--- a/src/wagtailloft/fleet/hosts.py
+++ b/src/wagtailloft/fleet/hosts.py
@@ -122,7 +122,7 @@
 
     async def call_seed(self, ip: str) -> None:
         """Greet a host of which only the address is known; all use one port for each other."""
-        await self._greet_at((ip, self.own.peer_port))
+        await self._greet_at((ip, self.own.peer_port), joins=True)
 
     async def watch(self) -> None:
         """Greet suspected hosts again and again."""
@@ -140,7 +140,7 @@
         if known != host:
             logs.event("host_seen", host=host.name, state=host.state.value, ip=host.ip)
             self._put(host)
-        return Welcome(host=self.own, known=self.all())
+        return Welcome(host=self.own, known=self.all() if message.joins else ())
 
     def _greet_soon(self, host: Host) -> None:
         if host.name in self._greeting or host.name == self.own.name:
@@ -151,9 +151,12 @@
         )
         task.add_done_callback(lambda _: self._greeting.discard(host.name))
 
-    async def _greet_at(self, address: tuple[str, int], name: str = "") -> None:
+    async def _greet_at(
+        self, address: tuple[str, int], name: str = "", joins: bool = False
+    ) -> None:
+        message = Hello(host=self.own, joins=joins)
         try:
-            answer = await self._mesh.call(address, Hello(host=self.own), GREET_LIMIT_S)
+            answer = await self._mesh.call(address, message, GREET_LIMIT_S)
         except (NotSent, Silent) as exc:
             host = self._cards.get(name)
             if host:
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -9,13 +9,14 @@
 
 
 class Hello(Record, tag="hello", array_like=True):
-    """Introduce the sender; also said when it begins to stop."""
+    """Introduce the sender; also said when it begins to stop. One that joins knows nobody yet."""
 
     host: Host
+    joins: bool = False
 
 
 class Welcome(Record, tag="welcome", array_like=True):
-    """Answer a greeting with who answers and whom it knows."""
+    """Answer a greeting with who answers and, to one that joins, whom it knows."""
 
     host: Host
     known: tuple[Host, ...] = ()
--- a/src/wagtailloft/groups/pool.py
+++ b/src/wagtailloft/groups/pool.py
@@ -1,6 +1,7 @@
 """The links of one target: shared fairly by teams, one link a statement or transaction."""
 
 import asyncio
+import math
 
 from wagtailloft import logs
 from wagtailloft.clock import now
@@ -10,7 +11,8 @@
 from wagtailloft.groups.ports import Connect, Link, Opening
 
 QUEUE_LIMIT = 200  # statements of one team that may wait for a link of one target
-USUAL_SHARE = 0.5  # of a target's connections; the rest is free at once after a power loss
+FREE_SHARE = 0.5  # of a target's connections, free at once after a power loss
+FREE_PER_SLOT = 4  # more free connections than this would only wait for a slot
 SPARE_LINKS = 1  # left for a promoter's questions, which count at the target too
 FULL_S = 0.04  # between two attempts at a target that has no connection left for this host
 CAPPED_S = 1.0  # how long a target's refusal of a connection bounds the pool
@@ -24,7 +26,8 @@
     def __init__(self, *, target: Target, limit: int, connect: Connect) -> None:
         self.target = target
         self.limit = max(1, limit - SPARE_LINKS)
-        self.usual = max(1, int(limit * USUAL_SHARE))
+        free = min(math.ceil(limit * FREE_SHARE), FREE_PER_SLOT * target.slots)
+        self.usual = max(1, limit - free)
         self.running: set[Link] = set()
         self.leading: set[Link] = set()
         self._connect = connect
