Promote under sync_replicas only where enough replicas reply

Cause, found by reading: the last acknowledged position came from the hosts' memory alone. After all hosts were killed nobody knew one, and a promoter that reached only the replica behind promoted it, although a commit that waited for one replica was in the other. Ruled out: PAUSE before the positions were read (done).

Change: groups/candidates.py holds the pure choice; a commit that waits for s of n replicas is only taken as covered when n - s + 1 of them reply; until then the old primary is looked for again, as before.

Tests: site, "The primary goes dark with the only replica that has every commit" (failed on the code before, in a scratch copy: the replica behind led); units, how many replicas have to reply; site, "Members' addresses are used again by another group's members" (passed on the code before as well: it proves what had no test). promotion.py loses its pure part. The test's writers now survive hosts that are down.

--- a/features/site.feature
+++ b/features/site.feature
@@ -19,6 +19,20 @@
     And no write was kept twice, and none that was refused was kept
     And the old primary follows once it is back
 
+  Scenario: The primary goes dark with the only replica that has every commit
+    Given a site with 3 hosts whose commits wait for 1 replica
+    When callers write, and the primary goes dark for good and the level replica for 5 s
+    And all hosts are killed and started again, so that they know nothing
+    Then nobody leads while the level replica is dark
+    And writes are served again within 4 s
+    And no acknowledged write is missing at the new primary
+
+  Scenario: Members' addresses are used again by another group's members
+    Given a site with 2 hosts and 2 groups
+    When the addresses of a group go to members of the other group while it is still listed
+    Then nothing is served at any host, and the other group's members ran nothing
+    And statements are served once the members have their addresses again
+
   Scenario: A primary is to leave
     Given a site with 3 hosts
     When callers write while the primary reports that it leaves
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -40,14 +40,18 @@
 
     def run(self):
         """Write until told to end."""
-        caller = self.site.call(self.host, "orders")
+        caller = None
         number = 0
         while not self.done.is_set():
             number += 1
             began = time.monotonic()
-            lines = caller.query(f"WRITE {self.prefix}{number} {number}")
+            try:
+                caller = caller or self.site.call(self.host, "orders")
+                lines = caller.query(f"WRITE {self.prefix}{number} {number}")
+            except OSError:
+                lines = []
             if not lines:
-                caller = self.site.call(self.host, "orders")
+                caller = None
             self.results.append((began, time.monotonic(), number, lines))
             time.sleep(0.01)
 
@@ -163,6 +167,74 @@
     context.since = time.monotonic()
 
 
+@given("a site with {count:d} hosts whose commits wait for 1 replica")
+def step_sync(context, count):
+    put(context, hosts=count, sync_replicas=1)
+
+
+@given("a site with {count:d} hosts and {groups:d} groups")
+def step_groups(context, count, groups):
+    put(context, hosts=count, groups=groups)
+
+
+@when("callers write, and the primary goes dark for good and the level replica for 5 s")
+def step_sync_dark(context):
+    group = context.site.group
+    context.old, level, behind = group.members.values()
+    behind.lag_s = 60.0
+    start_writers(context)
+    context.old.dark = level.dark = True
+    context.level = level
+
+    def come_back():
+        behind.lag_s = level.lag_s
+        level.dark = False
+
+    threading.Timer(5.0, come_back).start()
+
+
+@when("all hosts are killed and started again, so that they know nothing")
+def step_restart(context):
+    for name, process in list(context.site.hosts.items()):
+        process.kill()
+        context.site.start_host(name)
+
+
+@then("nobody leads while the level replica is dark")
+def step_sync_nobody(context):
+    while context.level.dark:
+        assert context.site.group.primary is context.old
+        time.sleep(0.02)
+    context.since = time.monotonic()
+
+
+@when("the addresses of a group go to members of the other group while it is still listed")
+def step_address(context):
+    first, second = context.site.groups.values()
+    for member, other in zip(first.members.values(), second.members.values(), strict=True):
+        context.site.give_address(member, other)
+    context.own, context.other = first, second
+
+
+@then("nothing is served at any host, and the other group's members ran nothing")
+def step_address_none(context):
+    for host in context.site.hosts:
+        for database, text in (("stock", "READ a"), ("orders", "WRITE a b")):
+            assert code(context.site.call(host, database).query(text)) == "BUSY"
+    assert not context.other.runs, context.other.runs[:3]
+
+
+@then("statements are served once the members have their addresses again")
+def step_address_back(context):
+    for member, other in zip(
+        context.own.members.values(), context.other.members.values(), strict=True
+    ):
+        context.site.give_address(other, member)
+    for host in context.site.hosts:
+        context.site.call(host, "orders").ok("WRITE a b")
+    assert {r.team for r in context.own.runs} == {"one"} and not context.other.runs
+
+
 @when("callers write while the primary reports that it leaves")
 def step_leaves(context):
     start_writers(context)
--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -34,11 +34,11 @@
 )
 from wagtailloft.fleet.spread import OUTAGE_LIMIT_S
 from wagtailloft.groups import duty as duties
+from wagtailloft.groups.candidates import holds_all, leads_anew
 from wagtailloft.groups.choice import Asked, Scene, choose
 from wagtailloft.groups.fencing import LEASE_SLACK_S, Fencing
 from wagtailloft.groups.pool import Pool
 from wagtailloft.groups.ports import Standing
-from wagtailloft.groups.promotion import _leads_anew
 from wagtailloft.groups.samples import Samples
 from wagtailloft.models import Position, Role
 from wagtailloft.operations import logbook
@@ -289,11 +289,16 @@
     def standing(name, role, term):
         return Standing(target=name, role=role, term=term, received=Position())
 
-    assert not _leads_anew(standing("a", Role.PRIMARY, 1), lead)
-    assert not _leads_anew(standing("a", Role.PRIMARY, 2), lead)
-    assert not _leads_anew(standing("b", Role.PRIMARY, 3), lead)
-    assert not _leads_anew(standing("c", Role.REPLICA, 3), lead)
-    assert _leads_anew(standing("c", Role.PRIMARY, 3), lead)
+    assert not leads_anew(standing("a", Role.PRIMARY, 1), lead)
+    assert not leads_anew(standing("a", Role.PRIMARY, 2), lead)
+    assert not leads_anew(standing("b", Role.PRIMARY, 3), lead)
+    assert not leads_anew(standing("c", Role.REPLICA, 3), lead)
+    assert leads_anew(standing("c", Role.PRIMARY, 3), lead)
+
+
+@then("with {others:d} replicas and commits that wait for {sync:d}, {needed:d} have to reply")
+def step_holds_all(context, others, sync, needed):
+    assert holds_all(needed, others, sync) and not holds_all(needed - 1, others, sync)
 
 
 @then("a fence waits out the lease, and an outage where no majority was told")
--- a/features/units.feature
+++ b/features/units.feature
@@ -21,6 +21,12 @@
   Scenario: A primary of an older term is not taken for a new one
     Then the member that leads is one of a later term than the replaced primary's
 
+  Scenario: Commits that waited for replicas are only sought where enough of these reply
+    Then with 2 replicas and commits that wait for 1, 2 have to reply
+    And with 4 replicas and commits that wait for 2, 3 have to reply
+    And with 1 replicas and commits that wait for 1, 1 have to reply
+    And with 2 replicas and commits that wait for 2, 1 have to reply
+
   Scenario: A promoter waits longer when it does not hear most hosts
     Then a fence waits out the lease, and an outage where no majority was told
 
--- a/src/wagtailloft/groups/promotion.py
+++ b/src/wagtailloft/groups/promotion.py
@@ -13,6 +13,7 @@
 from wagtailloft.fleet.ports import Conflict, Store, StoreDown
 from wagtailloft.fleet.records import Lead, Target, Topic, listing_name
 from wagtailloft.fleet.spread import Spread
+from wagtailloft.groups.candidates import holds_all, leads_anew, longest
 from wagtailloft.groups.directory import Directory
 from wagtailloft.groups.duty import DutyLease
 from wagtailloft.groups.fencing import CUT_LIMIT_S, Fences
@@ -136,8 +137,8 @@
         others = alive and lead.claimant != self._hosts.own.name
         return not others or now() - since > UNFINISHED_S
 
-    def _others(self, group: str, name: str) -> list[Target]:
-        return [t for t in self._directory.targets(group) if t.name != name]
+    def _others(self, group: str, name: str) -> tuple[Target, ...]:
+        return tuple(t for t in self._directory.targets(group) if t.name != name)
 
     async def _report(self, message: Suspect) -> None:
         for host in self._hosts.ranked(SUBJECT)[:2]:
@@ -261,35 +262,26 @@
         self, lead: Lead, acknowledged: Position | None, planned: bool
     ) -> Standing | None:
         """Return the member to promote: the one with the longest log that may be had."""
-        sync = self._directory.rule(lead.group).sync_replicas > 0
+        sync = self._directory.rule(lead.group).sync_replicas
         until = now() + LEVEL_LIMIT_S
         while True:
-            standings = await self._standings(lead, sync and not planned)
-            leading = [s for s in standings if _leads_anew(s, lead)]
+            targets = self._others(lead.group, lead.replaced)
+            standings = await self._standings(lead, targets, pause=sync > 0 and not planned)
+            leading = [s for s in standings if leads_anew(s, lead)]
             if leading:
                 return max(leading, key=lambda s: s.term)
-            best = self._longest(lead, standings, acknowledged)
+            best = longest(standings, targets, acknowledged)
             level = best and (acknowledged is None or best.received >= acknowledged)
+            if sync:
+                # What hosts confirmed is a lower bound: those that were killed forgot theirs.
+                replies = sum(s.role is Role.REPLICA for s in standings)
+                level = level and holds_all(replies, len(targets), sync)
             if best and (level or not (sync or planned)):
                 return best
             if now() > until:
                 return best if best and not sync else await self._old_primary(lead)
             await asyncio.sleep(POLL_S)
 
-    def _longest(
-        self, lead: Lead, standings: list[Standing], acknowledged: Position | None
-    ) -> Standing | None:
-        """Return the replica to prefer: level, staying, with the longest log."""
-
-        def rank(standing: Standing) -> tuple[bool, bool, Position, str]:
-            target = self._directory.target(lead.group, standing.target)
-            level = acknowledged is None or standing.received >= acknowledged
-            staying = target is not None and not target.leaving
-            return level, staying, standing.received, standing.target
-
-        replicas = [s for s in standings if s.role is Role.REPLICA]
-        return max(replicas, key=rank, default=None)
-
     async def _old_primary(self, lead: Lead) -> Standing | None:
         """Return the replaced primary if it is all that the group has left."""
         target = self._directory.target(lead.group, lead.replaced)
@@ -298,9 +290,9 @@
         standing = await self._questions.ask(target, lambda link: link.status(ASK_LIMIT_S))
         return standing if standing and standing.role is Role.PRIMARY else None
 
-    async def _standings(self, lead: Lead, pause: bool) -> list[Standing]:
-        targets = self._others(lead.group, lead.replaced)
-
+    async def _standings(
+        self, lead: Lead, targets: tuple[Target, ...], *, pause: bool
+    ) -> list[Standing]:
         async def ask(link: Link) -> Standing | None:
             standing = await link.status(ASK_LIMIT_S)
             if standing is None:
@@ -365,13 +357,6 @@
             pause = min(0.5, pause * 2)
 
 
-def _leads_anew(standing: Standing, lead: Lead) -> bool:
-    """Tell whether a member leads a later term than the primary that is being replaced."""
-    if standing.role is not Role.PRIMARY or standing.target == lead.replaced:
-        return False
-    return standing.term > lead.term
-
-
 _TASKS: set[asyncio.Task] = set()
 
 
--- a/standins/ledger_group.py
+++ b/standins/ledger_group.py
@@ -61,8 +61,11 @@
 class Group:
     """Hold the members of one group and everything that they ran."""
 
-    def __init__(self, *, name: str, members: int = 3, promote_s: float = 0.1) -> None:
+    def __init__(
+        self, *, name: str, members: int = 3, promote_s: float = 0.1, sync_replicas: int = 0
+    ) -> None:
         self.name = name
+        self.sync_replicas = sync_replicas
         self.lock = threading.RLock()
         self.runs: list[Run] = []
         self.promote_s = promote_s
@@ -80,15 +83,21 @@
         return max(leading, key=lambda m: m.term)
 
     def commit(self, member: Member, writes: dict[str, str]) -> bool:
-        """Append to a primary's log and send it to the replicas; return False at a replica."""
+        """Append to a primary's log and send it to the replicas; return False at a replica.
+
+        Wait for as many replicas as commits have to; one that is dark receives nothing.
+        """
         with self.lock:
             if member.role != "primary":
                 return False
             member.log.append((member.term, writes))
-            for other in self.members.values():
-                if other is not member:
-                    threading.Timer(other.lag_s, self._follow, (other, member)).start()
-            return True
+            number = len(member.log)
+            others = [m for m in self.members.values() if m is not member]
+            for other in others:
+                threading.Timer(other.lag_s, self._follow, (other, member)).start()
+        while sum(len(m.log) >= number for m in others) < self.sync_replicas:
+            time.sleep(0.005)
+        return True
 
     def promote(self, name: str) -> int:
         """Begin a promotion; return the status of the answer."""
--- a/standins/site.py
+++ b/standins/site.py
@@ -102,7 +102,10 @@
         sync_replicas: int = 0,
     ) -> None:
         self.store = Objects()
-        self.groups = {f"ledger{n}": Group(name=f"ledger{n}") for n in range(groups)}
+        self.groups = {
+            name: Group(name=name, sync_replicas=sync_replicas)
+            for name in (f"ledger{n}" for n in range(groups))
+        }
         self.rate, self.burst, self.sync_replicas = rate, burst, sync_replicas
         self.version = 1
         self.keys = {"one": [KEY], "two": [SECOND_KEY]}
@@ -200,6 +203,11 @@
         }
         self.store.put("servers", member.name, {**spec, **changes})
 
+    def give_address(self, member: Member, other: Member) -> None:
+        """Let another member answer at a member's address, whose entry stays as it is."""
+        server = next(s for s in self._servers if getattr(s, "member", None) is member)
+        server.member = other
+
     def _serve_member(self, member: Member) -> None:
         ip, _, port = self._member_address(member).partition(":")
         self._servers.append(MemberServer(member=member, ip=ip, port=int(port)))
