Pull from few hosts when a copy ages, and hand on a promotion that the store stops

Pings between hosts went unanswered ("connection between hosts lost: closed", 576 in 2 s), hosts were suspected, ranks of holders and promoters moved, and four promotions of two groups took 4 to 7 s each.

Change: an ageing copy is refreshed from the first host of each zone, the host heard to be most current, and one at random; all others are asked for leads alone, and only once the copy is in doubt. Hosts that are no zone's first try an absent store more seldom, the larger the fleet.

Tests: features/spread.feature.

--- /dev/null
+++ b/features/steps/spread.py
@@ -0,0 +1,191 @@
+"""Steps for copies of the store: one host's spread among hosts that are played."""
+
+import asyncio
+from collections import defaultdict
+
+from behave import given, then, when
+
+from wagtailloft.clock import now
+from wagtailloft.fleet.hosts import Hosts
+from wagtailloft.fleet.messages import Aged, Hello, News, Welcome
+from wagtailloft.fleet.ports import StoreDown
+from wagtailloft.fleet.records import Changes, Topic
+from wagtailloft.fleet.spread import Spread
+from wagtailloft.models import Host
+
+ROUNDS_S = 1.2
+
+
+def host(number, zones):
+    """Return a host of a fleet; names sort by number."""
+    return Host(
+        name=f"h{number:02}",
+        ip=f"10.0.0.{number}",
+        caller_port=1,
+        peer_port=2,
+        operator_port=3,
+        zone=f"z{number % zones}",
+        incarnation=1,
+    )
+
+
+class FakeMesh:
+    """Answer for all other hosts, and note what was asked of each."""
+
+    def __init__(self):
+        """Start with copies that nobody has confirmed."""
+        self.ages = defaultdict(lambda: 0.1)
+        self.pulls = defaultdict(set)
+        self.hosts = {}
+
+    def serve(self, kind, handler):
+        """Take a handler, which nobody calls."""
+
+    def connected(self, address):
+        """Tell that every host is connected."""
+        return True
+
+    async def call(self, address, message, limit):
+        """Answer a greeting or a pull."""
+        other = self.hosts[address[0]]
+        if isinstance(message, Hello):
+            return Welcome(host=other)
+        for known in message.known:
+            self.pulls[other.name].add(known.topic)
+        parts = tuple(
+            Aged(changes=Changes(topic=k.topic, at=1, whole=False), age=self.ages[other.name])
+            for k in message.known
+        )
+        return News(parts=parts, sure=True)
+
+
+class AbsentStore:
+    """Refuse every call, and count them."""
+
+    def __init__(self):
+        """Start without calls."""
+        self.calls = 0
+
+    async def changes(self, topic, after, wait):
+        """Refuse."""
+        self.calls += 1
+        raise StoreDown("away")
+
+
+class Played:
+    """Hold one host's spread, and play the others."""
+
+    def __init__(self, *, number, count, zones):
+        """Build the host and let it know all others."""
+        self.mesh, self.store = FakeMesh(), AbsentStore()
+        fleet = [host(n, zones) for n in range(count)]
+        self.mesh.hosts = {h.ip: h for h in fleet}
+        self.hosts = Hosts(own=fleet[number], mesh=self.mesh)
+        for other in fleet:
+            if other is not fleet[number]:
+                self.hosts._put(other)
+        self.spread = Spread(
+            store=self.store, hosts=self.hosts, mesh=self.mesh, limit=3.3, lead_limit=2.4
+        )
+
+    def start_aged(self, age):
+        """Let the own copy be of an age."""
+        for topic in Topic:
+            self.spread._apply(Changes(topic=topic, at=1, whole=True), now() - age)
+
+    def whole(self):
+        """Return the hosts from which everything was pulled."""
+        return {n for n, topics in self.mesh.pulls.items() if topics == set(Topic)}
+
+    def leads(self):
+        """Return the hosts from which only leads were pulled."""
+        return {n for n, topics in self.mesh.pulls.items() if topics == {Topic.FLEET}}
+
+
+async def play(work, seconds):
+    """Run something for some seconds."""
+    task = asyncio.get_running_loop().create_task(work)
+    await asyncio.sleep(seconds)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+@given("a host of a fleet of {count:d} hosts in {zones:d} zones")
+def step_fleet(context, count, zones):
+    context.make = lambda number: Played(number=number, count=count, zones=zones)
+
+
+@when("the reader of its zone has a copy that is 1.7 s old")
+def step_reader_old(context):
+    async def check():
+        context.played = context.make(20)
+        context.played.mesh.ages["h00"] = 1.7
+        context.played.start_aged(1.2)
+        await play(context.played.spread.pull_peers(), ROUNDS_S)
+
+    asyncio.run(check())
+
+
+@then("it pulls everything from at most {most:d} hosts and nothing from the others")
+def step_few(context, most):
+    whole = context.played.whole()
+    assert {"h00", "h01", "h02", "h03"} <= whole and len(whole) <= most, whole
+    assert not context.played.leads(), context.played.leads()
+
+
+@when("no host has heard from the store for 3 s")
+def step_away(context):
+    async def check():
+        context.played = context.make(20)
+        context.played.mesh.ages = defaultdict(lambda: 3.0)
+        context.played.start_aged(3.0)
+        await play(context.played.spread.pull_peers(), ROUNDS_S / 2)
+        context.majority = context.played.spread.hears_majority()
+
+    asyncio.run(check())
+
+
+@then("it pulls everything from at most {most:d} hosts and only leads from the others")
+def step_leads(context, most):
+    whole, leads = context.played.whole(), context.played.leads()
+    assert len(whole) <= most and len(whole) + len(leads) == 67, (whole, len(leads))
+
+
+@then("it hears a majority")
+def step_majority(context):
+    assert context.majority
+
+
+@when("no host but the last has heard from the store for 3 s")
+def step_last(context):
+    async def check():
+        context.played = context.make(20)
+        context.played.mesh.ages = defaultdict(lambda: 3.0, h67=0.1)
+        context.played.start_aged(3.0)
+        await play(context.played.spread.pull_peers(), 2 * ROUNDS_S)
+        context.age = context.played.spread.age()
+
+    asyncio.run(check())
+
+
+@then("it pulls everything from the last host, and its copy is young")
+def step_found(context):
+    assert context.played.mesh.pulls["h67"] == set(Topic)
+    assert context.age < 1.6, context.age
+
+
+@when("the store refuses every call for 2 s")
+def step_refuses(context):
+    async def check(number):
+        played = context.make(number)
+        played.start_aged(3.0)
+        await play(played.spread.watch_store(Topic.SETTINGS), 2.0)
+        return played.store.calls
+
+    context.calls, context.first_calls = asyncio.run(check(20)), asyncio.run(check(0))
+
+
+@then("it made at most {most:d} calls, and the first host of a zone at least {least:d}")
+def step_calls(context, most, least):
+    assert context.calls <= most, context.calls
+    assert context.first_calls >= least, context.first_calls
--- a/src/wagtailloft/fleet/hosts.py
+++ b/src/wagtailloft/fleet/hosts.py
@@ -67,6 +67,13 @@
         near = (h for h in self.live() if h.zone == self.own.zone)
         return tuple(sorted(near, key=lambda h: h.name))
 
+    def zone_firsts(self) -> tuple[Host, ...]:
+        """Return the first live host by name of each availability zone."""
+        firsts: dict[str, Host] = {}
+        for host in sorted(self.live(), key=lambda h: h.name):
+            firsts.setdefault(host.zone, host)
+        return tuple(firsts.values())
+
     def learn(self, host: Host) -> None:
         """Take a host that another source names; what this host knows first-hand stays."""
         known = self._cards.get(host.name)
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -102,11 +102,15 @@
 
 
 class Suspect(Record, tag="suspect", array_like=True):
-    """Report to the promoter that a group's primary does not answer."""
+    """Report to a promoter that a group's primary does not answer.
+
+    gives_up names the host that began to replace it and can't go on.
+    """
 
     group: str
     target: str
     why: str
+    gives_up: str = ""
 
 
 class Need(Record, array_like=True):
--- a/src/wagtailloft/fleet/spread.py
+++ b/src/wagtailloft/fleet/spread.py
@@ -7,7 +7,7 @@
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.errors import NotSent, Silent
-from wagtailloft.fleet.copies import Copy
+from wagtailloft.fleet.copies import NEVER, Copy
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh, Wire
 from wagtailloft.fleet.messages import Aged, Known, Message, News, Pull, Settled
@@ -19,8 +19,11 @@
 PULL_LIMIT_S = 0.6  # a connect and a round trip across zones
 PULL_EACH_S = 0.01  # added for each host that is pulled from: 5 ms of processor a second
 PULL_MOST = 150  # more could not be heard within the limit for leads
-DOUBT_S = 1.9  # a store wait, a pull interval and a slow answer; then other sources are asked
+UNUSUAL_S = 1.5  # DOUBT_S less a pull interval; then the readers of other zones are asked too
+DOUBT_S = 1.9  # the same with a slow answer; then every host is asked for its leads
+RANDOM_SOURCES = 1  # finds a host that reads the store when no zone's first one can
 RETRY_S = 0.4  # refused calls are priced; several tries within revoke_ms
+PROBERS = 8  # hosts that try an absent store within RETRY_S, beside the zones' first ones
 OUTAGE_LIMIT_S = 10.0  # a promoter that finds no majority of hosts waits so long
 PROBED = Topic.SETTINGS  # read alone while the store is away, since refused calls are priced
 CHECKED = (Topic.SETTINGS, Topic.FLEET)
@@ -43,6 +46,7 @@
         self._heard: dict[str, float] = {}
         self._started = now()
         self._away = False
+        self._freshest = ("", NEVER)
         mesh.serve(Pull, self._pulled)
         mesh.serve(Settled, self._settled)
 
@@ -150,32 +154,37 @@
                 self._note_back(topic)
             except StoreDown as exc:
                 self._note_lost(topic, exc)
-                await asyncio.sleep(RETRY_S * self._rng.uniform(0.8, 1.4))
+                await asyncio.sleep(self._retry_pause() * self._rng.uniform(0.8, 1.4))
 
     async def pull_peers(self) -> None:
         """Pull from the zone's reader, and from others when that is not enough."""
         while True:
             await asyncio.sleep(PULL_S * self._rng.uniform(0.9, 1.1))
-            names = self._sources()
-            await asyncio.gather(*(self._try_pull(name) for name in names))
-            await asyncio.sleep(PULL_EACH_S * len(names))
-
-    async def _try_pull(self, name: str) -> None:
+            whole = self._sources()
+            leads = self._others(whole) if self.age() > DOUBT_S else []
+            pulls = [self._try_pull(n, tuple(Topic)) for n in whole]
+            pulls += [self._try_pull(n, (Topic.FLEET,)) for n in leads]
+            await asyncio.gather(*pulls)
+            await asyncio.sleep(PULL_EACH_S * len(pulls))
+
+    async def _try_pull(self, name: str, topics: tuple[Topic, ...]) -> None:
         try:
-            await self.pull(name)
+            await self.pull(name, topics)
         except (NotSent, Silent) as exc:
             logs.event("pull_failed", host=name, why=str(exc))
 
-    async def pull(self, name: str) -> None:
-        """Take what another host knows; ages count from when it was asked."""
+    async def pull(self, name: str, topics: tuple[Topic, ...]) -> None:
+        """Take what another host knows of topics; ages count from when it was asked."""
         asked = now()
-        known = tuple(Known(topic=t, at=c.at) for t, c in self._copies.items())
+        known = tuple(Known(topic=t, at=self._copies[t].at) for t in topics)
         message = Pull(host=self._hosts.own.name, known=known)
         news = await self._hosts.call(name, message, PULL_LIMIT_S)
         if not isinstance(news, News):
             return
         for part in news.parts:
             self._apply(part.changes, asked - part.age)
+            if part.changes.topic is PROBED or len(topics) == 1:
+                self._note_source(name, asked - part.age)
         for lead in news.leads:
             self.take_lead(lead)
         if news.sure:
@@ -190,14 +199,33 @@
         mine = not near or near[0].name == self._hosts.own.name
         return mine or self.age() > DOUBT_S
 
+    def _retry_pause(self) -> float:
+        """Return the seconds until this host tries an absent store again."""
+        near = self._hosts.in_zone()
+        if not near or near[0].name == self._hosts.own.name:
+            return RETRY_S
+        return RETRY_S * max(1.0, len(self._hosts.all()) / PROBERS)
+
     def _sources(self) -> list[str]:
+        """Return the hosts to pull everything from: few, since links are narrow."""
         near = self._hosts.in_zone()
+        names = [h.name for h in near[:1]]
+        if self._away or self.age() > UNUSUAL_S:
+            names += [h.name for h in self._hosts.zone_firsts()]
+            names += [self._freshest[0]] if self._hosts.get(self._freshest[0]) else []
+            rest = self._others(names)
+            names += self._rng.sample(rest, min(RANDOM_SOURCES, len(rest)))
+        return [n for n in dict.fromkeys(names) if n != self._hosts.own.name]
+
+    def _others(self, names: list[str]) -> list[str]:
         own = self._hosts.own.name
-        names = [h.name for h in near[:1] if h.name != own]
-        if self.age() > DOUBT_S:
-            others = [h.name for h in self._hosts.live() if h.name not in (own, *names)]
-            names += others[:PULL_MOST]
-        return names
+        others = [h.name for h in self._hosts.live() if h.name not in (own, *names)]
+        return others[:PULL_MOST]
+
+    def _note_source(self, name: str, confirmed: float) -> None:
+        """Remember the host whose copy was current most lately."""
+        if confirmed > self._freshest[1]:
+            self._freshest = (name, confirmed)
 
     async def _read(self, topic: Topic, wait: float) -> None:
         started = now()
--- a/src/wagtailloft/groups/promotion.py
+++ b/src/wagtailloft/groups/promotion.py
@@ -157,6 +157,11 @@
         return Noted()
 
     def _examine(self, message: Suspect) -> None:
+        lead = self._spread.lead(message.group)
+        if lead and not lead.settled:
+            if message.gives_up and lead.claimant == message.gives_up:
+                self._begin(message.group, lead.replaced, "handed on", planned=False)
+            return
         primary = self._directory.primary(message.group)
         if primary and primary.name == message.target:
             self._begin(message.group, message.target, message.why, planned=False, examine=True)
@@ -180,8 +185,16 @@
             await self._replace(group, replaced, why, planned)
         except StoreDown as exc:
             logs.warn("promotion_stopped", group=group, why=str(exc))
+            own = self._hosts.own.name
+            await self._hand_on(Suspect(group=group, target=replaced, why=why, gives_up=own))
             await asyncio.sleep(TICK_S * self._rng.uniform(1.0, 2.0))
 
+    async def _hand_on(self, message: Suspect) -> None:
+        """Tell the next promoter, which may reach the store that this host does not."""
+        others = [h for h in self._hosts.ranked(SUBJECT) if h.name != self._hosts.own.name]
+        if others:
+            await quiet(self._hosts.call(others[0].name, message, CUT_LIMIT_S))
+
     async def _answers(self, group: str, name: str) -> bool:
         target = self._directory.target(group, name)
         if target is None:
