Use the descriptors and the configuration bound of the settings; log opened links

A host whose descriptors are used up would have failed in accept; what an ageing copy lacks was judged at a fixed 2 s, also where the deployment's bound is 5 s; addresses used again need no time, since the expected member is always named, so that setting is gone.

Test: site, "A host has no descriptor left for another caller" (before: nothing was refused).

--- a/features/site.feature
+++ b/features/site.feature
@@ -70,6 +70,12 @@
     When a host gets SIGHUP, also with a broken file
     Then it goes on serving
 
+  Scenario: A host has no descriptor left for another caller
+    Given a site with 1 host whose descriptors allow 5 callers
+    When 5 callers have a session
+    Then another caller is turned away and the host is not ready
+    And a caller that comes after one has left is served
+
   Scenario: A team presses over its rate at all hosts
     Given a site with 3 hosts and a rate of 20 a second and a burst of 10
     When a team presses at every host for 6 s
--- a/features/steps/shares.py
+++ b/features/steps/shares.py
@@ -69,7 +69,9 @@
         self.hosts, self.spread = FakeHosts(own, fleet), FakeSpread()
         purses = Purses(hosts=self.hosts, mesh=self, tolerance=TOLERANCE)
         self.purses = purses
-        self.admission = Admission(spread=self.spread, purses=purses, metrics=Metrics())
+        self.admission = Admission(
+            spread=self.spread, purses=purses, metrics=Metrics(), absent_age=2.0
+        )
 
     def serve(self, kind, handler):
         """Take the handler of asks."""
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -413,6 +413,35 @@
     context.site.call("edge-0", "orders").ok("WRITE a b")
 
 
+@given("a site with 1 host whose descriptors allow 5 callers")
+def step_descriptors(context):
+    put(context, hosts=1, max_fds=208)
+
+
+@when("5 callers have a session")
+def step_five(context):
+    context.sessions = [context.site.call("edge-0", "orders") for _ in range(5)]
+    for session in context.sessions:
+        session.ok("READ a")
+
+
+@then("another caller is turned away and the host is not ready")
+def step_turned_away(context):
+    try:
+        assert context.site.call("edge-0", "orders").greeting == []
+    except ConnectionError:
+        pass
+    until(lambda: not context.site.is_ready("edge-0"), 1.0, "still ready")
+    context.sessions[0].ok("READ a")
+
+
+@then("a caller that comes after one has left is served")
+def step_room(context):
+    context.sessions[0].close()
+    until(lambda: context.site.is_ready("edge-0"), 1.0, "not ready again")
+    context.site.call("edge-0", "orders").ok("READ a")
+
+
 @when("a team presses at every host for {seconds:d} s")
 def step_press(context, seconds):
     site = context.site
--- a/src/wagtailloft/fleet/spread.py
+++ b/src/wagtailloft/fleet/spread.py
@@ -15,14 +15,14 @@
 from wagtailloft.fleet.records import Entry, Lead, Listing, Topic, Value, listing_name
 
 WAITS_S = {Topic.SETTINGS: 1.0, Topic.FLEET: 1.0, Topic.TARGETS: 2.0}  # against calls' price
-PULL_S = 0.4  # several pulls within config_apply_ms
+PULL_S = 0.4  # several pulls within the bound on new configurations, 3 s
 PULL_LIMIT_S = 0.6  # a connect and a round trip across zones
 PULL_EACH_S = 0.01  # added for each host that is pulled from: 5 ms of processor a second
 PULL_MOST = 150  # more could not be heard within the limit for leads
 UNUSUAL_S = 1.5  # DOUBT_S less a pull interval; then the readers of other zones are asked too
 DOUBT_S = 1.9  # the same with a slow answer; then every host is asked for its leads
 RANDOM_SOURCES = 1  # finds a host that reads the store when no zone's first one can
-RETRY_S = 0.4  # refused calls are priced; several tries within revoke_ms
+RETRY_S = 0.4  # refused calls are priced; several tries within the bound on withdrawn keys
 PROBERS = 8  # hosts that try an absent store within RETRY_S, beside the zones' first ones
 OUTAGE_LIMIT_S = 10.0  # a promoter that finds no majority of hosts waits so long
 PROBED = Topic.SETTINGS  # read alone while the store is away, since refused calls are priced
--- a/src/wagtailloft/groups/pool.py
+++ b/src/wagtailloft/groups/pool.py
@@ -157,8 +157,17 @@
             team=team,
         )
         self._open += 1
+        began = now()
         try:
-            return await self._connect.open(opening)
+            link = await self._connect.open(opening)
+            logs.event(
+                "link_opened",
+                target=self.target.name,
+                team=team,
+                links=self._open,
+                ms=round((now() - began) * 1000, 1),
+            )
+            return link
         except NotSent as exc:
             self._open -= 1
             if exc.kind is Kind.TOO_MANY_LINKS:
--- a/src/wagtailloft/node.py
+++ b/src/wagtailloft/node.py
@@ -36,14 +36,17 @@
 from wagtailloft.sessions.admission import Admission
 from wagtailloft.sessions.session import Session
 
-FRESH_SHARE = 0.66  # of revoke_ms; the rest covers a store whose watches are deaf for 1 s
-LEAD_SHARE = 0.48  # of revoke_ms: above a usual age, and waited out for hosts that do not answer
+FRESH_SHARE = 0.66  # of the bound on withdrawn keys; the rest covers 1 s of deaf watches
+LEAD_SHARE = 0.48  # of the same bound: above a usual age; waited out for hosts that are silent
 READY_AGE_S = 2.4  # older, new callers are better served by other hosts
 NOTICE_S = 2.2  # two probes, a second apart, until the platform sends no new callers
-TRANSACTION_SHARE = 0.5  # of grace_s: open transactions may end until then; RULES.md, DRAIN
-END_SHARE = 0.85  # of grace_s: all that runs has ended by then
+TRANSACTION_SHARE = 0.5  # of the grace at a stop: open transactions may end; RULES.md, DRAIN
+END_SHARE = 0.85  # of the grace at a stop: all that runs has ended by then
 TIDY_S = 1.0  # looks at links that are no longer this host's
 HTTP_THREADS = 2
+ABSENT_SHARE = 0.66  # of the bound on new configurations; what an older copy lacks may exist
+FILES = 200  # descriptors that are not sockets; DEPLOY.md, "Machines"
+CALLER_SHARE = 0.7  # of the sockets; the rest is for hosts, targets and the store
 
 
 class Bounds(Record):
@@ -69,6 +72,10 @@
 class CallerFront(Protocol):
     """Serve callers' connections."""
 
+    @property
+    def full(self) -> bool:
+        """Tell whether no descriptor is left for another caller."""
+
     async def start(self) -> None:
         """Accept callers."""
 
@@ -89,7 +96,7 @@
         store: Store,
         orders: Promote,
         connect: Connect,
-        front: Callable[[Callable[[str, str, str], Session]], CallerFront],
+        front: Callable[[Callable[[str, str, str], Session], int], CallerFront],
         reload: Callable[[], NodeSettings],
         metrics_port: int,
     ) -> None:
@@ -117,7 +124,12 @@
             directory=self.directory, relay=self.relay, zone=own.zone, metrics=self.metrics
         )
         self.purses = Purses(hosts=self.hosts, mesh=self.mesh, tolerance=cfg.bounds.tolerance)
-        self.admission = Admission(spread=self.spread, purses=self.purses, metrics=self.metrics)
+        self.admission = Admission(
+            spread=self.spread,
+            purses=self.purses,
+            metrics=self.metrics,
+            absent_age=cfg.bounds.apply * ABSENT_SHARE,
+        )
         self.promotion = Promotion(
             hosts=self.hosts,
             mesh=self.mesh,
@@ -135,7 +147,8 @@
             ),
             count=lambda group, why: self.metrics.elections.labels(group, why).inc(),
         )
-        self.front = front(self._open_session)
+        callers = max(1, int((cfg.max_fds - FILES) * CALLER_SHARE))
+        self.front = front(self._open_session, callers)
         self._ready_server = HttpServer(
             ip=own.ip,
             port=own.operator_port,
@@ -219,7 +232,9 @@
         return HttpResponse(status=200 if self._is_ready() else 503, body=b"{}")
 
     def _is_ready(self) -> bool:
-        if self._stopping.is_set() or not self.admission.ready or not self.spread.is_listed():
+        if self._stopping.is_set() or self.front.full:
+            return False
+        if not self.admission.ready or not self.spread.is_listed():
             return False
         # While the store is away from most hosts, callers are not better served elsewhere.
         return self.spread.age() < READY_AGE_S or self.spread.hears_majority()
--- a/src/wagtailloft/sessions/admission.py
+++ b/src/wagtailloft/sessions/admission.py
@@ -12,8 +12,7 @@
 from wagtailloft.sessions.statements import DONE, Outcome, refused
 
 PUBLIC_TEAM = "-"
-ABSENT_AGE_S = 2.0  # what is missing in an older copy may have been added; config_apply_ms is 3 s
-RATE_PATIENCE_S = 0.25  # a fraction of goal_ms: a token may come with the next grant
+RATE_PATIENCE_S = 0.25  # a fraction of a usual goal: a token may come with the next grant
 
 
 class Admitted(Record):
@@ -26,10 +25,13 @@
 class Admission:
     """Decide whether an operation may run at this moment."""
 
-    def __init__(self, *, spread: Spread, purses: Purses, metrics: Metrics) -> None:
+    def __init__(
+        self, *, spread: Spread, purses: Purses, metrics: Metrics, absent_age: float
+    ) -> None:
         self._spread = spread
         self._purses = purses
         self._metrics = metrics
+        self._absent_age = absent_age
         self._version = 0
         self._routes: dict[str, RouteRule] = {}
         self._teams: dict[str, TeamRule] = {}
@@ -110,7 +112,7 @@
         self._metrics.latency.labels("", rule.freshness.value if rule else "").observe(seconds)
 
     def _absent(self, kind: Kind, detail: str) -> Outcome:
-        if self._spread.age() > ABSENT_AGE_S:
+        if self._spread.age() > self._absent_age:
             return refused(Kind.SETTINGS_STALE, f"{detail}, as of {self._spread.age():.1f} s ago")
         return refused(kind, detail)
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -25,7 +25,6 @@
     "config_apply_ms": 3000,
     "grace_s": 6,
     "quota_slack": 20,
-    "addr_reuse_s": 2,
 }
 
 
@@ -86,6 +85,7 @@
 
     def close(self) -> None:
         """End the session."""
+        self._file.close()
         self.sock.close()
 
 
@@ -100,7 +100,9 @@
         rate: float = 1000,
         burst: float = 1000,
         sync_replicas: int = 0,
+        max_fds: int = 4000,
     ) -> None:
+        self.max_fds = max_fds
         self.store = Objects()
         self.groups = {
             name: Group(name=name, sync_replicas=sync_replicas)
@@ -261,6 +263,8 @@
 frontend = "{ip}:{self._ports["front"]}"
 ready = "{ip}:{self._ports["ready"]}"
 control = "{ip}:1"
+[limits]
+max_fds = {self.max_fds}
 [bounds]
 {bounds}
 [platform]
