Name the reader of a zone once in the spread

The same two lines decided in _reads and in _retry_pause whether a host reads for its zone. No change of behaviour; spread, units, shares and claims pass.

--- a/src/wagtailloft/fleet/spread.py
+++ b/src/wagtailloft/fleet/spread.py
@@ -146,7 +146,8 @@
         """Read a topic for as long as it is this host's part, or nobody else serves it."""
         while True:
             away = self._away
-            if not self._reads() or (away and topic is not PROBED):
+            reads = self._is_reader() or self.age() > DOUBT_S
+            if not reads or (away and topic is not PROBED):
                 await asyncio.sleep(PULL_S / 2)
                 continue
             try:
@@ -194,15 +195,14 @@
         """Tell whether the copy was current at some time in this process's life."""
         return all(self._copies[topic].confirmed >= self._started for topic in CHECKED)
 
-    def _reads(self) -> bool:
+    def _is_reader(self) -> bool:
+        """Tell whether this host reads the store for its zone."""
         near = self._hosts.in_zone()
-        mine = not near or near[0].name == self._hosts.own.name
-        return mine or self.age() > DOUBT_S
+        return not near or near[0].name == self._hosts.own.name
 
     def _retry_pause(self) -> float:
         """Return the seconds until this host tries an absent store again."""
-        near = self._hosts.in_zone()
-        if not near or near[0].name == self._hosts.own.name:
+        if self._is_reader():
             return RETRY_S
         return RETRY_S * max(1.0, len(self._hosts.all()) / PROBERS)
 
