Let a host that reaches the store read it for its zone

Ruled out: the dropped history at second 7 (ages rose from second 6 on), the pools of rates (13 refusals).

Change: a host tells in each answer that it misses the store; the next one of the zone reads then. A copy in doubt is read without waiting; a host that others keep current tries an absent store every 2 s.

Test: spread, "The readers of all zones miss the store, and others reach it" (failed on the code before).

--- a/features/played.py
+++ b/features/played.py
@@ -20,6 +20,26 @@
     )
 
 
+class JoinedMesh:
+    """Carry pulls between hosts that are all played in this process."""
+
+    def __init__(self, meshes):
+        """Join the others; meshes holds all by address."""
+        self.meshes, self.handlers = meshes, {}
+
+    def serve(self, kind, handler):
+        """Take a handler."""
+        self.handlers[kind] = handler
+
+    def connected(self, address):
+        """Tell that every host is connected."""
+        return True
+
+    async def call(self, address, message, limit):
+        """Have a host answer."""
+        return await self.meshes[address[0]].handlers[type(message)](None, message)
+
+
 class FakeMesh:
     """Answer for all other hosts, and note what was asked of each."""
 
--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.played import FakeMesh, host
+from features.played import FakeMesh, JoinedMesh, host
 from wagtailloft.clock import now
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.ports import StoreDown
@@ -28,6 +28,21 @@
         raise StoreDown("away")
 
 
+class PresentStore:
+    """Answer reads after the wait that they ask for, and refuse those of some hosts."""
+
+    def __init__(self, *, name, refused):
+        """Serve one host."""
+        self.name, self.refused = name, refused
+
+    async def changes(self, topic, after, wait):
+        """Tell that nothing has changed."""
+        await asyncio.sleep(wait)
+        if self.name in self.refused:
+            raise StoreDown("refused")
+        return Changes(topic=topic, at=1, whole=not after)
+
+
 class Played:
     """Hold one host's spread, and play the others."""
 
@@ -89,6 +104,53 @@
     assert not context.played.leads(), context.played.leads()
 
 
+@when("the store refuses the first host of each zone")
+def step_refuses_firsts(context):
+    async def check():
+        meshes, refused, spreads = {}, set(), []
+        fleet = [host(n, 3) for n in range(8)]
+        for own in fleet:
+            meshes[own.ip] = mesh = JoinedMesh(meshes)
+            hosts = Hosts(own=own, mesh=mesh)
+            for other in fleet:
+                if other is not own:
+                    hosts._put(other)
+            store = PresentStore(name=own.name, refused=refused)
+            spread = Spread(store=store, hosts=hosts, mesh=mesh, limit=3.3, lead_limit=2.4)
+            spreads.append(spread)
+        works = [s.pull_peers() for s in spreads]
+        works += [s.watch_store(t) for s in spreads for t in Topic]
+        tasks = [asyncio.create_task(w) for w in works]
+        await asyncio.sleep(1.5)
+        refused.update({"h00", "h01", "h02"})
+        until = now() + 7.0
+        context.oldest = dict.fromkeys(range(8), 0.0)
+        while now() < until:
+            for number, spread in enumerate(spreads):
+                context.oldest[number] = max(context.oldest[number], spread.age())
+            await asyncio.sleep(0.02)
+        context.readers = {s._reader(z) for s in spreads for z in ("z0", "z1", "z2")}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(check())
+
+
+@then("the next hosts read it")
+def step_next_read(context):
+    assert {"h03", "h04", "h05"} <= context.readers, context.readers
+
+
+@then(
+    "copies are younger than {served:g} s at the hosts that it serves, and than {others:g} s at"
+    " the others"
+)
+def step_ages(context, served, others):
+    for number, oldest in context.oldest.items():
+        assert oldest < (others if number < 3 else served), context.oldest
+
+
 @when("no host has heard from the store for 3 s")
 def step_away(context):
     async def check():
--- a/src/wagtailloft/fleet/hosts.py
+++ b/src/wagtailloft/fleet/hosts.py
@@ -62,17 +62,14 @@
             self._ranks[key] = ownership.owners(subject, self.live(), zone)
         return self._ranks[key]
 
-    def in_zone(self) -> tuple[Host, ...]:
-        """Return the live hosts of this host's availability zone, by name."""
-        near = (h for h in self.live() if h.zone == self.own.zone)
+    def in_zone(self, zone: str) -> tuple[Host, ...]:
+        """Return the live hosts of an availability zone, by name."""
+        near = (h for h in self.live() if h.zone == zone)
         return tuple(sorted(near, key=lambda h: h.name))
 
-    def zone_firsts(self) -> tuple[Host, ...]:
-        """Return the first live host by name of each availability zone."""
-        firsts: dict[str, Host] = {}
-        for host in sorted(self.live(), key=lambda h: h.name):
-            firsts.setdefault(host.zone, host)
-        return tuple(firsts.values())
+    def zones(self) -> tuple[str, ...]:
+        """Return the availability zones that have live hosts."""
+        return tuple(sorted({h.zone for h in self.live()}))
 
     def learn(self, host: Host) -> None:
         """Take a host that another source names; what this host knows first-hand stays."""
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -44,11 +44,16 @@
 
 
 class News(Record, tag="news", array_like=True):
-    """Answer a pull; sure says that the leads were current since the sender's process began."""
+    """Answer a pull.
+
+    sure says that the leads were current since the sender's process began, away that the sender
+    does not reach the store.
+    """
 
     parts: tuple[Aged, ...]
     leads: tuple[Lead, ...] = ()
     sure: bool = False
+    away: bool = False
 
 
 class Work(Record, tag="work", array_like=True):
--- a/src/wagtailloft/fleet/spread.py
+++ b/src/wagtailloft/fleet/spread.py
@@ -1,6 +1,7 @@
 """Spread the store's content: one host a zone reads the store, the others pull from it."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -22,6 +23,8 @@
 UNUSUAL_S = 1.5  # DOUBT_S less a pull interval; then the readers of other zones are asked too
 DOUBT_S = 1.9  # the same with a slow answer; then every host is asked for its leads
 RANDOM_SOURCES = 1  # finds a host that reads the store when no zone's first one can
+AWAY_S = 3.0  # how long a host that said so is not taken for a reader; asked again after it
+PROBE_S = 2.0  # between tries of an absent store by a host that others keep current
 RETRY_S = 0.4  # refused calls are priced; several tries within the bound on withdrawn keys
 PROBERS = 8  # hosts that try an absent store within RETRY_S, beside the zones' first ones
 OUTAGE_LIMIT_S = 10.0  # a promoter that finds no majority of hosts waits so long
@@ -47,6 +50,7 @@
         self._started = now()
         self._away = False
         self._freshest = ("", NEVER)
+        self._away_until: dict[str, float] = {}
         mesh.serve(Pull, self._pulled)
         mesh.serve(Settled, self._settled)
 
@@ -145,13 +149,13 @@
     async def watch_store(self, topic: Topic) -> None:
         """Read a topic for as long as it is this host's part, or nobody else serves it."""
         while True:
-            away = self._away
-            reads = self._is_reader() or self.age() > DOUBT_S
-            if not reads or (away and topic is not PROBED):
+            away, doubt = self._away, self.age() > DOUBT_S
+            due = topic is PROBED if away else doubt or self._is_reader()
+            if not due:
                 await asyncio.sleep(PULL_S / 2)
                 continue
             try:
-                await self._read(topic, 0.0 if away else WAITS_S[topic])
+                await self._read(topic, 0.0 if away or doubt else WAITS_S[topic])
                 self._note_back(topic)
             except StoreDown as exc:
                 self._note_lost(topic, exc)
@@ -190,6 +194,7 @@
             self.take_lead(lead)
         if news.sure:
             self._heard[name] = asked
+        self._away_until[name] = asked + AWAY_S if news.away else 0.0
 
     def _is_sure(self) -> bool:
         """Tell whether the copy was current at some time in this process's life."""
@@ -197,25 +202,33 @@
 
     def _is_reader(self) -> bool:
         """Tell whether this host reads the store for its zone."""
-        near = self._hosts.in_zone()
-        return not near or near[0].name == self._hosts.own.name
+        return self._reader(self._hosts.own.zone) in ("", self._hosts.own.name)
+
+    def _reader(self, zone: str) -> str:
+        """Return the first host of a zone that is not known to miss the store."""
+        at = now()
+        near = [h.name for h in self._hosts.in_zone(zone)]
+        reaching = [n for n in near if self._away_until.get(n, 0.0) <= at]
+        return next(iter(reaching or near), "")
 
     def _retry_pause(self) -> float:
         """Return the seconds until this host tries an absent store again."""
-        if self._is_reader():
+        if self.age() <= DOUBT_S:
+            return PROBE_S
+        near = self._hosts.in_zone(self._hosts.own.zone)
+        if not near or near[0].name == self._hosts.own.name:
             return RETRY_S
         return RETRY_S * max(1.0, len(self._hosts.all()) / PROBERS)
 
     def _sources(self) -> list[str]:
         """Return the hosts to pull everything from: few, since links are narrow."""
-        near = self._hosts.in_zone()
-        names = [h.name for h in near[:1]]
+        names = [self._reader(self._hosts.own.zone)]
         if self._away or self.age() > UNUSUAL_S:
-            names += [h.name for h in self._hosts.zone_firsts()]
+            names += [self._reader(zone) for zone in self._hosts.zones()]
             names += [self._freshest[0]] if self._hosts.get(self._freshest[0]) else []
             rest = self._others(names)
             names += self._rng.sample(rest, min(RANDOM_SOURCES, len(rest)))
-        return [n for n in dict.fromkeys(names) if n != self._hosts.own.name]
+        return [n for n in dict.fromkeys(names) if n not in ("", self._hosts.own.name)]
 
     def _others(self, names: list[str]) -> list[str]:
         own = self._hosts.own.name
@@ -261,6 +274,7 @@
             action(entry)
 
     def _note_lost(self, topic: Topic, exc: StoreDown) -> None:
+        self._away_until[self._hosts.own.name] = math.inf
         if not self._away:
             self._away = True
             logs.warn("store_lost", topic=topic.value, why=str(exc), age=self.age())
@@ -268,6 +282,7 @@
     def _note_back(self, topic: Topic) -> None:
         if self._away:
             self._away = False
+            self._away_until[self._hosts.own.name] = 0.0
             logs.event("store_back", topic=topic.value, at=self.revision(topic))
 
     async def _pulled(self, wire: Wire, message: Message) -> Message:
@@ -279,7 +294,7 @@
             if copy.at and copy.at >= known.at:
                 parts.append(Aged(changes=copy.since(known.at), age=copy.age(at)))
         leads = tuple(self._leads.values())
-        return News(parts=tuple(parts), leads=leads, sure=self._is_sure())
+        return News(parts=tuple(parts), leads=leads, sure=self._is_sure(), away=self._away)
 
     async def _settled(self, wire: Wire, message: Message) -> Message:
         assert isinstance(message, Settled)
