--- a/features/site.feature
+++ b/features/site.feature
@@ -27,6 +27,12 @@
     And writes are served again within 4 s
     And no acknowledged write is missing at the new primary
 
+  Scenario: All hosts are killed in the middle of a promotion, and another one is the promoter then
+    Given a site with 3 hosts
+    When the first promoter is down, all members go dark, and all hosts are killed during the promotion
+    And the replicas and all hosts are back
+    Then writes are served again within 4 s
+
   Scenario: Members' addresses are used again by another group's members
     Given a site with 2 hosts and 2 groups
     When the addresses of a group go to members of the other group while it is still listed
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -10,6 +10,8 @@
 
 from standins.fleet import until
 from standins.site import KEY, SECOND_KEY, Site
+from wagtailloft.controllers.ownership import score
+from wagtailloft.groups.promotion import SUBJECT
 
 SERVED_S = 3.0
 
@@ -200,6 +202,38 @@
         context.site.start_host(name)
 
 
+@when(
+    "the first promoter is down, all members go dark, and all hosts are killed during the promotion"
+)
+def step_killed_promotion(context):
+    site = context.site
+    first, *others = sorted(site.hosts, key=lambda h: score(SUBJECT, h), reverse=True)
+    site.hosts[first].kill()
+    context.writers = [Writer(site, h, f"{h}.") for h in others]
+    for writer in context.writers:
+        writer.start()
+    until(lambda: any(served(r[3]) for r in context.writers[0].results), 5.0, "no write is served")
+    context.old = site.group.primary
+    for member in site.group.members.values():
+        member.dark = True
+    until(lambda: "event=promotion_began" in site.log(others[0]), 5.0, "no promotion began")
+    time.sleep(0.2)
+    for name in others:
+        site.hosts[name].kill()
+
+
+@when("the replicas and all hosts are back")
+def step_killed_back(context):
+    site = context.site
+    for member in site.group.members.values():
+        member.dark = member is context.old
+    for name in list(site.hosts):
+        site.start_host(name)
+    for name in site.hosts:
+        until(lambda name=name: site.is_ready(name), SERVED_S * 2, f"{name} is not ready")
+    context.since = time.monotonic()
+
+
 @then("nobody leads while the level replica is dark")
 def step_sync_nobody(context):
     while context.level.dark:
