--- a/features/claims.feature
+++ b/features/claims.feature
@@ -19,6 +19,11 @@
     When another host has replaced it meanwhile
     Then this host begins nothing
 
+  Scenario: The store refuses the first two promoters and serves the third
+    Given 3 hosts, of which the store serves the one that is the last choice as a promoter
+    When the first promoter hears that a primary is silent
+    Then the host that the store serves begins to replace it within 2 s
+
   Scenario: A host goes on with a promotion that the store interrupted
     Given a host that has begun a promotion itself
     Then it goes on with it unless it is at work on it
--- a/features/steps/claims.py
+++ b/features/steps/claims.py
@@ -6,12 +6,17 @@
 import msgspec
 from behave import given, then, when
 
-from features.played import FakeMesh, host
+from features.played import FakeMesh, JoinedMesh, host
+from wagtailloft.clock import now
+from wagtailloft.controllers.ownership import score
+from wagtailloft.errors import NotSent
 from wagtailloft.fleet.hosts import Hosts
-from wagtailloft.fleet.records import Lead
+from wagtailloft.fleet.messages import Suspect
+from wagtailloft.fleet.ports import StoreDown
+from wagtailloft.fleet.records import Lead, Target
 from wagtailloft.groups.claims import UNFINISHED_S, is_abandoned
-from wagtailloft.groups.promotion import Promotion
-from wagtailloft.models import HostState
+from wagtailloft.groups.promotion import SUBJECT, Promotion
+from wagtailloft.models import HostState, Role
 
 
 def abandoned(context, waited=0.0, at_work=False):
@@ -28,6 +33,92 @@
     assert not abandoned(context)
 
 
+class RefusedDuty:
+    """Raise for a host that the store refuses; note that another one began."""
+
+    def __init__(self, *, name, served, began):
+        """Belong to a host."""
+        self.name, self.served, self.began = name, served, began
+
+    async def take(self):
+        """Take the duty if the store serves the host."""
+        if self.name != self.served:
+            raise StoreDown("refused")
+        self.began.append(self.name)
+        return False
+
+    def note(self, entry):
+        """Ignore the duty's object."""
+
+
+class Unreachable:
+    """Reach no member."""
+
+    async def open(self, opening):
+        """Raise."""
+        raise NotSent("connect timed out")
+
+
+def promotion(own, fleet, meshes, duty):
+    """Return the promotion of one host of a fleet that knows all others."""
+    mesh = meshes[own.ip] = JoinedMesh(meshes)
+    hosts = Hosts(own=own, mesh=mesh)
+    for other in fleet:
+        if other is not own:
+            hosts._put(other)
+    primary = Target(name="m", group="g", address="1.1.1.1:1", role=Role.PRIMARY)
+    spread = SimpleNamespace(lead=lambda group: None, on_change=lambda *_: None)
+    directory = SimpleNamespace(
+        primary=lambda group: primary, target=lambda group, name: primary, spread=spread
+    )
+    return Promotion(
+        hosts=hosts,
+        mesh=mesh,
+        spread=spread,
+        directory=directory,
+        pools=SimpleNamespace(),
+        store=None,
+        connect=Unreachable(),
+        promote=None,
+        duty=duty,
+        count=lambda group, why: None,
+    )
+
+
+@given("3 hosts, of which the store serves the one that is the last choice as a promoter")
+def step_three(context):
+    context.fleet = sorted(
+        (host(n, 1) for n in range(3)), key=lambda h: score(SUBJECT, h.name), reverse=True
+    )
+
+
+@when("the first promoter hears that a primary is silent")
+def step_hears(context):
+    async def check():
+        context.began, meshes = [], {}
+        served = context.fleet[-1].name
+        parts = [
+            promotion(
+                h,
+                context.fleet,
+                meshes,
+                RefusedDuty(name=h.name, served=served, began=context.began),
+            )
+            for h in context.fleet
+        ]
+        parts[0]._examine(Suspect(group="g", target="m", why="silent"))
+        until = now() + 2.0
+        while now() < until and not context.began:
+            await asyncio.sleep(0.02)
+
+    asyncio.run(check())
+
+
+@then("the host that the store serves begins to replace it within 2 s")
+def step_third_begins(context):
+    assert context.began == [context.fleet[-1].name], context.began
+
+
 @given("a host that has begun a promotion itself")
 def step_own(context):
     context.hosts = Hosts(own=host(0, 2), mesh=FakeMesh())
