Return the primary that was found, not the answer of a second look

Ruled out: the product: the write before it was acknowledged in 0.14 s of its 20 s, and the refused one had kept its deadline.

Change: wait_primary returns what its wait saw.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -311,8 +311,14 @@
 
     def wait_primary(self, group: str, limit: float = START_LIMIT_S) -> MemberAt:
         """Wait until a group has a primary."""
-        until(lambda: self.primary(group) is not None, limit, f"{group} has no primary")
-        return self.primary(group)
+        found: list[MemberAt] = []
+
+        def look() -> bool:
+            found.extend(filter(None, [self.primary(group)]))
+            return bool(found)
+
+        until(look, limit, f"{group} has no primary")
+        return found[-1]
 
     def _settled(self, host: HostAt) -> bool:
         try:
