Delegate a failover to a host that has not tried it yet

A delegation now carries the hosts that tried; it goes to the first host that is not among them, and past those that do not answer. The claim that stays behind is named by its claimant along the whole chain.

--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -112,13 +112,15 @@
 class SuspectReport(Record, tag="suspect", array_like=True):
     """Report to a failover coordinator that a group's primary does not answer.
 
-    abandoned_by names the process that began to replace the primary and can't continue.
+    abandoned_by names the process that began to replace the primary and can't continue, and tried
+    the hosts that could not do it, so that a failover is never delegated to one of them again.
     """
 
     group: str
     target: str
     why: str
     abandoned_by: str = ""
+    tried: tuple[str, ...] = ()
 
 
 class TeamDemand(Record, array_like=True):
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.errors import Kind, NoResponse, NotSent
@@ -191,25 +193,47 @@
                     assignment.replaced,
                     "taken over from another host",
                     planned=False,
+                    delegation=message,
                 )
             return
         primary = self._directory.primary(message.group)
         if primary and primary.name == message.target:
             self._start_failover(
-                message.group, message.target, message.why, planned=False, verify_first=True
+                message.group,
+                message.target,
+                message.why,
+                planned=False,
+                delegation=message,
+                verify_first=True,
             )
 
     def _start_failover(
-        self, group: str, replaced: str, reason: str, *, planned: bool, verify_first: bool = False
+        self,
+        group: str,
+        replaced: str,
+        reason: str,
+        *,
+        planned: bool,
+        delegation: SuspectReport | None = None,
+        verify_first: bool = False,
     ) -> None:
         if group in self._failovers:
             return
-        task = _spawn(self._failover_task(group, replaced, reason, planned, verify_first))
+        delegation = delegation or SuspectReport(group=group, target=replaced, why=reason)
+        task = _spawn(
+            self._failover_task(group, replaced, reason, planned, delegation, verify_first)
+        )
         self._failovers[group] = task
         task.add_done_callback(lambda _: self._failovers.pop(group, None))
 
     async def _failover_task(
-        self, group: str, replaced: str, reason: str, planned: bool, verify_first: bool
+        self,
+        group: str,
+        replaced: str,
+        reason: str,
+        planned: bool,
+        delegation: SuspectReport,
+        verify_first: bool,
     ) -> None:
         try:
             if verify_first and await self._is_still_primary(group, replaced):
@@ -217,25 +241,38 @@
                 return
             await self._run_failover(group, replaced, reason, planned)
         except StoreDown as exc:
-            logs.warn("promotion_stopped", group=group, why=str(exc))
-            own_process_name = self._hosts.own.process_name
+            logs.warn("promotion_stopped", group=group, why=str(exc), tried=len(delegation.tried))
             await self._delegate_failover(
-                SuspectReport(
-                    group=group, target=replaced, why=reason, abandoned_by=own_process_name
+                msgspec.structs.replace(
+                    delegation,
+                    target=replaced,
+                    abandoned_by=self._abandoned_claimant(group, delegation.abandoned_by),
+                    tried=(*delegation.tried, self._hosts.own.name),
                 )
             )
             await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(1.0, 2.0))
 
+    def _abandoned_claimant(self, group: str, taken_over_from: str) -> str:
+        """Return the process whose claim stays behind when this host can't go on."""
+        own = self._hosts.own.process_name
+        assignment = self._cache.assignment(group)
+        if assignment and not assignment.settled and assignment.claimant == taken_over_from:
+            return taken_over_from
+        return own
+
     async def _delegate_failover(self, message: SuspectReport) -> None:
-        """Ask the highest-ranked other host to take over.
+        """Ask the first host that has not tried yet to take over.
 
         It may reach the store that this host can't.
         """
-        others = [
-            h for h in self._hosts.rank_owners(COORDINATOR_KEY) if h.name != self._hosts.own.name
-        ]
-        if others:
-            await ignore_failure(self._hosts.call(others[0].name, message, PEER_CALL_TIMEOUT_S))
+        for host in self._hosts.rank_owners(COORDINATOR_KEY):
+            if host.name in message.tried:
+                continue
+            try:
+                await self._hosts.call(host.name, message, PEER_CALL_TIMEOUT_S)
+                return
+            except (NotSent, NoResponse) as exc:
+                logs.event("delegation_failed", host=host.name, why=str(exc))
 
     async def _is_still_primary(self, group: str, name: str) -> bool:
         target = self._directory.target(group, name)
