Open a transaction while its rate token is obtained, and answer BEGIN at once

BEGIN is now answered at once; the token and the transaction at the member are obtained together and awaited before the first statement. A team that was denied a token within the last second still waits first, so that a team at its rate takes no links from others.

Also: an operation whose key moved to another team while it waited ran under the old team, or raised KeyError if the team was removed; a transaction went on under the old team.

--- a/src/wagtailloft/rates/token_client.py
+++ b/src/wagtailloft/rates/token_client.py
@@ -23,6 +23,7 @@
 PREFETCH_S = 0.35  # covers the usage until the next response arrives
 REQUEST_TIMEOUT_S = 0.4  # covers a connect and a round trip across zones
 MIN_USE_PER_S = 0.05  # a team with a lower usage at this host gets no prefetched tokens
+DENIAL_MEMORY_S = 1.0  # how long after a denial a team counts as being at its limit
 TOKEN_POOL_KEY = "rates"  # hashed with the host names; must be the same on all hosts
 
 
@@ -70,6 +71,10 @@
         self._bursts = {r.name: r.burst for r in rules}
         self._reserves = {n: r for n, r in self._reserves.items() if n in self._bursts}
 
+    def was_denied(self, team: str) -> bool:
+        """Tell whether the pool has lately had no token for a team."""
+        return self._denied_until.get(team, 0.0) + DENIAL_MEMORY_S > now()
+
     async def spend(self, team: str, token_wait: float, owner_wait: float) -> SpendResult:
         """Spend one token.
 
--- a/src/wagtailloft/sessions/admission.py
+++ b/src/wagtailloft/sessions/admission.py
@@ -84,26 +84,48 @@
             return not_executed(Kind.SETTINGS_STALE, f"keys were last confirmed {age:.1f} s ago")
         return OK_NOT_SENT
 
+    def operation(self, database: str, digest: str) -> AdmittedOperation | StatementResult:
+        """Return the operation that a key may run on a database now, or a refusal.
+
+        No rate token is spent for it yet.
+        """
+        refusal = self.check(database, digest)
+        if not refusal.ok:
+            return refusal
+        team = self._team_by_digest.get(digest, PUBLIC_TEAM)
+        return AdmittedOperation(rule=self._routes[database], team=team)
+
+    def expects_token(self, operation: AdmittedOperation) -> bool:
+        """Tell whether the team's rate will probably admit the operation."""
+        return not self._tokens.was_denied(operation.team)
+
     async def admit(
         self, database: str, digest: str, request_id: str
     ) -> AdmittedOperation | StatementResult:
         """Admit an operation, spending one rate token of its team, or return a refusal."""
-        refusal = self.check(database, digest)
-        if not refusal.ok:
-            return refusal
-        rule = self._routes[database]
-        team = self._team_by_digest.get(digest)
-        if team is None:
-            return AdmittedOperation(rule=rule, team=PUBLIC_TEAM)
-        rate_wait = min(RATE_WAIT_LIMIT_S, rule.goal / 4)
-        spend_result = await self._tokens.spend(team, rate_wait, rule.goal)
-        # The configuration may have changed while the operation waited.
-        refusal = self.check(database, digest)
-        if not refusal.ok:
-            return refusal
+        operation = self.operation(database, digest)
+        while isinstance(operation, AdmittedOperation):
+            refusal = await self.spend_token(operation, request_id)
+            admitted = operation
+            # The configuration may have changed while the operation waited.
+            operation = self.operation(database, digest)
+            if not isinstance(operation, AdmittedOperation) or operation.team == admitted.team:
+                return operation if refusal.ok else refusal
+        return operation
+
+    async def spend_token(self, operation: AdmittedOperation, request_id: str) -> StatementResult:
+        """Spend one rate token for an operation, waiting for it if necessary."""
+        if operation.team == PUBLIC_TEAM:
+            return OK_NOT_SENT
+        goal = operation.rule.goal
+        rate_wait = min(RATE_WAIT_LIMIT_S, goal / 4)
+        spend_result = await self._tokens.spend(operation.team, rate_wait, goal)
         if spend_result is SpendResult.GRANTED:
-            return AdmittedOperation(rule=self._routes[database], team=team)
-        return self._rate_refusal(self._teams[team], spend_result, request_id)
+            return OK_NOT_SENT
+        limit = self._teams.get(operation.team)
+        if limit is None:
+            return not_executed(Kind.KEY_UNKNOWN, "the key's team was removed")
+        return self._rate_refusal(limit, spend_result, request_id)
 
     def _rate_refusal(
         self, limit: TeamRule, spend_result: SpendResult, request_id: str
--- a/src/wagtailloft/sessions/session.py
+++ b/src/wagtailloft/sessions/session.py
@@ -23,6 +23,7 @@
 )
 
 INTERNAL_REQUEST_ID = "-"
+RATE_REFUSALS = (Kind.OVER_RATE, Kind.LIMITS_UNAVAILABLE, Kind.KEY_UNKNOWN)
 END_VERBS = (Verb.COMMIT, Verb.ROLLBACK)
 BEGIN_VERBS = (Verb.BEGIN, Verb.BEGIN_READ)
 ROLLBACK = Statement(verb=Verb.ROLLBACK, text="ROLLBACK")
@@ -152,11 +153,11 @@
     async def _run_without_transaction(
         self, request_id: str, statement: Statement
     ) -> StatementResult:
+        if statement.verb in BEGIN_VERBS:
+            return await self._begin(request_id, statement)
         admitted = await self._admission.admit(self._database, self._key, request_id)
         if isinstance(admitted, StatementResult):
             return admitted
-        if statement.verb in BEGIN_VERBS:
-            return self._begin(admitted, statement)
         outcome = await self._dispatcher.run_single(
             self._context(admitted), self._bind(request_id, statement)
         )
@@ -164,14 +165,42 @@
             self._record_position(admitted.rule, outcome)
         return outcome
 
-    def _begin(self, admitted: AdmittedOperation, statement: Statement) -> StatementResult:
-        """Answer at once; open the transaction while the caller's next statement is under way."""
-        bound = self._bind(INTERNAL_REQUEST_ID, statement)
+    async def _begin(self, request_id: str, statement: Statement) -> StatementResult:
+        """Answer at once; open the transaction while the caller's next statement is under way.
+
+        A team that is at its rate is answered only once it has a rate token, so that it takes no
+        link from others.
+        """
+        operation = self._admission.operation(self._database, self._key)
+        if isinstance(operation, StatementResult):
+            return operation
+        if self._admission.expects_token(operation):
+            opening = self._open_transaction(operation, request_id, statement)
+        else:
+            operation = await self._admission.admit(self._database, self._key, request_id)
+            if isinstance(operation, StatementResult):
+                return operation
+            bound = self._bind(INTERNAL_REQUEST_ID, statement)
+            opening = self._dispatcher.begin(self._context(operation), bound)
+        begin_task = asyncio.get_running_loop().create_task(opening)
+        self._transaction = _SessionTransaction(admitted=operation, begin_task=begin_task)
+        return OK_NOT_SENT
+
+    async def _open_transaction(
+        self, operation: AdmittedOperation, request_id: str, statement: Statement
+    ) -> tuple[StatementResult, OpenTransaction | None]:
+        """Open a transaction at a member while a rate token for it is obtained."""
+        context = self._context(operation)
         begin_task = asyncio.get_running_loop().create_task(
-            self._dispatcher.begin(self._context(admitted), bound)
+            self._dispatcher.begin(context, self._bind(INTERNAL_REQUEST_ID, statement))
         )
-        self._transaction = _SessionTransaction(admitted=admitted, begin_task=begin_task)
-        return OK_NOT_SENT
+        refusal = await self._admission.spend_token(operation, request_id)
+        outcome, opened = await begin_task
+        if refusal.ok:
+            return outcome, opened
+        if opened is not None:
+            await self._roll_back_at_target(opened, context)
+        return refusal, None
 
     async def _run_in_transaction(self, request_id: str, statement: Statement) -> StatementResult:
         transaction = self._transaction
@@ -182,16 +211,13 @@
         if statement.verb is Verb.ROLLBACK:
             await self._start_rollback()
             return OK_NOT_SENT
-        refusal = self._admission.check(self._database, self._key)
-        if not refusal.ok:
-            return await self._fail_with(statement, refusal)
         if transaction.open_transaction is None:
             outcome, transaction.open_transaction = await transaction.begin_task
             if transaction.open_transaction is None:
-                reason = (
-                    f"the transaction could not be opened: {outcome.detail or outcome.kind.value}"
-                )
-                return await self._fail_with(statement, not_executed(Kind.TRANSACTION_LOST, reason))
+                return await self._fail_with(statement, _opening_refusal(outcome))
+        refusal = self._check_transaction(transaction)
+        if not refusal.ok:
+            return await self._fail_with(statement, refusal)
         outcome = await self._dispatcher.run(
             transaction.open_transaction,
             self._context(transaction.admitted),
@@ -201,6 +227,15 @@
         transaction.has_writes = transaction.has_writes or statement.writes
         return await self._after_statement(statement, outcome)
 
+    def _check_transaction(self, transaction: _SessionTransaction) -> StatementResult:
+        """Check that the key still belongs to the team that the transaction runs under."""
+        operation = self._admission.operation(self._database, self._key)
+        if isinstance(operation, StatementResult):
+            return operation
+        if operation.team != transaction.admitted.team:
+            return not_executed(Kind.TRANSACTION_LOST, "the key belongs to another team now")
+        return OK_NOT_SENT
+
     async def _after_statement(
         self, statement: Statement, outcome: StatementResult
     ) -> StatementResult:
@@ -247,14 +282,18 @@
     async def _roll_back(self, transaction: _SessionTransaction) -> None:
         if transaction.open_transaction is None:
             _, transaction.open_transaction = await transaction.begin_task
-        if transaction.open_transaction is None:
-            return
+        if transaction.open_transaction is not None:
+            await self._roll_back_at_target(
+                transaction.open_transaction, self._context(transaction.admitted)
+            )
+
+    async def _roll_back_at_target(
+        self, opened: OpenTransaction, context: StatementContext
+    ) -> None:
         bound = self._bind(INTERNAL_REQUEST_ID, ROLLBACK)
-        outcome = await self._dispatcher.run(
-            transaction.open_transaction, self._context(transaction.admitted), bound
-        )
+        outcome = await self._dispatcher.run(opened, context, bound)
         if not outcome.ok:
-            await self._dispatcher.rollback(transaction.open_transaction)
+            await self._dispatcher.rollback(opened)
 
     def _context(self, admitted: AdmittedOperation) -> StatementContext:
         session_position = None
@@ -277,3 +316,11 @@
             self._written_positions[rule.group] = (
                 max(known, outcome.position) if known else outcome.position
             )
+
+
+def _opening_refusal(outcome: StatementResult) -> StatementResult:
+    """Return the answer to the first statement of a transaction that could not be opened."""
+    if outcome.kind in RATE_REFUSALS:
+        return outcome
+    detail = f"the transaction could not be opened: {outcome.detail or outcome.kind}"
+    return not_executed(Kind.TRANSACTION_LOST, detail)
