Share position samples between hosts

Cause: a read of bounded age needs a recent position of its group's primary. In a fleet of 68 hosts a host seldom talks to a given primary itself, so that 1,500 reads of 34 s went to the primary for want of a sample, across zones for most callers. The owner of a primary's links now samples every response, one host of each zone collects the samples on demand and ahead of their age limit, and the others ask that host: no cost without reads, and none that grows with hosts times hosts. The wait for a statement in flight moves from each host to the owner.

Statements of a transaction are logged with the transaction's id.

--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -161,6 +161,30 @@
     grants: tuple[TeamGrant, ...]
 
 
+class SampleRequest(Record, tag="sample", array_like=True):
+    """Ask for a group's position samples that are younger than max_age seconds.
+
+    newest_age is the age in seconds of the newest sample that the sender has, or infinite.
+    """
+
+    group: str
+    max_age: float
+    newest_age: float
+
+
+class AgedPosition(Record, array_like=True):
+    """A primary's log position, and the seconds since it was requested."""
+
+    age: float
+    position: Position
+
+
+class SampleResponse(Record, tag="sampled", array_like=True):
+    """Answer a sample request with the samples that the sender lacks, oldest first."""
+
+    samples: tuple[AgedPosition, ...] = ()
+
+
 class Ack(Record, tag="noted", array_like=True):
     """Confirm the receipt of a message that needs no other response."""
 
@@ -179,6 +203,8 @@
     | SuspectReport
     | TokenRequest
     | TokenResponse
+    | SampleRequest
+    | SampleResponse
     | Ack
 )
 
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -8,17 +8,19 @@
 from wagtailloft.clock import now
 from wagtailloft.controllers.retries import retry_delay
 from wagtailloft.errors import Kind
-from wagtailloft.fleet.messages import StatementRequest
+from wagtailloft.fleet.messages import StatementRequest, StatementResponse
 from wagtailloft.fleet.records import RouteRule
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.groups.relay import Relay
+from wagtailloft.groups.sample_exchange import SampleExchange
 from wagtailloft.groups.target_choice import (
     NO_SAMPLE,
     GroupSnapshot,
     StatementNeeds,
     TargetChoice,
     choose,
+    usable_sample_age,
 )
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Position, Record
@@ -26,9 +28,6 @@
 
 # Covers a slow statement that is queued behind others; after it, another member is tried.
 READ_ATTEMPT_TIMEOUT_S = 0.35
-# Covers one statement at a primary in another zone. Without the wait, a burst of reads that lack
-# a position sample would all go to the primary.
-SAMPLE_WAIT_LIMIT_S = 0.06
 FAILOVER_POLL_S = 0.03  # between checks for a primary while a failover is in progress
 
 # Errors of statements that did not run, with causes that may pass before the statement times out.
@@ -74,10 +73,17 @@
     """Send statements to members of a group and sample the primary's position from responses."""
 
     def __init__(
-        self, *, directory: GroupDirectory, relay: Relay, zone: str, metrics: Metrics
+        self,
+        *,
+        directory: GroupDirectory,
+        relay: Relay,
+        sample_exchange: SampleExchange,
+        zone: str,
+        metrics: Metrics,
     ) -> None:
         self._directory = directory
         self._relay = relay
+        self._sample_exchange = sample_exchange
         self._zone = zone
         self._metrics = metrics
         self._in_flight: Counter[str] = Counter()
@@ -113,7 +119,9 @@
         choice = TargetChoice(
             target=transaction.target, is_primary=transaction.is_primary, reason="transaction"
         )
-        _log_statement(context, bound, choice, transaction.owner, response.outcome, now() - sent_at)
+        _log_statement(
+            context, bound, choice, transaction.owner, response, now() - sent_at, transaction
+        )
         return response.outcome
 
     async def rollback(self, transaction: OpenTransaction) -> None:
@@ -130,7 +138,7 @@
         owner_faults: Counter[str] = Counter()
         outcome = not_executed(Kind.NO_PRIMARY, "the group has no primary")
         attempt = 0
-        wait_logged = False
+        wait_logged = sample_fetched = False
         while now() < deadline:
             choice = self._choose(context, writes, avoid, opens_transaction)
             if choice is None:
@@ -139,8 +147,10 @@
                     self._log_wait(context, bound)
                 await asyncio.sleep(min(FAILOVER_POLL_S, max(0.0, deadline - now())))
                 continue
-            if choice.reason == NO_SAMPLE and await self._wait_for_sample(group):
-                continue
+            if choice.reason == NO_SAMPLE and not sample_fetched:
+                sample_fetched = True
+                if await self._sample_exchange.fetch(group, usable_sample_age(context.rule)):
+                    continue
             owner = self._owner(group, choice.target, owner_faults[choice.target])
             if owner is None:
                 await asyncio.sleep(FAILOVER_POLL_S)
@@ -196,20 +206,15 @@
         )
         samples = self._directory.samples(context.rule.group)
         self._in_flight[choice.target] += 1
-        if choice.is_primary:
-            samples.statement_sent()
         try:
             response = await self._relay.run(owner, request)
         finally:
             self._in_flight[choice.target] -= 1
-            if choice.is_primary:
-                samples.statement_returned()
         self._record_position(context.rule.group, choice.is_primary, response.outcome, sent_at)
         if response.outcome.kind is Kind.TARGET_BEHIND:
             samples.mark_behind(choice.target, now())
         elif response.outcome.ok and not choice.is_primary:
             samples.mark_caught_up(choice.target)
-        _log_statement(context, bound, choice, owner, response.outcome, now() - sent_at)
         transaction = None
         if response.transaction_id:
             transaction = OpenTransaction(
@@ -219,19 +224,9 @@
                 transaction_id=response.transaction_id,
                 is_primary=choice.is_primary,
             )
+        _log_statement(context, bound, choice, owner, response, now() - sent_at, transaction)
         return response.outcome, transaction
 
-    async def _wait_for_sample(self, group: str) -> bool:
-        """Wait for the position sample of a statement in flight; return whether one arrived."""
-        samples = self._directory.samples(group)
-        if not samples.in_flight:
-            return False
-        taken = samples.sample_count
-        deadline = now() + SAMPLE_WAIT_LIMIT_S
-        while samples.in_flight and samples.sample_count == taken and now() < deadline:
-            await asyncio.sleep(SAMPLE_WAIT_LIMIT_S / 10)
-        return samples.sample_count != taken
-
     def _log_wait(self, context: StatementContext, bound: BoundStatement) -> None:
         assignment = self._directory.assignment_or_initial(context.rule.group)
         logs.event(
@@ -287,9 +282,11 @@
     bound: BoundStatement,
     choice: TargetChoice,
     owner: str,
-    outcome: StatementResult,
+    response: StatementResponse,
     seconds: float,
+    transaction: OpenTransaction | None,
 ) -> None:
+    outcome = response.outcome
     logs.event(
         "statement",
         request=bound.request_id,
@@ -301,6 +298,8 @@
         after=_format_position(choice.min_position),
         outcome=outcome.kind.value if outcome.kind else "ok",
         detail=outcome.detail,
+        # Transaction ids are unique at their owner.
+        transaction=f"{owner}/{transaction.transaction_id}" if transaction else "",
         ms=round(seconds * 1000, 1),
     )
 
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -222,9 +222,14 @@
         self, link_use: _LinkUse, request: StatementRequest, budget: float
     ) -> StatementResult:
         link = link_use.link
+        sent_at = now()
         timer = asyncio.get_running_loop().call_later(
-            UNRESPONSIVE_S, self._report_if_unresponsive, link_use.pool, link, now()
+            UNRESPONSIVE_S, self._report_if_unresponsive, link_use.pool, link, sent_at
         )
+        samples = self._directory.samples(request.group)
+        at_primary = link_use.request.require_primary
+        if at_primary:
+            samples.statement_sent()
         try:
             outcome = await link.run(request.bound, max(0.001, budget))
         except NotSent as exc:
@@ -237,6 +242,10 @@
             )
         finally:
             timer.cancel()
+            if at_primary:
+                samples.statement_returned()
+        if at_primary and outcome.ok and outcome.position:
+            samples.add(sent_at, outcome.position)
         if outcome.ok and outcome.position and _confirms_commit(request):
             known = self._acknowledged_positions.get(request.group)
             if known is None or outcome.position > known:
--- a/src/wagtailloft/groups/samples.py
+++ b/src/wagtailloft/groups/samples.py
@@ -1,5 +1,6 @@
 """Recent log positions of a group, to find the one that a read of bounded age must include."""
 
+import math
 from collections import deque
 
 from wagtailloft.models import Position
@@ -14,14 +15,13 @@
     """Position samples of a group's primary, and backoffs of replicas that lagged behind.
 
     Times are readings of clock.now(). in_flight counts the statements that wait for the primary's
-    answer, and sample_count the samples taken so far.
+    answer.
     """
 
     def __init__(self) -> None:
         self._samples: deque[tuple[float, Position]] = deque()
         self._backoffs: dict[str, tuple[float, float]] = {}
         self.in_flight = 0
-        self.sample_count = 0
 
     def statement_sent(self) -> None:
         """Count a statement that is sent to the primary."""
@@ -44,7 +44,6 @@
         if self._samples and requested_at - self._samples[-1][0] < MIN_SPACING_S:
             return
         self._samples.append((requested_at, position))
-        self.sample_count += 1
         while self._samples and requested_at - self._samples[0][0] > RETENTION_S:
             self._samples.popleft()
 
@@ -58,6 +57,23 @@
                 return position
         return None
 
+    def newest_age(self, at: float) -> float:
+        """Return the age in seconds of the newest sample, infinite if there is none."""
+        return at - self._samples[-1][0] if self._samples else math.inf
+
+    def taken_after(self, after: float, spacing: float) -> list[tuple[float, Position]]:
+        """Return the samples taken after a time, leaving out those closer than spacing seconds.
+
+        The newest is always among them.
+        """
+        chosen: list[tuple[float, Position]] = []
+        for sample in reversed(self._samples):
+            if sample[0] <= after:
+                break
+            if not chosen or chosen[-1][0] - sample[0] >= spacing:
+                chosen.append(sample)
+        return chosen[::-1]
+
     def term(self) -> int:
         """Return the term of the latest sample, 0 if there is none."""
         return self._samples[-1][1].term if self._samples else 0
--- a/src/wagtailloft/groups/target_choice.py
+++ b/src/wagtailloft/groups/target_choice.py
@@ -54,7 +54,7 @@
     primary_choice = _primary_choice(snapshot)
     if needs.writes or needs.rule.freshness is Freshness.LATEST:
         return primary_choice
-    min_position = samples.position_as_of(at - needs.rule.max_age + SAMPLE_MARGIN_S)
+    min_position = samples.position_as_of(at - usable_sample_age(needs.rule))
     if min_position is None:
         return primary_choice and msgspec.structs.replace(primary_choice, reason=NO_SAMPLE)
     if needs.session_position and needs.session_position.term >= min_position.term:
@@ -75,6 +75,11 @@
     )
 
 
+def usable_sample_age(rule: RouteRule) -> float:
+    """Return up to which age in seconds a position sample serves a route's reads."""
+    return rule.max_age - SAMPLE_MARGIN_S
+
+
 def _primary_choice(snapshot: GroupSnapshot) -> TargetChoice | None:
     if snapshot.primary is None:
         return None
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -29,6 +29,7 @@
 from wagtailloft.groups.ports import LinkFactory, PromotionApi
 from wagtailloft.groups.promotion_lease import PromotionLease
 from wagtailloft.groups.relay import Relay
+from wagtailloft.groups.sample_exchange import SampleExchange
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Host, HostState, Record
 from wagtailloft.rates.token_client import TokenClient
@@ -132,7 +133,13 @@
         self.local_executor = LocalExecutor(directory=self.directory, link_factory=link_factory)
         self.relay = Relay(hosts=self.hosts, mesh=self.mesh, local_executor=self.local_executor)
         self.dispatcher = Dispatcher(
-            directory=self.directory, relay=self.relay, zone=own.zone, metrics=self.metrics
+            directory=self.directory,
+            relay=self.relay,
+            sample_exchange=SampleExchange(
+                hosts=self.hosts, mesh=self.mesh, directory=self.directory, relay=self.relay
+            ),
+            zone=own.zone,
+            metrics=self.metrics,
         )
         self.tokens = TokenClient(hosts=self.hosts, mesh=self.mesh, tolerance=cfg.bounds.tolerance)
         self.admission = Admission(
