Hear from a majority through one host of each zone, and pull changes only once

Hosts now first ask what others have, and pull it once. One host of each zone hears from its zone's hosts and reports their ages, one byte each; assignments are sent only if a digest differs. What a host may conclude is the same: it counts the same reports, with ages rounded up, and a zone's report carries the assignments that its hosts had. It also names the zone's store reader.

The scenario that asked for assignments from every host is replaced: every host has heard from a majority when its cache is too old to be used alone, hosts of a minority have not, and what a majority accepted is known wherever a majority was heard from. The scenario of the only host that reads the store now runs all hosts and holds its bound for each of them.

--- a/features/fake_mesh.py
+++ b/features/fake_mesh.py
@@ -1,8 +1,8 @@
 """Fake connections between hosts, for tests of one host's view of a fleet in one process."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
-from wagtailloft.fleet.messages import AgedChanges, Hello, HelloReply, PullResponse
+from wagtailloft.fleet.messages import AgedChanges, AgedRevision, Hello, HelloReply, PullResponse
 from wagtailloft.fleet.records import Changes
 from wagtailloft.models import Host
 
@@ -43,7 +43,8 @@
 class FakeMesh:
     """A mesh that responds for all other hosts and records the topics pulled from each.
 
-    `ages` is the age in seconds that each host reports for its changes.
+    `ages` is the age in seconds that each host reports for its changes, `revision` the revision
+    that all have, and `sent` counts how often the changes of a topic were sent.
     """
 
     def __init__(self):
@@ -51,6 +52,7 @@
         self.ages = defaultdict(lambda: 0.1)
         self.pulls = defaultdict(set)
         self.hosts = {}
+        self.revision, self.sent = 1, Counter()
 
     def register_handler(self, message_type, handler):
         """Ignore a handler: no host sends messages to this one."""
@@ -66,11 +68,13 @@
             return HelloReply(host=other)
         for known in message.known_revisions:
             self.pulls[other.name].add(known.topic)
-        topic_changes = tuple(
-            AgedChanges(
-                changes=Changes(topic=k.topic, revision=1, is_snapshot=False),
-                age=self.ages[other.name],
-            )
-            for k in message.known_revisions
-        )
-        return PullResponse(topic_changes=topic_changes, verified=True)
+        topic_changes, newer = [], []
+        for known in message.known_revisions:
+            if message.names_only and known.revision < self.revision:
+                age = self.ages[other.name]
+                newer.append(AgedRevision(topic=known.topic, revision=self.revision, age=age))
+                continue
+            self.sent[known.topic] += known.revision < self.revision
+            changes = Changes(topic=known.topic, revision=self.revision, is_snapshot=False)
+            topic_changes.append(AgedChanges(changes=changes, age=self.ages[other.name]))
+        return PullResponse(topic_changes=tuple(topic_changes), verified=True, newer=tuple(newer))
--- a/features/spread.feature
+++ b/features/spread.feature
@@ -11,16 +11,32 @@
     Then the next hosts of the zones read the store
     And caches are younger than 2.4 s at the hosts that the store serves, and than 3.3 s at the others
 
-  Scenario: While the store is unreachable a host pulls assignments from every host and the rest from few
-    Given a host of a fleet of 68 hosts in 4 zones
-    When no host has heard from the store for 3 s
-    Then it pulls every topic from at most 7 hosts and only assignments from the others
-    And it has heard from a majority
+  Scenario: While the store is unreachable hosts hear from a majority through one host of each zone
+    Given a running fleet of 68 hosts in 4 zones whose caches are 1.6 s old
+    When the store stays unreachable until the caches are 3.2 s old
+    Then every host has heard from a majority from when its cache was 2.4 s old
+    And every host asked at most 2 hosts of each zone and 2 more at a time, and one of each zone its zone's 16 too
+
+  Scenario: Hosts that are cut off from a majority have not heard from one
+    Given a running fleet of 32 hosts in 4 zones whose caches are 1.6 s old
+    When the store stays unreachable and 15 hosts are cut off from 17 until the caches are 5.5 s old
+    Then the 15 hosts have not heard from a majority after their caches were 4.6 s old
+    And the 17 hosts have heard from a majority
+
+  Scenario: An assignment that a majority accepted is known wherever a majority was heard from
+    Given a running fleet of 32 hosts in 4 zones whose caches are 1.6 s old
+    When 17 hosts accept an assignment while the store stays unreachable
+    Then 2.4 s later every host that has heard from a majority knows the assignment
 
   Scenario: The only host that still reads the store is found among many
+    Given a running fleet of 32 hosts in 4 zones whose caches are 3 s old
+    When no host but the last hears from the store for 2.4 s
+    Then the caches of all hosts are younger than 1.6 s
+
+  Scenario: A new configuration is pulled once, though many hosts have it
     Given a host of a fleet of 68 hosts in 4 zones
-    When no host but the last has heard from the store for 3 s
-    Then it pulls every topic from the last host, and its cache is younger than 1.6 s
+    When its cache is 1.7 s old and all hosts have a newer configuration
+    Then it receives the configuration once
 
   Scenario: Few hosts try to reach an unavailable store
     Given a host of a fleet of 68 hosts in 4 zones
--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -1,18 +1,20 @@
 """Steps for the store cache of one host in a fleet whose other hosts are fakes."""
 
 import asyncio
-from collections import defaultdict
+import math
 
 from behave import given, then, when
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
 from wagtailloft.clock import now
+from wagtailloft.errors import NoResponse
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.ports import StoreDown
-from wagtailloft.fleet.records import Changes, Topic
-from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.fleet.records import Changes, PrimaryAssignment, Topic
+from wagtailloft.fleet.store_cache import WIDE_PULL_INTERVAL_S, StoreCache
 
 PULL_TIME_S = 1.2
+OBSERVE_INTERVAL_S = 0.1  # a look at all hosts of a fleet costs as much as many of their calls
 
 
 class UnavailableStore:
@@ -153,51 +155,196 @@
         assert oldest < (others if number < 3 else served), context.oldest
 
 
-@when("no host has heard from the store for 3 s")
-def step_store_unreachable(context):
+class CountingMesh(InProcessMesh):
+    """An in-process mesh that counts its calls, and reaches only some hosts."""
+
+    def __init__(self, meshes, ip, fleet):
+        """Take the meshes of all hosts, and the fleet that tells who reaches whom."""
+        super().__init__(meshes)
+        self.ip, self.fleet, self.call_count = ip, fleet, 0
+
+    def connected(self, address):
+        """Tell whether a host is not cut off from this one."""
+        return (self.ip in self.fleet.cut) == (address[0] in self.fleet.cut)
+
+    async def call(self, address, message, limit):
+        """Call another host unless it is cut off from this one."""
+        self.call_count += 1
+        if not self.connected(address):
+            await asyncio.sleep(limit)
+            raise NoResponse("cut off")
+        return await super().call(address, message, limit)
+
+
+class RunningFleet:
+    """Hosts in this process that pull from each other while none of them reaches the store."""
+
+    def __init__(self, *, count, zones, age):
+        """Create the hosts, with caches `age` seconds old."""
+        self.cut, self.meshes, self.caches, self.refused = set(), {}, {}, set()
+        self.members = [make_host(n, zones) for n in range(count)]
+        for own in self.members:
+            mesh = self.meshes[own.ip] = CountingMesh(self.meshes, own.ip, self)
+            hosts = Hosts(own=own, mesh=mesh)
+            for other in self.members:
+                if other is not own:
+                    hosts._put(other)
+            cache = self.caches[own.name] = StoreCache(
+                store=PartlyAvailableStore(name=own.name, refused=self.refused),
+                hosts=hosts,
+                mesh=mesh,
+                max_age=3.3,
+                assignment_max_age=2.4,
+            )
+            cache._started -= 10.0
+            self.refused.add(own.name)
+            self.confirm(own.name, age)
+
+    def confirm(self, name, age):
+        """Make a host's cache `age` seconds old."""
+        for topic in Topic:
+            changes = Changes(topic=topic, revision=1, is_snapshot=True)
+            self.caches[name]._apply(changes, now() - age)
+
+    async def run(self, seconds, observe=lambda: None):
+        """Let all hosts pull for some seconds, and call a function all the while."""
+        coroutines = [c.pull_from_peers() for c in self.caches.values()]
+        coroutines += [c.watch_store(t) for c in self.caches.values() for t in Topic]
+        tasks = [asyncio.create_task(c) for c in coroutines]
+        until = now() + seconds
+        while now() < until:
+            observe()
+            await asyncio.sleep(OBSERVE_INTERVAL_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@given("a running fleet of {count:d} hosts in {zones:d} zones whose caches are {age:g} s old")
+def step_running_fleet(context, count, zones, age):
+    context.fleet, context.age = RunningFleet(count=count, zones=zones, age=age), age
+
+
+@when("the store stays unreachable until the caches are {age:g} s old")
+def step_outage(context, age):
+    context.without_majority = set()
+
+    def observe():
+        for name, cache in context.fleet.caches.items():
+            if cache.age() > cache.assignment_max_age and not cache.heard_from_majority():
+                context.without_majority.add((name, round(cache.age(), 2)))
+
+    asyncio.run(context.fleet.run(age - context.age, observe))
+
+
+@then("every host has heard from a majority from when its cache was 2.4 s old")
+def step_all_heard_from_majority(context):
+    assert not context.without_majority, sorted(context.without_majority)[:9]
+
+
+@then(
+    "every host asked at most {per_zone:d} hosts of each zone and {more:d} more at a time, and one"
+    " of each zone its zone's {zone_size:d} too"
+)
+def step_few_asked(context, per_zone, more, zone_size):
+    rounds = math.ceil(1.6 / (0.9 * WIDE_PULL_INTERVAL_S))
+    usual = rounds * (4 * per_zone + more)
+    calls = {h.name: context.fleet.meshes[h.ip].call_count for h in context.fleet.members}
+    reporters = {h.name for h in context.fleet.members[:4]}
+    assert max(calls[n] for n in reporters) <= usual + rounds * zone_size, calls
+    assert max(c for n, c in calls.items() if n not in reporters) <= usual, calls
+
+
+@when(
+    "the store stays unreachable and {count:d} hosts are cut off from {rest:d} until the caches"
+    " are {age:g} s old"
+)
+def step_minority_cut_off(context, count, rest, age):
+    fleet = context.fleet
+    fleet.cut = {h.ip for h in fleet.members[:count]}
+    assert len(fleet.members) == count + rest
+    context.cut_off = [h.name for h in fleet.members[:count]]
+    context.wrong = set()
+
+    def observe():
+        for name in context.cut_off:
+            cache = fleet.caches[name]
+            if cache.age() > 4.6 and cache.heard_from_majority():
+                context.wrong.add((name, round(cache.age(), 2)))
+
+    asyncio.run(fleet.run(age - context.age, observe))
+    context.majority_heard = [
+        c.heard_from_majority() for n, c in fleet.caches.items() if n not in context.cut_off
+    ]
+
+
+@then("the {count:d} hosts have not heard from a majority after their caches were 4.6 s old")
+def step_minority_not_heard(context, count):
+    assert not context.wrong, sorted(context.wrong)[:9]
+
+
+@then("the {count:d} hosts have heard from a majority")
+def step_majority_heard(context, count):
+    assert len(context.majority_heard) == count and all(context.majority_heard)
+
+
+@when("{count:d} hosts accept an assignment while the store stays unreachable")
+def step_majority_accepts(context, count):
+    fleet = context.fleet
+    assignment = PrimaryAssignment(group="g", epoch=7, settled=False, primary="", replaced="m")
+
     async def check():
-        context.fake_host = context.make_fake_host(20)
-        context.fake_host.mesh.ages = defaultdict(lambda: 3.0)
-        context.fake_host.set_cache_age(3.0)
-        await run_for(context.fake_host.cache.pull_from_peers(), PULL_TIME_S / 2)
-        context.heard_from_majority = context.fake_host.cache.heard_from_majority()
+        running = asyncio.create_task(fleet.run(4.5))
+        await asyncio.sleep(1.5)
+        # Hosts that are cut off from those that accept can't learn of it in another way.
+        fleet.cut = {h.ip for h in fleet.members[count:]}
+        for host in fleet.members[:count]:
+            fleet.caches[host.name].accept_assignment(assignment)
+        await asyncio.sleep(2.4)
+        context.heard = {n: c.heard_from_majority() for n, c in fleet.caches.items()}
+        context.knows = {n for n, c in fleet.caches.items() if c.assignment("g")}
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
 
     asyncio.run(check())
 
 
-@then("it pulls every topic from at most {most:d} hosts and only assignments from the others")
-def step_assignments_from_all(context, most):
-    full, assignments_only = (
-        context.fake_host.full_pull_hosts(),
-        context.fake_host.assignment_only_hosts(),
-    )
-    assert len(full) <= most and len(full) + len(assignments_only) == 67, (
-        full,
-        len(assignments_only),
+@then("2.4 s later every host that has heard from a majority knows the assignment")
+def step_majority_knows(context):
+    heard = {n for n, from_majority in context.heard.items() if from_majority}
+    assert 2 * len(heard) > len(context.heard) and heard <= context.knows, (
+        len(heard),
+        heard - context.knows,
     )
 
 
-@then("it has heard from a majority")
-def step_heard_from_majority(context):
-    assert context.heard_from_majority
+@when("no host but the last hears from the store for {seconds:g} s")
+def step_only_last_host_current(context, seconds):
+    fleet = context.fleet
+    fleet.refused.remove(fleet.members[-1].name)
+    asyncio.run(fleet.run(seconds))
+
 
+@then("the caches of all hosts are younger than {limit:g} s")
+def step_last_host_found(context, limit):
+    ages = {n: round(c.age(), 2) for n, c in context.fleet.caches.items() if c.age() >= limit}
+    assert not ages, ages
 
-@when("no host but the last has heard from the store for 3 s")
-def step_only_last_host_current(context):
+
+@when("its cache is 1.7 s old and all hosts have a newer configuration")
+def step_newer_configuration(context):
     async def check():
         context.fake_host = context.make_fake_host(20)
-        context.fake_host.mesh.ages = defaultdict(lambda: 3.0, h67=0.1)
-        context.fake_host.set_cache_age(3.0)
-        await run_for(context.fake_host.cache.pull_from_peers(), 2 * PULL_TIME_S)
-        context.cache_age = context.fake_host.cache.age()
+        context.fake_host.mesh.revision = 5
+        context.fake_host.set_cache_age(1.7)
+        await run_for(context.fake_host.cache.pull_from_peers(), PULL_TIME_S / 2)
 
     asyncio.run(check())
 
 
-@then("it pulls every topic from the last host, and its cache is younger than 1.6 s")
-def step_last_host_found(context):
-    assert context.fake_host.mesh.pulls["h67"] == set(Topic)
-    assert context.cache_age < 1.6, context.cache_age
+@then("it receives the configuration once")
+def step_received_once(context):
+    assert context.fake_host.mesh.sent[Topic.SETTINGS] == 1, context.fake_host.mesh.sent
 
 
 @when("the store refuses every call for 2 s")
--- /dev/null
+++ b/src/wagtailloft/fleet/host_reports.py
@@ -0,0 +1,67 @@
+"""Count the hosts that have lately reported their primary assignments.
+
+During an outage of the store, a host may use its assignments while a majority of the hosts has just
+reported theirs. A host of each zone hears from its zone's hosts and passes on how old their reports
+are, so that nobody has to ask every host of the fleet.
+"""
+
+import math
+
+from wagtailloft.clock import now
+from wagtailloft.fleet.hosts import Hosts
+from wagtailloft.fleet.messages import AGE_UNIT_S, ZoneReport
+
+MAX_AGE_UNITS = 255
+READER_TTL_S = 3.0  # how long a zone's reader that a report named is used
+
+
+class HostReports:
+    """Track reports of hosts, made to this host or counted by another host of their zone."""
+
+    def __init__(self, *, hosts: Hosts) -> None:
+        self._hosts = hosts
+        self._heard_at: dict[str, float] = {}
+        self._zone_heard_at: dict[str, tuple[float, ...]] = {}
+        self._readers: dict[str, tuple[str, float]] = {}
+
+    def add_host(self, name: str, at: float) -> None:
+        """Record that a host reported its assignments as of a time."""
+        self._heard_at[name] = at
+
+    def add_zone(self, report: ZoneReport, asked_at: float) -> None:
+        """Record a zone's report, which answers a request sent at asked_at."""
+        self._zone_heard_at[report.zone] = tuple(asked_at - a * AGE_UNIT_S for a in report.ages)
+        self._readers[report.zone] = (report.reader, asked_at)
+
+    def reader(self, zone: str) -> str:
+        """Return the store reader of a zone by a recent report, empty if none names one."""
+        name, at = self._readers.get(zone, ("", 0.0))
+        return name if at >= now() - READER_TTL_S and self._hosts.get(name) else ""
+
+    def zone_report(self, *, reader: str, own_is_current: bool) -> ZoneReport:
+        """Return the report of this host's zone, with the name of the zone's store reader."""
+        at, own = now(), self._hosts.own
+        times = [self._heard_at.get(h.name, 0.0) for h in self._hosts.all() if h.zone == own.zone]
+        if own_is_current:
+            times.append(at)
+        # Rounded up, so that a report never appears younger than it is.
+        units = (math.ceil((at - t) / AGE_UNIT_S) for t in times)
+        return ZoneReport(
+            zone=own.zone, ages=bytes(u for u in units if u <= MAX_AGE_UNITS), reader=reader
+        )
+
+    def from_majority(self, max_age: float) -> bool:
+        """Tell whether a majority of hosts, this one included, reported within max_age seconds."""
+        since = now() - max_age
+        known: dict[str, int] = {}
+        heard: dict[str, int] = {}
+        for host in self._hosts.all():
+            known[host.zone] = known.get(host.zone, 0) + 1
+            reported = self._heard_at.get(host.name, 0.0) >= since
+            if reported or host.name == self._hosts.own.name:
+                heard[host.zone] = heard.get(host.zone, 0) + 1
+        for zone, times in self._zone_heard_at.items():
+            count = sum(t >= since for t in times)
+            # Both may count the same hosts, and the other host may know more of them.
+            heard[zone] = min(known.get(zone, 0), max(heard.get(zone, 0), count))
+        return 2 * sum(heard.values()) > sum(known.values())
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -7,6 +7,8 @@
 from wagtailloft.models import Host, Position, Record
 from wagtailloft.sessions.statements import StatementResult
 
+AGE_UNIT_S = 0.02  # of ages in a byte: five seconds at most
+
 
 class Hello(Record, tag="hello", array_like=True):
     """Introduce the sender, also when it begins to stop; one that is joining knows no hosts yet."""
@@ -30,10 +32,18 @@
 
 
 class PullRequest(Record, tag="pull", array_like=True):
-    """Ask for the changes after the revisions that the sender has cached."""
+    """Ask for the changes after the revisions that the sender has cached.
+
+    assignments_digest describes the assignments that the sender knows; they are not sent if the
+    receiver has the same. With names_only, only the revisions of changed topics are answered. With
+    collect, the receiver hears from its zone's hosts for a while, to report how many it hears from.
+    """
 
     host: str
     known_revisions: tuple[KnownRevision, ...]
+    assignments_digest: int = 0
+    names_only: bool = False
+    collect: bool = False
 
 
 class AgedChanges(Record, array_like=True):
@@ -43,17 +53,40 @@
     age: float
 
 
+class AgedRevision(Record, array_like=True):
+    """The revision that the sender has of a topic, and the seconds since it was last current."""
+
+    topic: Topic
+    revision: int
+    age: float
+
+
+class ZoneReport(Record, array_like=True):
+    """The ages at which a zone's hosts reported their assignments, one byte each.
+
+    The unit of ages is AGE_UNIT_S. reader is a host of the zone that is not known to find the store
+    unreachable, or empty.
+    """
+
+    zone: str
+    ages: bytes
+    reader: str = ""
+
+
 class PullResponse(Record, tag="news", array_like=True):
     """Answer a pull request.
 
     verified tells that the assignments were current at some time since the sender's process
-    started, store_unreachable that the sender can't reach the store.
+    started, store_unreachable that the sender can't reach the store. newer names the topics whose
+    changes were left out.
     """
 
     topic_changes: tuple[AgedChanges, ...]
     assignments: tuple[PrimaryAssignment, ...] = ()
     verified: bool = False
     store_unreachable: bool = False
+    newer: tuple[AgedRevision, ...] = ()
+    zone_report: ZoneReport | None = None
 
 
 class StatementRequest(Record, tag="work", array_like=True):
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -5,18 +5,24 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+import xxhash
+
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.errors import NoResponse, NotSent
+from wagtailloft.fleet.host_reports import HostReports
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh, PeerConnection
 from wagtailloft.fleet.messages import (
     AgedChanges,
+    AgedRevision,
     KnownRevision,
     Message,
     PrimaryAnnouncement,
     PullRequest,
     PullResponse,
+    ZoneReport,
 )
 from wagtailloft.fleet.ports import Conflict, Store, StoreDown
 from wagtailloft.fleet.records import (
@@ -33,13 +39,16 @@
 LONG_POLL_S = {Topic.SETTINGS: 1.0, Topic.FLEET: 1.0, Topic.TARGETS: 2.0}
 PULL_INTERVAL_S = 0.4  # allows several pulls in the 3 s within which a new configuration applies
 PULL_TIMEOUT_S = 0.6  # covers a connect and a round trip across zones
-DELAY_PER_PULL_S = 0.01  # added for each host pulled from; pulls use 5 ms of CPU time a second
-MAX_PULL_HOSTS = 150  # pulls from more hosts would not finish within assignment_max_age
+WIDE_PULL_INTERVAL_S = 0.25  # allows two pulls between WIDER_PULL_AGE_S and assignment_max_age
+DELAY_PER_PULL_S = 0.004  # added for each host asked, whose answer takes up to 1 ms of CPU time
+# How long a host hears from its zone's hosts after another host asked it to; several pulls.
+COLLECT_S = 2.0
 # OLD_CACHE_AGE_S less a pull interval; above it, other zones' readers are pulled from too.
 WIDER_PULL_AGE_S = 1.5
 # A long poll, a pull interval and a slow answer. Above it, the cache counts as old: this host reads
-# the store itself, asks every host for assignments, and retries an unreachable store sooner.
+# the store itself, and retries an unreachable store sooner.
 OLD_CACHE_AGE_S = 1.9
+FALLBACK_REPORTERS = 3  # with half of a zone cut off, 15 of 16 rounds reach one of four hosts
 RANDOM_PULL_HOSTS = 1  # can find a host that reads the store when no zone's first host can
 # How long a host that reported the store as unreachable is not chosen as a reader.
 STORE_UNREACHABLE_TTL_S = 3.0
@@ -73,9 +82,12 @@
         self._hosts = hosts
         self._topics = {topic: TopicCache(topic=topic) for topic in Topic}
         self._assignments: dict[str, PrimaryAssignment] = {}
+        self._assignments_digest = _digest({})
         self._listeners: dict[Topic, list[Callable[[Entry], None]]] = {t: [] for t in Topic}
         self._rng = random.Random()
-        self._verified_at: dict[str, float] = {}
+        self._reports = HostReports(hosts=hosts)
+        self._collect_until = 0.0
+        self._reporter_failed_at: dict[str, float] = {}
         self._started = now()
         self._store_unreachable = False
         self._freshest_source = ("", NEVER)
@@ -123,10 +135,7 @@
 
         Reports older than assignment_max_age don't count.
         """
-        since = now() - self.assignment_max_age
-        hosts = self._hosts.all()
-        reporting = [h for h in hosts if self._verified_at.get(h.name, 0.0) >= since]
-        return 2 * (len(reporting) + 1) > len(hosts)
+        return self._reports.from_majority(self.assignment_max_age)
 
     def is_registered(self) -> bool:
         """Tell whether this host's registration is cached, so that coordinators count it."""
@@ -142,6 +151,7 @@
         if known and known.sort_key >= assignment.sort_key:
             return False
         self._assignments[assignment.group] = assignment
+        self._assignments_digest = _digest(self._assignments)
         logs.event(
             "assignment_changed",
             group=assignment.group,
@@ -202,39 +212,101 @@
     async def pull_from_peers(self) -> None:
         """Pull from the zone's reader, and from more hosts when the cache gets old."""
         while True:
-            await asyncio.sleep(PULL_INTERVAL_S * self._rng.uniform(0.9, 1.1))
-            sources = self._full_sources()
-            assignment_sources = self._other_hosts(sources) if self.age() > OLD_CACHE_AGE_S else []
-            pulls = [self._try_pull(n, tuple(Topic)) for n in sources]
-            pulls += [self._try_pull(n, (Topic.FLEET,)) for n in assignment_sources]
-            await asyncio.gather(*pulls)
-            await asyncio.sleep(DELAY_PER_PULL_S * len(pulls))
-
-    async def _try_pull(self, name: str, topics: tuple[Topic, ...]) -> None:
+            interval = WIDE_PULL_INTERVAL_S if self._needs_wide_pull() else PULL_INTERVAL_S
+            await asyncio.sleep(interval * self._rng.uniform(0.9, 1.1))
+            if self._needs_wide_pull() or self._collects():
+                pull_count = await self._pull_widely()
+            else:
+                source = self._reader(self._hosts.own.zone)
+                pull_count = 0 if source in ("", self._hosts.own.name) else 1
+                if pull_count:
+                    await self._try_pull(source, tuple(Topic))
+            await asyncio.sleep(DELAY_PER_PULL_S * pull_count)
+
+    def _needs_wide_pull(self) -> bool:
+        return self._store_unreachable or self.age() > WIDER_PULL_AGE_S
+
+    async def _pull_widely(self) -> int:
+        """Ask several hosts what they have, then pull it once; return the number of hosts asked.
+
+        The same configuration from every host asked would fill small network links.
+        """
+        reporters = [n for zone in self._hosts.zones() for n in self._reporters(zone)]
+        sources = self._wide_sources(reporters)
+        asked = [
+            self._try_pull(n, tuple(Topic), names_only=True, collect=n in reporters)
+            for n in sources
+        ]
+        zone_hosts = self._zone_hosts_to_hear(sources)
+        asked += [self._try_pull(n, (Topic.FLEET,), names_only=True) for n in zone_hosts]
+        responses = await asyncio.gather(*asked)
+        answered = dict(zip(sources, responses, strict=False))
+        for name in (n for n in reporters if n in answered and answered[n] is None):
+            host = self._hosts.get(name)
+            if host is not None:
+                self._reporter_failed_at[host.zone] = now()
+        newest = _newest_sources(list(answered.items()))
+        await asyncio.gather(*(self._try_pull(n, topics) for n, topics in newest.items()))
+        return len(asked)
+
+    async def _try_pull(
+        self,
+        name: str,
+        topics: tuple[Topic, ...],
+        *,
+        names_only: bool = False,
+        collect: bool = False,
+    ) -> PullResponse | None:
         try:
-            await self.pull(name, topics)
+            return await self.pull(name, topics, names_only=names_only, collect=collect)
         except (NotSent, NoResponse) as exc:
             logs.event("pull_failed", host=name, why=str(exc))
+            return None
 
-    async def pull(self, name: str, topics: tuple[Topic, ...]) -> None:
+    async def pull(
+        self,
+        name: str,
+        topics: tuple[Topic, ...],
+        *,
+        names_only: bool = False,
+        collect: bool = False,
+    ) -> PullResponse | None:
         """Fetch changes of topics from another host; raise NotSent or NoResponse.
 
-        The ages in the response are counted from when the request was sent.
+        The ages in the response are counted from when the request was sent. PullRequest tells what
+        names_only and collect ask for.
         """
         sent_at = now()
         known = tuple(KnownRevision(topic=t, revision=self._topics[t].revision) for t in topics)
-        message = PullRequest(host=self._hosts.own.name, known_revisions=known)
+        message = PullRequest(
+            host=self._hosts.own.name,
+            known_revisions=known,
+            assignments_digest=self._assignments_digest,
+            names_only=names_only,
+            collect=collect,
+        )
         response = await self._hosts.call(name, message, PULL_TIMEOUT_S)
         if not isinstance(response, PullResponse):
-            return
+            return None
         for aged in response.topic_changes:
             self._apply(aged.changes, sent_at - aged.age)
-            if aged.changes.topic is OUTAGE_PROBE_TOPIC or len(topics) == 1:
-                self._update_freshest_source(name, sent_at - aged.age)
         for assignment in response.assignments:
             self.accept_assignment(assignment)
+        self._record_response(name, response, topics, sent_at)
+        return response
+
+    def _record_response(
+        self, name: str, response: PullResponse, topics: tuple[Topic, ...], sent_at: float
+    ) -> None:
+        ages = {aged.changes.topic: aged.age for aged in response.topic_changes}
+        ages |= {newer.topic: newer.age for newer in response.newer}
+        for topic, age in ages.items():
+            if topic is OUTAGE_PROBE_TOPIC or len(topics) == 1:
+                self._update_freshest_source(name, sent_at - age)
         if response.verified:
-            self._verified_at[name] = sent_at
+            self._reports.add_host(name, sent_at)
+        if response.zone_report:
+            self._reports.add_zone(response.zone_report, sent_at)
         self._store_unreachable_until[name] = (
             sent_at + STORE_UNREACHABLE_TTL_S if response.store_unreachable else 0.0
         )
@@ -251,9 +323,12 @@
         """Return a zone's store reader.
 
         It is the zone's first host not known to find the store unreachable, else its first host;
-        empty if the zone has no live host.
+        empty if the zone has no live host. A host that hears from the whole zone knows best.
         """
         at = now()
+        reported = "" if self._collects() else self._reports.reader(zone)
+        if reported and self._store_unreachable_until.get(reported, 0.0) <= at:
+            return reported
         zone_hosts = [h.name for h in self._hosts.in_zone(zone)]
         candidates = [n for n in zone_hosts if self._store_unreachable_until.get(n, 0.0) <= at]
         return next(iter(candidates or zone_hosts), "")
@@ -267,20 +342,42 @@
             return STORE_RETRY_S
         return STORE_RETRY_S * max(1.0, len(self._hosts.all()) / MAX_STORE_PROBERS)
 
-    def _full_sources(self) -> list[str]:
-        """Return the hosts to pull every topic from: few, to save bandwidth between hosts."""
+    def _wide_sources(self, reporters: list[str]) -> list[str]:
+        """Return the hosts to ask when the cache gets old: few of each zone."""
         names = [self._reader(self._hosts.own.zone)]
-        if self._store_unreachable or self.age() > WIDER_PULL_AGE_S:
-            names += [self._reader(zone) for zone in self._hosts.zones()]
-            names += [self._freshest_source[0]] if self._hosts.get(self._freshest_source[0]) else []
-            rest = self._other_hosts(names)
-            names += self._rng.sample(rest, min(RANDOM_PULL_HOSTS, len(rest)))
+        names += [self._reader(zone) for zone in self._hosts.zones()]
+        names += reporters
+        names += [self._freshest_source[0]] if self._hosts.get(self._freshest_source[0]) else []
+        rest = [h.name for h in self._hosts.live() if h.name not in names]
+        names += self._rng.sample(rest, min(RANDOM_PULL_HOSTS, len(rest)))
         return [n for n in dict.fromkeys(names) if n not in ("", self._hosts.own.name)]
 
-    def _other_hosts(self, names: list[str]) -> list[str]:
-        own = self._hosts.own.name
-        others = [h.name for h in self._hosts.live() if h.name not in (own, *names)]
-        return others[:MAX_PULL_HOSTS]
+    def _reporters(self, zone: str) -> list[str]:
+        """Return the hosts to ask which of their zone's hosts they hear from.
+
+        It is the zone's first host, and others too after one has not answered.
+        """
+        names = [h.name for h in self._hosts.in_zone(zone)]
+        others = names[1:]
+        if self._reporter_failed_at.get(zone, NEVER) < now() - COLLECT_S:
+            return names[:1]
+        return names[:1] + self._rng.sample(others, min(FALLBACK_REPORTERS, len(others)))
+
+    def _collects(self) -> bool:
+        """Tell whether this host hears from its zone's hosts, to report on them to others."""
+        if now() <= self._collect_until:
+            return True
+        zone_hosts = self._hosts.in_zone(self._hosts.own.zone)
+        is_first = bool(zone_hosts) and zone_hosts[0].name == self._hosts.own.name
+        return is_first and self._needs_wide_pull()
+
+    def _zone_hosts_to_hear(self, names: list[str]) -> list[str]:
+        """Return the hosts of this zone to hear from, if this host counts them for others."""
+        own = self._hosts.own
+        if not self._collects():
+            return []
+        zone_hosts = (h.name for h in self._hosts.in_zone(own.zone))
+        return [n for n in zone_hosts if n not in (own.name, *names)]
 
     def _update_freshest_source(self, name: str, confirmed_at: float) -> None:
         """Remember the host whose cache was confirmed most recently."""
@@ -335,22 +432,56 @@
     async def _handle_pull_request(self, conn: PeerConnection, message: Message) -> Message:
         assert isinstance(message, PullRequest)
         at = now()
-        topic_changes = []
+        if message.collect:
+            self._collect_until = at + COLLECT_S
+        topic_changes, newer = [], []
         for known in message.known_revisions:
             cache = self._topics[known.topic]
-            if cache.revision and cache.revision >= known.revision:
-                topic_changes.append(
-                    AgedChanges(changes=cache.since(known.revision), age=cache.age(at))
-                )
-        assignments = tuple(self._assignments.values())
+            if not cache.revision or cache.revision < known.revision:
+                continue
+            age = cache.age(at)
+            if message.names_only and cache.revision > known.revision:
+                newer.append(AgedRevision(topic=known.topic, revision=cache.revision, age=age))
+            else:
+                topic_changes.append(AgedChanges(changes=cache.since(known.revision), age=age))
+        same = message.assignments_digest == self._assignments_digest
+        verified = self._is_verified()
         return PullResponse(
             topic_changes=tuple(topic_changes),
-            assignments=assignments,
-            verified=self._is_verified(),
+            assignments=() if same else tuple(self._assignments.values()),
+            verified=verified,
             store_unreachable=self._store_unreachable,
+            newer=tuple(newer),
+            zone_report=self._zone_report(verified) if self._collects() else None,
         )
 
+    def _zone_report(self, own_is_current: bool) -> ZoneReport:
+        reader = self._reader(self._hosts.own.zone)
+        if self._store_unreachable_until.get(reader, 0.0) > now():
+            reader = ""
+        return self._reports.zone_report(reader=reader, own_is_current=own_is_current)
+
     async def _handle_primary_announcement(self, conn: PeerConnection, message: Message) -> Message:
         assert isinstance(message, PrimaryAnnouncement)
         self.accept_assignment(message.assignment)
         return PullResponse(topic_changes=())
+
+
+def _digest(assignments: dict[str, PrimaryAssignment]) -> int:
+    """Return a digest by which two hosts find out whether they know the same assignments."""
+    states = sorted((a.group, a.epoch, a.settled) for a in assignments.values())
+    return xxhash.xxh64_intdigest(msgspec.msgpack.encode(states))
+
+
+def _newest_sources(
+    responses: list[tuple[str, PullResponse | None]],
+) -> dict[str, tuple[Topic, ...]]:
+    """Return the hosts that have the newest revision of a topic, with the topics to pull there."""
+    best: dict[Topic, tuple[int, str]] = {}
+    for name, response in responses:
+        for newer in response.newer if response else ():
+            best[newer.topic] = max(best.get(newer.topic, (0, "")), (newer.revision, name))
+    sources: dict[str, tuple[Topic, ...]] = {}
+    for topic, (_, name) in best.items():
+        sources[name] = (*sources.get(name, ()), topic)
+    return sources
--- a/src/wagtailloft/fleet/topic_cache.py
+++ b/src/wagtailloft/fleet/topic_cache.py
@@ -7,6 +7,7 @@
 NEVER = float("-inf")
 # Removals kept for hosts that have an older cache; those that miss one get a snapshot.
 MAX_REMOVALS = 1000
+MAX_GAPS = 16  # each follows a loss of the store's history
 
 
 class TopicCache:
@@ -17,7 +18,9 @@
         self.revision = 0
         self.confirmed_at = NEVER
         self._entries: dict[str, Entry] = {}
-        self._removals_since = 0  # every removal after this revision is in _entries
+        self._removals_since = 0  # of removals up to this revision, some are not in _entries
+        # Pairs of revisions between which objects came and went that were never cached here.
+        self._gaps: list[tuple[int, int]] = []
 
     def get(self, name: str) -> Entry | None:
         """Return an entry, None if it does not exist or was removed."""
@@ -34,8 +37,7 @@
             return []
         entries = list(changes.entries)
         if changes.is_snapshot:
-            # Removals between the two revisions may be of objects that were never cached here.
-            self._removals_since = changes.revision
+            self._add_gap(self.revision, changes.revision)
             entries += self._removals(changes)
         newer = [e for e in entries if self._is_newer(e)]
         for entry in newer:
@@ -57,7 +59,11 @@
 
     def since(self, revision: int) -> Changes:
         """Return the changes after a revision, or a snapshot if not all removals are known."""
-        is_snapshot = revision < self._removals_since or revision == 0
+        is_snapshot = (
+            revision == 0
+            or revision < self._removals_since
+            or any(first < revision < last for first, last in self._gaps)
+        )
         entries = tuple(
             e
             for e in self._entries.values()
@@ -81,6 +87,11 @@
         ]
         return [msgspec.structs.replace(e, revision=changes.revision, value=None) for e in removed]
 
+    def _add_gap(self, first: int, last: int) -> None:
+        self._gaps.append((first, last))
+        if len(self._gaps) > MAX_GAPS:
+            self._removals_since = max(self._removals_since, self._gaps.pop(0)[1])
+
     def _drop_old_removals(self) -> None:
         removals = [e for e in self._entries.values() if e.value is None]
         if len(removals) <= MAX_REMOVALS:
