Join the fleet through seeds only when the store does not answer

A new host now waits 0.5 s for the store, and then asks one seed after the other until one answers.

Test: spread "A new host that the store serves asks no seed" (fails before) and "A new host that the store does not serve asks seeds until one answers".

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -42,3 +42,13 @@
     Given a host of a fleet of 68 hosts in 4 zones
     When the store refuses every call for 2 s
     Then it made at most 3 calls, and the first host of a zone at least 3
+
+  Scenario: A new host that the store serves asks no seed
+    Given a new host that the store serves after 0.1 s
+    When it joins through 3 seeds of which the first is down
+    Then it asked no seed
+
+  Scenario: A new host that the store does not serve asks seeds until one answers
+    Given a new host that the store does not serve
+    When it joins through 3 seeds of which the first is down
+    Then it asked the first two seeds until the second named the fleet's hosts
--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -7,8 +7,9 @@
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
 from wagtailloft.clock import now
-from wagtailloft.errors import NoResponse
+from wagtailloft.errors import NoResponse, NotSent
 from wagtailloft.fleet.hosts import Hosts
+from wagtailloft.fleet.messages import HelloReply
 from wagtailloft.fleet.ports import StoreDown
 from wagtailloft.fleet.records import Changes, PrimaryAssignment, Topic
 from wagtailloft.fleet.store_cache import WIDE_PULL_INTERVAL_S, StoreCache
@@ -362,3 +363,57 @@
 def step_call_counts(context, most, least):
     assert context.calls <= most, context.calls
     assert context.first_calls >= least, context.first_calls
+
+
+class SeedMesh(FakeMesh):
+    """A mesh of a host that knows no other; hosts without an entry are down."""
+
+    async def call(self, address, message, limit):
+        """Answer a joining host with all hosts, and record which host was asked."""
+        self.pulls[address[0]].add("hello")
+        if address[0] not in self.hosts:
+            raise NotSent("connection refused")
+        hosts = tuple(self.hosts.values()) if message.is_joining else ()
+        return HelloReply(host=self.hosts[address[0]], known_hosts=hosts)
+
+
+@given("a new host that the store serves after {seconds:g} s")
+def step_new_host_served(context, seconds):
+    context.served_after = seconds
+
+
+@given("a new host that the store does not serve")
+def step_new_host_not_served(context):
+    context.served_after = None
+
+
+@when("it joins through 3 seeds of which the first is down")
+def step_join(context):
+    members = [make_host(n, 2) for n in range(5)]
+
+    async def check():
+        mesh = context.mesh = SeedMesh()
+        mesh.hosts = {h.ip: h for h in members[1:4]}
+        context.hosts = Hosts(own=members[4], mesh=mesh)
+        cache = StoreCache(
+            store=None, hosts=context.hosts, mesh=mesh, max_age=3.3, assignment_max_age=2.4
+        )
+        joining = asyncio.create_task(cache.join_through_seeds(tuple(h.ip for h in members[:3])))
+        if context.served_after is not None:
+            await asyncio.sleep(context.served_after)
+            cache._apply(Changes(topic=Topic.FLEET, revision=1, is_snapshot=True), now())
+        await joining
+
+    asyncio.run(check())
+
+
+@then("it asked no seed")
+def step_no_seed_asked(context):
+    assert not context.mesh.pulls, context.mesh.pulls
+
+
+@then("it asked the first two seeds until the second named the fleet's hosts")
+def step_seeds_asked(context):
+    asked = set(context.mesh.pulls)
+    assert {"10.0.0.0", "10.0.0.1"} <= asked, asked
+    assert {h.name for h in context.hosts.all()} >= {"h01", "h02", "h03", "h04"}
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -41,6 +41,8 @@
 PULL_TIMEOUT_S = 0.6  # covers a connect and a round trip across zones
 WIDE_PULL_INTERVAL_S = 0.25  # allows two pulls between WIDER_PULL_AGE_S and assignment_max_age
 DELAY_PER_PULL_S = 0.004  # added for each host asked, whose answer takes up to 1 ms of CPU time
+# For the store to answer a new host; a seed's answer names every host of the fleet.
+SEED_WAIT_S = 0.5
 # How long a host hears from its zone's hosts after another host asked it to; several pulls.
 COLLECT_S = 2.0
 # OLD_CACHE_AGE_S less a pull interval; above it, other zones' readers are pulled from too.
@@ -209,6 +211,15 @@
                 self._mark_store_unreachable(topic, exc)
                 await asyncio.sleep(self._store_retry_delay() * self._rng.uniform(0.8, 1.4))
 
+    async def join_through_seeds(self, ips: tuple[str, ...]) -> None:
+        """Learn the fleet's hosts from the first seed that answers, unless the store lists them."""
+        await asyncio.sleep(SEED_WAIT_S)
+        for ip in ips:
+            if self._topics[Topic.FLEET].revision or len(self._hosts.all()) > 1:
+                return
+            if ip != self._hosts.own.ip:
+                await self._hosts.join_through_seed(ip)
+
     async def pull_from_peers(self) -> None:
         """Pull from the zone's reader, and from more hosts when the cache gets old."""
         while True:
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -209,9 +209,7 @@
         self._start_task(self.coordinator.watch())
         self._start_task(self._keep_registered())
         self._start_task(self._run_maintenance())
-        for ip in self._cfg.seeds:
-            if ip != own.ip:
-                self._start_task(self.hosts.join_through_seed(ip))
+        self._start_task(self.cache.join_through_seeds(self._cfg.seeds))
         await self._stopping.wait()
         await self._stop()
 
