--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -10,9 +10,10 @@
 from wagtailloft.errors import NoResponse, NotSent
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.messages import HelloReply
+from wagtailloft.fleet.peer_pulls import WIDE_PULL_INTERVAL_S
 from wagtailloft.fleet.ports import StoreDown
 from wagtailloft.fleet.records import Changes, PrimaryAssignment, Topic
-from wagtailloft.fleet.store_cache import WIDE_PULL_INTERVAL_S, StoreCache
+from wagtailloft.fleet.store_cache import StoreCache
 
 PULL_TIME_S = 1.2
 OBSERVE_INTERVAL_S = 0.1  # a look at all hosts of a fleet costs as much as many of their calls
@@ -65,7 +66,7 @@
     def set_cache_age(self, age):
         """Make the host's own cache `age` seconds old."""
         for topic in Topic:
-            self.cache._apply(Changes(topic=topic, revision=1, is_snapshot=True), now() - age)
+            self.cache.apply(Changes(topic=topic, revision=1, is_snapshot=True), now() - age)
 
     def full_pull_hosts(self):
         """Return the hosts from which every topic was pulled."""
@@ -134,7 +135,7 @@
             for number, cache in enumerate(caches):
                 context.oldest[number] = max(context.oldest[number], cache.age())
             await asyncio.sleep(0.02)
-        context.readers = {c._reader(z) for c in caches for z in ("z0", "z1", "z2")}
+        context.readers = {c._pulls._reader(z) for c in caches for z in ("z0", "z1", "z2")}
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -205,7 +206,7 @@
         """Make a host's cache `age` seconds old."""
         for topic in Topic:
             changes = Changes(topic=topic, revision=1, is_snapshot=True)
-            self.caches[name]._apply(changes, now() - age)
+            self.caches[name].apply(changes, now() - age)
 
     async def run(self, seconds, observe=lambda: None):
         """Let all hosts pull for some seconds, and call a function all the while."""
@@ -401,7 +402,7 @@
         joining = asyncio.create_task(cache.join_through_seeds(tuple(h.ip for h in members[:3])))
         if context.served_after is not None:
             await asyncio.sleep(context.served_after)
-            cache._apply(Changes(topic=Topic.FLEET, revision=1, is_snapshot=True), now())
+            cache.apply(Changes(topic=Topic.FLEET, revision=1, is_snapshot=True), now())
         await joining
 
     asyncio.run(check())
