--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -376,6 +376,7 @@
     coordinator = make_coordinator(
         directory=SimpleNamespace(
             targets=lambda group: targets,
+            other_targets=lambda group, name: tuple(t for t in targets if t.name != name),
             target=lambda group, name: next(t for t in targets if t.name == name),
             assignment_or_initial=lambda group: PrimaryAssignment(
                 group="g", epoch=1, settled=True, primary="old", term=1
@@ -412,8 +413,9 @@
 
     coordinator._store_assignment = store_assignment
     coordinator._fence_service = SimpleNamespace(fence=fence)
-    coordinator._wait_for_candidate = coordinator._promote_and_wait = answer
-    coordinator._queries = SimpleNamespace(query=query)
+    promotion = coordinator._promotion
+    promotion.wait_for_candidate = promotion.promote_and_wait = answer
+    coordinator._queries = promotion._queries = SimpleNamespace(query=query)
     context.coordinator = coordinator
 
 
@@ -442,6 +444,7 @@
             groups=lambda: ("g",),
             primary=lambda group: None,
             targets=lambda group: (Target(name="b", group="g", address="1.1.1.1:1"),),
+            other_targets=lambda group, name: (),
         )
     )
     started = []
--- a/src/wagtailloft/groups/directory.py
+++ b/src/wagtailloft/groups/directory.py
@@ -37,6 +37,10 @@
         """Return the listed members of a group."""
         return tuple(self._targets.get(group, {}).values())
 
+    def other_targets(self, group: str, excluded: str) -> tuple[Target, ...]:
+        """Return the listed members of a group except one."""
+        return tuple(t for t in self.targets(group) if t.name != excluded)
+
     def groups(self) -> tuple[str, ...]:
         """Return the groups that have members."""
         return tuple(g for g, members in self._targets.items() if members)
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -13,30 +13,25 @@
 from wagtailloft.fleet.mesh import Mesh, PeerConnection, ignore_failure
 from wagtailloft.fleet.messages import Ack, Message, PrimaryAnnouncement, SuspectReport
 from wagtailloft.fleet.ports import Conflict, Store, StoreDown
-from wagtailloft.fleet.records import PrimaryAssignment, Target, Topic, host_record_name
+from wagtailloft.fleet.records import PrimaryAssignment, Topic, host_record_name
 from wagtailloft.fleet.store_cache import StoreCache
-from wagtailloft.groups.candidates import best_candidate, covers_all_commits, is_newer_primary
 from wagtailloft.groups.claims import is_claim_abandoned
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.fencing import PEER_CALL_TIMEOUT_S, FenceService
 from wagtailloft.groups.local_executor import LocalExecutor
-from wagtailloft.groups.ports import Link, LinkFactory, PromotionApi, TargetStatus
+from wagtailloft.groups.member_promotion import MemberPromotion
+from wagtailloft.groups.ports import LinkFactory, PromotionApi
 from wagtailloft.groups.promotion_lease import PromotionLease
-from wagtailloft.groups.target_queries import QUERY_TIMEOUT_S, TargetQueries, wait_until_primary
-from wagtailloft.models import HostState, Position, Role
+from wagtailloft.groups.target_queries import QUERY_TIMEOUT_S, TargetQueries
+from wagtailloft.models import HostState, Role
 
 COORDINATOR_KEY = "promoter"  # hashed with the host names; must be the same on all hosts
 ASSIGNMENT_PREFIX = "lead-"
 CHECK_INTERVAL_S = 0.2  # checks read the cached member entries, which show a change at once
-CATCH_UP_LIMIT_S = 1.0  # longest wait for a replica in a planned or synchronous failover
-POLL_INTERVAL_S = 0.04  # between checks for a candidate and for the new primary
-PROMOTION_TIMEOUT_S = 4.0  # the slowest promotion in any deployment takes 1 s
 REPORT_INTERVAL_S = 0.3  # least time between two reports of a suspicion in one group
 # Longer than a restart or a usual network cut; a removed host that is alive registers itself again.
 HOST_REMOVAL_S = 6.0
 PRIMARY_MISSING_S = 2.2  # entries that expired during a store outage are back within 2 s
-# With pauses from POLL_INTERVAL_S to 0.5 s, reaches an old primary that returns within 10 s.
-DEMOTE_ATTEMPTS = 20
 
 
 class FailoverCoordinator:
@@ -68,8 +63,10 @@
         self._fence_service = FenceService(
             hosts=hosts, mesh=mesh, cache=cache, local_executor=local_executor
         )
-        self._promotion_api = promotion_api
         self._lease = lease
+        self._promotion = MemberPromotion(
+            directory=directory, queries=self._queries, promotion_api=promotion_api, lease=lease
+        )
         self._count_failover = count_failover
         self._failovers: dict[str, asyncio.Task] = {}
         self._reported_at: dict[str, float] = {}
@@ -139,7 +136,9 @@
                 )
             return
         self._primary_missing_since.pop(group, None)
-        if primary.leaving and any(not t.leaving for t in self._other_targets(group, primary.name)):
+        if primary.leaving and any(
+            not t.leaving for t in self._directory.other_targets(group, primary.name)
+        ):
             self._start_failover(group, primary.name, "the primary is leaving", planned=True)
 
     async def _unregister_lost_host(self) -> None:
@@ -171,9 +170,6 @@
             claim_age=now() - seen_at,
         )
 
-    def _other_targets(self, group: str, excluded: str) -> tuple[Target, ...]:
-        return tuple(t for t in self._directory.targets(group) if t.name != excluded)
-
     async def _send_report(self, message: SuspectReport) -> None:
         for host in self._hosts.rank_owners(COORDINATOR_KEY)[:2]:
             if host.name == self._hosts.own.name:
@@ -312,12 +308,12 @@
         )
         last_acknowledged = await self._fence_service.fence(assignment, planned)
         fenced_at = now()
-        candidate = await self._wait_for_candidate(assignment, last_acknowledged, planned)
+        candidate = await self._promotion.wait_for_candidate(assignment, last_acknowledged, planned)
         if candidate is None:
             logs.warn("promotion_failed", group=group, why="no replica is eligible")
             await asyncio.sleep(CHECK_INTERVAL_S)
             return
-        status = await self._promote_and_wait(assignment, candidate)
+        status = await self._promotion.promote_and_wait(assignment, candidate)
         if status is None:
             return
         settled = PrimaryAssignment(
@@ -340,8 +336,8 @@
             total_ms=round((now() - started) * 1000),
         )
         if status.target != replaced:
-            _spawn(self._demote_old_primary(group, replaced, status.term))
-        for target in self._other_targets(group, status.target):
+            _spawn(self._promotion.demote_old_primary(group, replaced, status.term))
+        for target in self._directory.other_targets(group, status.target):
             _spawn(self._queries.query(target, lambda link: link.resume(QUERY_TIMEOUT_S)))
         await self._store_assignment(settled)
 
@@ -365,100 +361,6 @@
         )
         return entry is not None
 
-    async def _wait_for_candidate(
-        self, assignment: PrimaryAssignment, last_acknowledged: Position | None, planned: bool
-    ) -> TargetStatus | None:
-        """Return the member to promote, or None if no member is eligible.
-
-        Wait for one that is caught up in a planned failover or a group with synchronous replicas.
-        After CATCH_UP_LIMIT_S, return the best replica as it is or, with synchronous replicas or
-        without an eligible replica, the old primary if it still is primary. A member that is
-        already primary in a newer term is returned as it is.
-        """
-        sync = self._directory.rule(assignment.group).sync_replicas
-        deadline = now() + CATCH_UP_LIMIT_S
-        while True:
-            targets = self._other_targets(assignment.group, assignment.replaced)
-            statuses = await self._query_statuses(
-                assignment, targets, pause=sync > 0 and not planned
-            )
-            newer_primaries = [s for s in statuses if is_newer_primary(s, assignment)]
-            if newer_primaries:
-                return max(newer_primaries, key=lambda s: s.term)
-            candidate = best_candidate(statuses, targets, last_acknowledged)
-            caught_up = candidate and (
-                last_acknowledged is None or candidate.received >= last_acknowledged
-            )
-            if sync:
-                # The position that hosts report is a lower bound: a killed host lost its own.
-                replies = sum(s.role is Role.REPLICA for s in statuses)
-                caught_up = caught_up and covers_all_commits(replies, len(targets), sync)
-            if candidate and (caught_up or not (sync or planned)):
-                return candidate
-            if now() > deadline:
-                return (
-                    candidate
-                    if candidate and not sync
-                    else await self._fallback_to_old_primary(assignment)
-                )
-            await asyncio.sleep(POLL_INTERVAL_S)
-
-    async def _fallback_to_old_primary(self, assignment: PrimaryAssignment) -> TargetStatus | None:
-        """Return the replaced primary if it still is primary; used if no replica is eligible."""
-        target = self._directory.target(assignment.group, assignment.replaced)
-        if target is None:
-            return None
-        status = await self._queries.query(target, lambda link: link.status(QUERY_TIMEOUT_S))
-        return status if status and status.role is Role.PRIMARY else None
-
-    async def _query_statuses(
-        self, assignment: PrimaryAssignment, targets: tuple[Target, ...], *, pause: bool
-    ) -> list[TargetStatus]:
-        async def query_status(link: Link) -> TargetStatus | None:
-            status = await link.status(QUERY_TIMEOUT_S)
-            if status is None:
-                return None
-            if pause and status.role is Role.REPLICA:
-                return await link.pause(status.term + 1, QUERY_TIMEOUT_S) or status
-            if status.role is Role.PRIMARY and status.term < assignment.term:
-                return await link.demote(assignment.term, QUERY_TIMEOUT_S) or status
-            return status
-
-        statuses = await asyncio.gather(*(self._queries.query(t, query_status) for t in targets))
-        return [s for s in statuses if s]
-
-    async def _promote_and_wait(
-        self, assignment: PrimaryAssignment, candidate: TargetStatus
-    ) -> TargetStatus | None:
-        """Order the promotion; return the status once the member is primary, None if it is not."""
-        if candidate.role is Role.PRIMARY:
-            return candidate
-        target = self._directory.target(assignment.group, candidate.target)
-        if target is None:
-            return None
-        deadline = now() + PROMOTION_TIMEOUT_S
-        accepted: bool | None = None
-        while now() < deadline:
-            if not accepted:
-                if not self._lease.is_held() and not await self._lease.acquire():
-                    return None
-                accepted = await self._promotion_api.promote(
-                    group=assignment.group,
-                    target=candidate.target,
-                    holder=self._lease.host_name,
-                    fencing_token=self._lease.fencing_token,
-                )
-                logs.event("promotion_ordered", target=candidate.target, accepted=accepted)
-                if accepted is False:
-                    return None
-            status = await self._queries.query(
-                target, lambda link: wait_until_primary(link, deadline)
-            )
-            if status and status.role is Role.PRIMARY:
-                return status
-            await asyncio.sleep(POLL_INTERVAL_S)
-        return None
-
     def _announce(self, assignment: PrimaryAssignment) -> None:
         for host in self._hosts.all():
             if host.name != self._hosts.own.name and host.state is not HostState.DEAD:
@@ -467,22 +369,6 @@
                 )
                 _spawn(ignore_failure(call))
 
-    async def _demote_old_primary(self, group: str, name: str, term: int) -> None:
-        """Turn the old primary into a replica as soon as it can be reached."""
-        pause = POLL_INTERVAL_S
-        for _ in range(DEMOTE_ATTEMPTS):
-            target = self._directory.target(group, name)
-            if target is None:
-                return
-            status = await self._queries.query(
-                target, lambda link: link.demote(term, QUERY_TIMEOUT_S)
-            )
-            if status and status.role is Role.REPLICA:
-                logs.event("demoted", group=group, target=name, term=term)
-                return
-            await asyncio.sleep(pause)
-            pause = min(0.5, pause * 2)
-
 
 # The event loop holds only weak references to tasks.
 _TASKS: set[asyncio.Task] = set()
