--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -81,3 +81,11 @@
 
   Scenario: A caller connects to a host that is stopping and stays silent
     Then a drain of at most 3 s ends within 1.5 s
+
+  Scenario: A host that is leaving is suspected for a while
+    Given a host that knows another one as leaving
+    When it suspects the other host and then hears from it
+    Then the other host is still known as leaving
+
+  Scenario: An operator writes an object under another name than its own
+    Then a team that calls itself b is not accepted under the name a
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -1,6 +1,7 @@
 """Steps for odd inputs, lost answers and late messages, against single parts in this process."""
 
 import asyncio
+import random
 import sys
 import time
 from pathlib import Path
@@ -12,6 +13,7 @@
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
 from wagtailloft import host_process, options
 from wagtailloft.clock import now
+from wagtailloft.controllers.membership import Membership
 from wagtailloft.digits import is_decimal
 from wagtailloft.errors import Kind, NoResponse, NotSent
 from wagtailloft.fleet import mesh as mesh_module
@@ -41,6 +43,7 @@
 from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.groups.ports import BoundStatement, LinkSpec, TargetStatus
 from wagtailloft.models import Host, HostState, Position, Role
+from wagtailloft.operators import OperatorService
 from wagtailloft.sessions.statements import Statement, StatementResult, TransactionState, Verb
 
 PLATFORM = Path(__file__).resolve().parents[2] / "platform"
@@ -682,3 +685,34 @@
         assert elapsed < limit, elapsed
 
     asyncio.run(check())
+
+
+# The SQL front.
+
+
+@given("a host that knows another one as leaving")
+def step_knows_leaving(context):
+    context.membership = Membership(own=make_host(0, 1), rng=random.Random(1))
+    leaving = msgspec.structs.replace(make_host(1, 1), state=HostState.LEAVING)
+    context.membership.merge(leaving, 1.0)
+
+
+@when("it suspects the other host and then hears from it")
+def step_suspect_and_hear(context):
+    context.membership.mark_suspect("h01", 2.0)
+    assert context.membership.find("h01").state is HostState.SUSPECT
+    context.membership.mark_alive("h01", 2.5)
+
+
+@then("the other host is still known as leaving")
+def step_still_leaving(context):
+    assert context.membership.find("h01").state is HostState.LEAVING
+
+
+@then("a team that calls itself {own} is not accepted under the name {name}")
+def step_name_mismatch(context, own, name):
+    operators = OperatorService.__new__(OperatorService)
+    raw = msgspec.json.encode({"name": own})
+    refusal = operators._decode_valid("team", name, raw)
+    assert refusal.is_err() and refusal.err_value.kind is Kind.BAD_REQUEST, refusal
+    assert operators._decode_valid("team", own, raw).is_ok()
--- a/features/steps/tool.py
+++ b/features/steps/tool.py
@@ -86,6 +86,7 @@
         (4, None, "is used by", "team", "remove", TEAM),
         (2, None, "no team 'nobody'", "key", "create", "nobody"),
         (2, None, "250ms", "settings", "set", "defaults", "deadline", "soon"),
+        (2, None, "expected the first characters of a key's id", "key", "withdraw", ""),
         (
             4,
             None,
--- a/src/wagtailloft/cli.py
+++ b/src/wagtailloft/cli.py
@@ -89,6 +89,8 @@
 
     def withdraw(self, id: str) -> None:  # noqa: A002
         """Withdraw the key whose id starts with ID; it stops working within seconds."""
+        if not str(id):
+            raise CommandError("expected the first characters of a key's id", ExitCode.USAGE)
         matches = [i for i in self._api.list("key") if i["name"].startswith(str(id))]
         if len(matches) != 1:
             raise CommandError(
--- a/src/wagtailloft/controllers/membership.py
+++ b/src/wagtailloft/controllers/membership.py
@@ -30,6 +30,7 @@
     host: Host
     state_since: float
     transmissions: int = 0
+    was_leaving: bool = False  # before it was suspected
 
 
 class Membership:
@@ -77,16 +78,19 @@
         return True
 
     def mark_alive(self, name: str, now: float) -> None:
-        """Mark a suspected host as alive because it answered."""
+        """Return a suspected host to the state that it had before, because it answered."""
         peer = self._peers.get(name)
         if peer is not None and peer.host.state is HostState.SUSPECT:
-            self._put(msgspec.structs.replace(peer.host, state=HostState.ALIVE), now)
+            state = HostState.LEAVING if peer.was_leaving else HostState.ALIVE
+            self._put(msgspec.structs.replace(peer.host, state=state), now)
 
     def mark_suspect(self, name: str, now: float) -> None:
         """Suspect a host that answered neither this host nor the indirect probers."""
         peer = self._peers.get(name)
         if peer is not None and peer.host.state in (HostState.ALIVE, HostState.LEAVING):
+            was_leaving = peer.host.state is HostState.LEAVING
             self._put(msgspec.structs.replace(peer.host, state=HostState.SUSPECT), now)
+            self._peers[name].was_leaving = was_leaving
 
     def expire_suspects(self, now: float) -> tuple[Host, ...]:
         """Mark hosts as dead after SUSPICION_TIMEOUT_S of suspicion, and return them."""
--- a/src/wagtailloft/operators.py
+++ b/src/wagtailloft/operators.py
@@ -281,7 +281,10 @@
             value = msgspec.json.decode(raw, type=TYPE_BY_KIND[kind], strict=True)
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             return _refuse(Kind.BAD_REQUEST, f"{kind} '{name}': {exc}")
+        own_name = value.digest if isinstance(value, Key) else value.name
         error = self._validation_error(value)
+        if own_name != name:
+            error = f"the object calls itself '{_display_name(kind, own_name)}'"
         if error:
             return _refuse(Kind.BAD_REQUEST, f"{kind} '{_display_name(kind, name)}': {error}")
         return Ok(value)
