--- a/src/wagtailloft/sessions/session.py
+++ b/src/wagtailloft/sessions/session.py
@@ -322,5 +322,5 @@
     """Return the answer to the first statement of a transaction that could not be opened."""
     if outcome.kind in RATE_REFUSALS:
         return outcome
-    detail = f"the transaction could not be opened: {outcome.detail or outcome.kind}"
-    return not_executed(Kind.TRANSACTION_LOST, detail)
+    reason = outcome.detail or (outcome.kind.value if outcome.kind else "the link was closed")
+    return not_executed(Kind.TRANSACTION_LOST, f"the transaction could not be opened: {reason}")
