--- a/features/spread.feature
+++ b/features/spread.feature
@@ -18,18 +18,18 @@
     And every host asked at most 2 hosts of each zone and 2 more at a time, and one of each zone its zone's 16 too
 
   Scenario: Hosts that are cut off from a majority have not heard from one
-    Given a running fleet of 32 hosts in 4 zones whose caches are 1.6 s old
-    When the store stays unreachable and 15 hosts are cut off from 17 until the caches are 5.5 s old
-    Then the 15 hosts have not heard from a majority after their caches were 4.6 s old
-    And the 17 hosts have heard from a majority
+    Given a running fleet of 68 hosts in 4 zones whose caches are 1.6 s old
+    When the store stays unreachable and 33 hosts are cut off from 35 until the caches are 5.5 s old
+    Then the 33 hosts have not heard from a majority after their caches were 4.6 s old
+    And the 35 hosts have heard from a majority
 
   Scenario: An assignment that a majority accepted is known wherever a majority was heard from
-    Given a running fleet of 32 hosts in 4 zones whose caches are 1.6 s old
-    When 17 hosts accept an assignment while the store stays unreachable
+    Given a running fleet of 68 hosts in 4 zones whose caches are 1.6 s old
+    When 35 hosts accept an assignment while the store stays unreachable
     Then 2.4 s later every host that has heard from a majority knows the assignment
 
   Scenario: The only host that still reads the store is found among many
-    Given a running fleet of 32 hosts in 4 zones whose caches are 3 s old
+    Given a running fleet of 68 hosts in 4 zones whose caches are 3 s old
     When no host but the last hears from the store for 2.4 s
     Then the caches of all hosts are younger than 1.6 s
 
