--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -238,6 +238,15 @@
 
     def apply(self, changes: Changes, confirmed_at: float) -> None:
         """Cache changes that were current at a time."""
+        cached = self.revision(changes.topic)
+        if changes.revision < cached:
+            logs.event(
+                "changes_ignored",
+                topic=changes.topic.value,
+                cached=cached,
+                revision=changes.revision,
+                snapshot=changes.is_snapshot,
+            )
         for entry in self._topics[changes.topic].apply(changes, confirmed_at):
             self._entry_changed(changes.topic, entry)
 
