--- /dev/null
+++ b/features/restored.feature
@@ -0,0 +1,26 @@
+Feature: The store may come back from an older copy, in a new era
+
+  Scenario: A configuration written after the store came back from an older copy is in force in time
+    Given a site with 3 hosts
+    When the store comes back from a copy that lacks two configurations, and the operator writes the last one again
+    Then the routes of the lost configurations are still served at every host
+    And a route added after the restore is served within 3 s at every host
+    And the hosts call the store at most 1.5 times as often as before, beside one list a topic
+
+  Scenario: A host that starts while an older copy is current does not accept a key withdrawn since
+    Given a site with 3 hosts
+    When a key is withdrawn, the store comes back from a copy that has it, and a host is restarted
+    Then no host serves the withdrawn key while the operator writes the configuration again
+
+  Scenario: Settings of the own interface changed after a restore are in force in time
+    Given a fleet of 3 daemons behind the fault proxy
+    When the platform comes back from a copy that lacks a key, which is then added again
+    Then within 3 s every daemon serves the second key
+    When the second key is withdrawn
+    Then within 3 s no daemon serves the second key
+
+  Scenario: A key withdrawn from the own interface stays withdrawn when an older copy has it
+    Given a fleet of 3 daemons behind the fault proxy
+    When a second key is used on every daemon and in an open transaction
+    And the second key is withdrawn, and the platform comes back from a copy that has it
+    Then no daemon serves the second key before and after it is withdrawn again
--- /dev/null
+++ b/features/steps/restored.py
@@ -0,0 +1,172 @@
+"""Steps for a store that comes back from an older copy."""
+
+import time
+
+from behave import then, when
+
+from features.steps.keys import live_daemon_numbers, refusal_kind, step_second_key_refused
+from features.steps.site import error_code, succeeded
+from features.test_fleet import TEAM
+from standins.fleet import wait_until
+from standins.site import KEY, SECOND_KEY
+
+OUTAGE_S = 1.0
+OBSERVE_S = 4.0
+CONFIG_APPLY_S = 3.0
+TOPICS = 3
+MAX_CALL_RATIO = 1.5
+
+
+def serves(site, host, database, key=KEY):
+    """Tell whether a host serves a read of a database under a key."""
+    caller = site.open_session(host, database, key)
+    try:
+        return succeeded(caller.greeting[-1:]) or succeeded(caller.query("READ item"))
+    except OSError:
+        return False
+    finally:
+        caller.close()
+
+
+def add_route(site, database):
+    """Publish a configuration that adds a route to a database."""
+    site.databases[database] = "read_your_writes"
+    site.configure()
+
+
+def wait_until_served(site, database):
+    """Wait until every host serves a database."""
+    for host in site.hosts:
+        wait_until(lambda h=host: serves(site, h, database), 5.0, f"{host}: {database} not served")
+
+
+def restore(site, store_copy):
+    """Bring the store back from a copy after an outage."""
+    site.store.down = True
+    with site.store.changed:
+        site.store.changed.notify_all()
+    time.sleep(OUTAGE_S)
+    site.store.restore(store_copy)
+    site.store.down = False
+
+
+@when(
+    "the store comes back from a copy that lacks two configurations, "
+    "and the operator writes the last one again"
+)
+def step_restore_configurations(context):
+    site = context.site
+    add_route(site, "kept")
+    wait_until_served(site, "kept")
+    before = site.store.calls["GET"]
+    time.sleep(OBSERVE_S)
+    context.usual_calls = site.store.calls["GET"] - before
+    store_copy = site.store.copy()
+    for database in ("lost1", "lost2"):
+        add_route(site, database)
+        wait_until_served(site, database)
+    restore(site, store_copy)
+    site.store.put("config", "main", site._config())
+    context.calls_at_restore, context.restored_at = site.store.calls["GET"], time.monotonic()
+
+
+@then("the routes of the lost configurations are still served at every host")
+def step_lost_routes_served(context):
+    for database in ("kept", "lost1", "lost2"):
+        wait_until_served(context.site, database)
+
+
+@then("a route added after the restore is served within 3 s at every host")
+def step_new_route_served(context):
+    time.sleep(max(0.0, context.restored_at + OBSERVE_S - time.monotonic()))
+    context.calls_after = context.site.store.calls["GET"] - context.calls_at_restore
+    add_route(context.site, "added")
+    time.sleep(CONFIG_APPLY_S)
+    served = {h: serves(context.site, h, "added") for h in context.site.hosts}
+    assert all(served.values()), served
+
+
+@then("the hosts call the store at most 1.5 times as often as before, beside one list a topic")
+def step_few_calls(context):
+    lists = len(context.site.hosts) * TOPICS
+    # A watch of the earlier era is refused before its topic is listed.
+    most = context.usual_calls * MAX_CALL_RATIO + 2 * lists
+    assert context.calls_after <= most, (context.calls_after, context.usual_calls)
+
+
+@when("a key is withdrawn, the store comes back from a copy that has it, and a host is restarted")
+def step_restore_withdrawn_key(context):
+    site = context.site
+    store_copy = site.store.copy()
+    site.keys["two"] = ["another-key"]
+    site.configure()
+    for host in site.hosts:
+        wait_until(
+            lambda h=host: not serves(site, h, "accounts", SECOND_KEY), 5.0, "the key is served"
+        )
+    site.hosts["edge-2"].kill()
+    restore(site, store_copy)
+    site.start_host("edge-2")
+
+
+@then("no host serves the withdrawn key while the operator writes the configuration again")
+def step_withdrawn_key_refused(context):
+    site = context.site
+    started, written = time.monotonic(), False
+    while time.monotonic() - started < OBSERVE_S:
+        if not written and time.monotonic() - started > CONFIG_APPLY_S / 2:
+            site.store.put("config", "main", site._config())
+            written = True
+        for host in site.hosts:
+            try:
+                caller = site.open_session(host, "accounts", SECOND_KEY)
+            except OSError:
+                continue
+            with_key = caller.query("READ item") if error_code(caller.greeting) == "" else []
+            caller.close()
+            assert not succeeded(with_key), (host, with_key, time.monotonic() - started)
+        time.sleep(0.02)
+    wait_until(lambda: serves(site, "edge-2", "accounts"), 5.0, "edge-2 serves nobody")
+
+
+@when("the platform comes back from a copy that lacks a key, which is then added again")
+def step_restore_platform(context):
+    fleet = context.test_fleet.fleet
+    fleet.save_platform()
+    for number in range(5):
+        context.test_fleet.set_level("defaults", deadline=f"{number + 2}s")
+    context.second_key = context.test_fleet.add_key(TEAM)
+    step_second_key_served(context)
+    context.test_fleet.withdraw_key(context.second_key)
+    fleet.restore_platform()
+    context.second_key = context.test_fleet.add_key(TEAM)
+
+
+@then("within 3 s every daemon serves the second key")
+def step_second_key_served(context):
+    for number in live_daemon_numbers(context):
+        wait_until(
+            lambda n=number: refusal_kind(context, n, context.second_key) is None,
+            CONFIG_APPLY_S,
+            f"daemon {number} does not serve the key",
+        )
+
+
+@when("the second key is withdrawn, and the platform comes back from a copy that has it")
+def step_restore_platform_with_key(context):
+    fleet = context.test_fleet.fleet
+    fleet.save_platform()
+    context.test_fleet.withdraw_key(context.second_key)
+    time.sleep(CONFIG_APPLY_S)
+    step_second_key_refused(context)
+    fleet.restore_platform()
+
+
+@then("no daemon serves the second key before and after it is withdrawn again")
+def step_stays_withdrawn(context):
+    started, withdrawn = time.monotonic(), False
+    while time.monotonic() - started < OBSERVE_S:
+        step_second_key_refused(context)
+        if not withdrawn and time.monotonic() - started > 1.0:
+            context.test_fleet.withdraw_key(context.second_key)
+            withdrawn = True
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -327,6 +327,14 @@
         """Set the platform's faults: `down`, `delay_s`, `drop_answers`."""
         request_json(f"http://{STANDIN_IP}:{self.platform_port}/faults", faults)
 
+    def save_platform(self) -> None:
+        """Make the platform remember its present state."""
+        request_json(f"http://{STANDIN_IP}:{self.platform_port}/copy", {})
+
+    def restore_platform(self) -> None:
+        """Bring the platform back from the remembered state, in its next era."""
+        request_json(f"http://{STANDIN_IP}:{self.platform_port}/restore", {})
+
     def platform_calls(self) -> JsonObject:
         """Return the platform's number of calls by kind."""
         return request_json(f"http://{STANDIN_IP}:{self.platform_port}/calls")
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -1,5 +1,6 @@
-"""A fake metadata store: conditional writes, watches, compaction and dropped replies."""
+"""A fake metadata store: conditional writes, watches, compaction, dropped replies and restores."""
 
+import copy
 import random
 import threading
 import time
@@ -11,6 +12,15 @@
 
 Reply = tuple[int, Any] | None
 PAGE_SIZE = 500
+ERA_HEADER = "Store-Era"
+
+
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """The state of a store at one time, to restore it from."""
+
+    objects: dict[tuple[str, str], dict[str, Any]]
+    revision: int
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -40,6 +50,7 @@
         self.history: list[ChangeEvent] = []
         self.compacted_revision = 0
         self.revision = 1
+        self.era = 1
         self.down = False
         self.dropped_reply_ratio = 0.0
         self.calls: Counter[str] = Counter()
@@ -71,6 +82,24 @@
         reply = self._write(method, kind, name, query, body)
         return None if self._rng.random() < self.dropped_reply_ratio else reply
 
+    def reply_headers(self) -> dict[str, Any]:
+        """Return the headers of every reply."""
+        return {ERA_HEADER: self.era}
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        with self.changed:
+            return StoreCopy(objects=copy.deepcopy(self.objects), revision=self.revision)
+
+    def restore(self, store_copy: StoreCopy) -> None:
+        """Come back from a copy in the next era, without history; waiting watches end with 410."""
+        with self.changed:
+            self.objects = copy.deepcopy(store_copy.objects)
+            self.revision = self.compacted_revision = store_copy.revision
+            self.era += 1
+            self.history.clear()
+            self.changed.notify_all()
+
     def put(self, kind: str, name: str, spec: Any) -> int:
         """Write an object unconditionally and return its revision.
 
@@ -106,9 +135,10 @@
             return 200, {"items": items, "has_more": has_more, "at": self.revision}
 
     def _watch(self, kind: str, after: int, wait_ms: int) -> Reply:
-        deadline = time.monotonic() + wait_ms / 1000
+        deadline, era = time.monotonic() + wait_ms / 1000, self.era
         while True:
-            if after < self.compacted_revision or self.down:
+            known = era == self.era and self.compacted_revision <= after <= self.revision
+            if not known or self.down:
                 return (503, {}) if self.down else (410, {})
             events = [e for e in self.history if e.kind == kind and e.revision > after]
             remaining_s = deadline - time.monotonic()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -12,6 +12,7 @@
 
 Reply = tuple[int, dict[str, Any]] | None
 MAX_HISTORY_CHANGES = 50_000
+ERA_HEADER = "Store-Era"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -31,7 +32,8 @@
     """A store of objects and a list of hosts that lags `host_lag_s` behind.
 
     POST /faults sets the faults: `down` (no call gets a reply), `delay_s` (before each call) and
-    `drop_answers` (that many writes are applied without a reply).
+    `drop_answers` (that many writes are applied without a reply). POST /copy remembers the present
+    state, and POST /restore comes back from it in the next era, without history.
     """
 
     def __init__(self, *, host_lag_s: float) -> None:
@@ -42,6 +44,8 @@
         self.host_lists: list[tuple[float, list[Any]]] = [(0.0, [])]
         self.last_revision_by_kind: Counter[str] = Counter()
         self.revision = 0
+        self.era = 1
+        self.saved: tuple[int, dict[tuple[str, str], StoredObject], Counter[str]] | None = None
         self.down = False
         self.delay_s = 0.0
         self.replies_to_drop = 0
@@ -60,6 +64,8 @@
             return self._set_faults(body)
         if parts[0] == "calls":
             return 200, dict(self.calls)
+        if parts[0] in ("copy", "restore"):
+            return self._save() if parts[0] == "copy" else self._restore()
         if self.down:
             return None
         if self.delay_s:
@@ -70,6 +76,25 @@
             return None
         return None if self.down else reply
 
+    def reply_headers(self) -> dict[str, Any]:
+        """Return the headers of every reply."""
+        return {ERA_HEADER: self.era}
+
+    def _save(self) -> Reply:
+        with self.changed:
+            self.saved = (self.revision, dict(self.objects), self.last_revision_by_kind.copy())
+        return 200, {}
+
+    def _restore(self) -> Reply:
+        with self.changed:
+            self.revision, objects, last_revisions = self.saved
+            self.objects, self.last_revision_by_kind = dict(objects), last_revisions.copy()
+            self.history.clear()
+            self.era += 1
+            self._record_host_list()
+            self.changed.notify_all()
+        return 200, {}
+
     def _set_faults(self, body: dict) -> Reply:
         with self.changed:
             self.down = body.get("down", self.down)
@@ -125,15 +150,16 @@
         with self.changed:
             if wait:
                 self.changed.wait_for(
-                    lambda: self._last_revision(kinds) > after or self.down, timeout=wait
+                    lambda: self._last_revision(kinds) != after or self.down, timeout=wait
                 )
-            history_start = self.history[0].revision - 1 if self.history else 0
-            whole = after < history_start
+            history_start = self.history[0].revision - 1 if self.history else self.revision
+            last_revision = self._last_revision(kinds)
+            whole = after != last_revision and not history_start <= after <= last_revision
             source = (
                 self.objects.values() if whole else self.history[max(0, after - history_start) :]
             )
             changes = [vars(o) for o in source if o.kind in kinds]
-            return 200, {"revision": self._last_revision(kinds), "whole": whole, "changes": changes}
+            return 200, {"revision": last_revision, "whole": whole, "changes": changes}
 
     def _last_revision(self, kinds: frozenset[str]) -> int:
         return max((self.last_revision_by_kind[kind] for kind in kinds), default=0)
--- a/standins/site.py
+++ b/standins/site.py
@@ -117,6 +117,7 @@
         }
         self.rate, self.burst, self.sync_replicas = rate, burst, sync_replicas
         self.version = 1
+        self.databases = dict(DATABASES)
         self.keys = {"one": [KEY], "two": [SECOND_KEY]}
         self.hosts: dict[str, Process] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
@@ -251,7 +252,7 @@
                 "max_staleness_ms": 1500,
                 "public": False,
             }
-            for database, route_type in DATABASES.items()
+            for database, route_type in self.databases.items()
         ]
         services = [
             {"name": n, "max_conns": 16, "sync_replicas": self.sync_replicas} for n in self.groups
--- a/standins/web.py
+++ b/standins/web.py
@@ -1,7 +1,8 @@
 """A JSON-over-HTTP server with one thread per connection, for the fake outside systems.
 
 An app has the methods `connected`, which returns its state of a new connection, `handle`, which
-returns a status and a JSON value or None to close without a reply, and `disconnected`.
+returns a status and a JSON value or None to close without a reply, and `disconnected`. If it has
+`reply_headers`, that returns the headers of every reply.
 """
 
 import json
@@ -46,10 +47,15 @@
             return
         status, value = reply
         payload = json.dumps(value, separators=(",", ":")).encode()
-        header = f"HTTP/1.1 {status} -\r\nContent-Length: {len(payload)}\r\n\r\n"
-        self.wfile.write(header.encode() + payload)
+        headers = {"Content-Length": len(payload), **self._app_headers()}
+        lines = [f"HTTP/1.1 {status} -", *(f"{k}: {v}" for k, v in headers.items())]
+        self.wfile.write("\r\n".join([*lines, "", ""]).encode() + payload)
         self.wfile.flush()
 
+    def _app_headers(self) -> dict[str, Any]:
+        reply_headers = getattr(self.server.app, "reply_headers", None)
+        return reply_headers() if reply_headers else {}
+
     do_GET = do_POST = do_PUT = do_DELETE = _handle_request  # noqa: N815
 
     def log_message(self, *args: Any) -> None:
