Give every revision of the store its era, and keep in force what a restored store forgot

Callers saw configurations out of force (CONFIG), refusals with settings_stale for seconds, and the store got thousands of calls after it came back from an older copy.

Cause: revisions were compared across the restore. Class of fault: a number of one era used in another, as the age of a cache, as a condition of a write, or as the counter of a fencing token.

Caches mirror the store, whatever era it is in. RecordsInForce decides what a host acts on: configurations, members' reports and assignments have an order of their own, which an older copy does not undo. What a cache holds counts as known in full only once the operator has written again, about two seconds have passed, or the store's record of the era tells that it is not new. Nobody takes the promotion lease before everything believed in earlier eras has expired, and its token is the revision at which it was taken. The coordinator writes lost assignments again, and the record of the era.

--- a/features/steps/sessions.py
+++ b/features/steps/sessions.py
@@ -69,7 +69,9 @@
 
 def make_admission(tokens):
     """Return an admission control without configuration, and a function that configures it."""
-    cache = SimpleNamespace(age=lambda: 0.1, is_fresh=lambda: True)
+    cache = SimpleNamespace(
+        settings_age=lambda: 0.1, is_fresh=lambda: True, knows_settings=lambda: True
+    )
     cache.on_change = lambda topic, action: setattr(cache, "action", action)
     admission = Admission(cache=cache, tokens=tokens, metrics=Metrics(), not_found_max_age=2.0)
     versions = iter(range(1, 100))
--- a/features/steps/shares.py
+++ b/features/steps/shares.py
@@ -51,10 +51,14 @@
         """Register the callback for changed entries."""
         self.action = action
 
-    def age(self):
+    def settings_age(self):
         """Return an age in seconds that is far below any limit."""
         return 0.1
 
+    def knows_settings(self):
+        """Return True: the configuration is the latest."""
+        return True
+
     def is_fresh(self):
         """Return True: the keys are recent enough to be used."""
         return True
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from wagtailloft.fleet.records import Changes, PrimaryAssignment, Topic
+from wagtailloft.fleet.records import Changes, Configuration, PrimaryAssignment, Topic
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.models import Host, Position, Record
 from wagtailloft.sessions.statements import StatementResult
@@ -37,6 +37,8 @@
     assignments_digest describes the assignments that the sender knows; they are not sent if the
     receiver has the same. With names_only, only the revisions of changed topics are answered. With
     collect, the receiver hears from its zone's hosts for a while, to report how many it hears from.
+    configuration_version is that of the configuration in force at the sender; the receiver adds its
+    own if that is later and names_only is not set.
     """
 
     host: str
@@ -44,6 +46,7 @@
     assignments_digest: int = 0
     names_only: bool = False
     collect: bool = False
+    configuration_version: int = 0
 
 
 class AgedChanges(Record, array_like=True):
@@ -78,7 +81,7 @@
 
     verified tells that the assignments were current at some time since the sender's process
     started, store_unreachable that the sender can't reach the store. newer names the topics whose
-    changes were left out.
+    changes were left out. configuration_version is that of the sender's configuration in force.
     """
 
     topic_changes: tuple[AgedChanges, ...]
@@ -87,6 +90,8 @@
     store_unreachable: bool = False
     newer: tuple[AgedRevision, ...] = ()
     zone_report: ZoneReport | None = None
+    configuration_version: int = 0
+    configuration: Configuration | None = None
 
 
 class StatementRequest(Record, tag="work", array_like=True):
--- a/src/wagtailloft/fleet/peer_pulls.py
+++ b/src/wagtailloft/fleet/peer_pulls.py
@@ -20,7 +20,7 @@
     PullResponse,
     ZoneReport,
 )
-from wagtailloft.fleet.records import Changes, PrimaryAssignment, Topic
+from wagtailloft.fleet.records import Changes, Configuration, PrimaryAssignment, Topic
 from wagtailloft.fleet.topic_cache import NEVER
 
 PULL_INTERVAL_S = 0.4  # allows several pulls in the 3 s within which a new configuration applies
@@ -47,7 +47,10 @@
     store_unreachable: bool
 
     def age(self) -> float:
-        """Return the seconds since keys and assignments were last known to be current."""
+        """Return the seconds since the caches of settings and fleet last mirrored the store."""
+
+    def assignments_age(self) -> float:
+        """Return the seconds since no assignment was stored that this host does not know."""
 
     def revision(self, topic: Topic) -> int:
         """Return the revision up to which a topic is cached."""
@@ -58,8 +61,8 @@
     def changes_since(self, topic: Topic, revision: int) -> Changes:
         """Return the changes of a topic after a revision."""
 
-    def apply(self, changes: Changes, confirmed_at: float) -> None:
-        """Cache changes that were current at a time."""
+    def apply(self, changes: Changes, confirmed_at: float) -> bool:
+        """Cache changes that were current at a time; return False if they are older than cached."""
 
     def assignments(self) -> tuple[PrimaryAssignment, ...]:
         """Return every known primary assignment."""
@@ -67,6 +70,12 @@
     def accept_assignment(self, assignment: PrimaryAssignment) -> bool:
         """Store an assignment if it is later than the known one; return whether it was."""
 
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force, None before the first."""
+
+    def accept_configuration(self, configuration: Configuration) -> bool:
+        """Put a configuration from another host in force if it is later; return whether it was."""
+
     def is_verified(self) -> bool:
         """Tell whether the cache was current at some time since this process started."""
 
@@ -110,7 +119,9 @@
         self._unreachable_until[self._hosts.own.name] = math.inf if unreachable else 0.0
 
     def _needs_wide_pull(self) -> bool:
-        return self._cache.store_unreachable or self._cache.age() > WIDER_PULL_AGE_S
+        if self._cache.store_unreachable:
+            return True
+        return max(self._cache.age(), self._cache.assignments_age()) > WIDER_PULL_AGE_S
 
     async def _pull_widely(self) -> int:
         """Ask several hosts what they have, then pull it once; return the number of hosts asked.
@@ -131,7 +142,7 @@
             host = self._hosts.get(name)
             if host is not None:
                 self._reporter_failed_at[host.zone] = now()
-        newest = _newest_sources(list(answered.items()))
+        newest = _newest_sources(list(answered.items()), self._configuration_version())
         await asyncio.gather(*(self._try_pull(n, topics) for n, topics in newest.items()))
         return len(asked)
 
@@ -170,10 +181,14 @@
             assignments_digest=self._cache.assignments_digest,
             names_only=names_only,
             collect=collect,
+            configuration_version=self._configuration_version(),
         )
         response = await self._hosts.call(name, message, PULL_TIMEOUT_S)
         if not isinstance(response, PullResponse):
             return None
+        # First, since changes of a new era may have an older configuration.
+        if response.configuration is not None:
+            self._cache.accept_configuration(response.configuration)
         for aged in response.topic_changes:
             self._cache.apply(aged.changes, sent_at - aged.age)
         for assignment in response.assignments:
@@ -277,6 +292,29 @@
             store_unreachable=self._cache.store_unreachable,
             newer=tuple(newer),
             zone_report=self._zone_report(verified) if self._collects() else None,
+            configuration_version=self._configuration_version(),
+            configuration=self._later_configuration(message, topic_changes),
+        )
+
+    def _configuration_version(self) -> int:
+        configuration = self._cache.configuration()
+        return configuration.version if configuration else 0
+
+    def _later_configuration(
+        self, message: PullRequest, topic_changes: list[AgedChanges]
+    ) -> Configuration | None:
+        """Return the configuration in force if the sender lacks it and the changes don't bring it.
+
+        They don't if the store came back from a copy that has an older one.
+        """
+        configuration = self._cache.configuration()
+        if configuration is None or message.names_only:
+            return None
+        sent = any(e.value == configuration for aged in topic_changes for e in aged.changes.entries)
+        return (
+            None
+            if sent or configuration.version <= message.configuration_version
+            else configuration
         )
 
     def _zone_report(self, own_is_current: bool) -> ZoneReport:
@@ -287,13 +325,19 @@
 
 
 def _newest_sources(
-    responses: list[tuple[str, PullResponse | None]],
+    responses: list[tuple[str, PullResponse | None]], configuration_version: int
 ) -> dict[str, tuple[Topic, ...]]:
-    """Return the hosts that have the newest revision of a topic, with the topics to pull there."""
+    """Return the hosts that have the newest revision of a topic, with the topics to pull there.
+
+    The settings are pulled from a host whose configuration is later than the given version.
+    """
     best: dict[Topic, tuple[int, str]] = {}
     for name, response in responses:
         for newer in response.newer if response else ():
             best[newer.topic] = max(best.get(newer.topic, (0, "")), (newer.revision, name))
+    latest = max(((r.configuration_version, name) for name, r in responses if r), default=(0, ""))
+    if latest[0] > configuration_version:
+        best[Topic.SETTINGS] = latest
     sources: dict[str, tuple[Topic, ...]] = {}
     for topic, (_, name) in best.items():
         sources[name] = (*sources.get(name, ()), topic)
--- a/src/wagtailloft/fleet/ports.py
+++ b/src/wagtailloft/fleet/ports.py
@@ -13,6 +13,13 @@
     """
 
 
+class EraChanged(StoreDown):
+    """Raised when the store did a write in another era than that of the revision it required.
+
+    What the write replaced is unknown, since the same revision may have had other content before.
+    """
+
+
 class Conflict(WagtailError):
     """Raised when an object is not at the revision that a write requires.
 
@@ -25,13 +32,19 @@
 
 
 class Store(Protocol):
-    """Store data that must be durable or agreed on by all hosts."""
+    """Store data that must be durable or agreed on by all hosts.
+
+    All revisions include the era of the store; see wagtailloft.revisions.
+    """
 
     async def changes(self, topic: Topic, after: int, wait: float) -> Changes:
         """Return the changes after a revision, waiting that long for some; everything for 0."""
 
     async def put(self, topic: Topic, name: str, value: Value, revision: int) -> Entry:
-        """Write an object if it is at a revision, 0 to create it; raise Conflict or StoreDown."""
+        """Write an object if it is at a revision; number 0 creates it.
+
+        Raise Conflict or StoreDown, or EraChanged if the store is in another era than the revision.
+        """
 
     async def remove(self, topic: Topic, name: str, revision: int) -> None:
-        """Remove an object if it is at a revision; raise Conflict or StoreDown."""
+        """Remove an object if it is at a revision; raise what put raises."""
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 from wagtailloft.models import Host, Record, Role
+from wagtailloft.revisions import NO_ERA
 
 HOST_RECORD_PREFIX = "host-"
 
@@ -65,7 +66,10 @@
 
 
 class Target(Record, tag="target"):
-    """A member of a group; started is its start time in milliseconds of its own clock."""
+    """A member of a group, as it reports itself.
+
+    started is its start time in milliseconds of its own clock; sequence counts its reports since.
+    """
 
     name: str
     group: str
@@ -75,10 +79,16 @@
     leaving: bool = False
     role: Role | None = None
     started: int = 0
+    sequence: int = 0
+
+    @property
+    def sort_key(self) -> tuple[int, int]:
+        """Return the key by which a later report of the member replaces an earlier one."""
+        return (self.started, self.sequence)
 
 
 class PrimaryAssignment(Record, tag="lead"):
-    """The primary of a group. Epochs order the assignments of a group.
+    """The primary of a group. Epochs order the assignments of a group within an era of the store.
 
     While an assignment is not settled, a failover is in progress and no member may be used as
     primary. claimant is the process that replaces the primary.
@@ -91,24 +101,31 @@
     term: int = 0
     replaced: str = ""
     claimant: str = ""
+    era: int = NO_ERA
 
     @property
-    def sort_key(self) -> tuple[int, bool]:
+    def sort_key(self) -> tuple[int, int, bool]:
         """Return the key by which a later assignment replaces an earlier one."""
-        return (self.epoch, self.settled)
+        return (self.era, self.epoch, self.settled)
 
 
 class PromotionLeaseRecord(Record, tag="duty"):
-    """The holder of the promotion lease; fence is its fencing token, which grows with each holder.
+    """The holder of the promotion lease, and the era of the store in which it took the lease.
 
     taken counts the times that the lease was taken or renewed.
     """
 
     holder: str
-    fence: int
+    era: int = NO_ERA
     taken: int = 0
 
 
+class EraRecord(Record, tag="era"):
+    """An era of the store that lasted long enough for all beliefs from earlier ones to expire."""
+
+    era: int
+
+
 class HostRecord(Record, tag="host"):
     """The registration of one host in the fleet."""
 
@@ -120,7 +137,7 @@
     return f"{HOST_RECORD_PREFIX}{host}"
 
 
-Value = Configuration | Target | PrimaryAssignment | PromotionLeaseRecord | HostRecord
+Value = Configuration | Target | PrimaryAssignment | PromotionLeaseRecord | HostRecord | EraRecord
 
 
 class Entry(Record, array_like=True):
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -1,12 +1,14 @@
-"""Cache the store's topics: one host in each zone reads the store, the others pull from it."""
+"""Cache the store's topics: one host in each zone reads the store, the others pull from it.
+
+The caches mirror the store, whatever era it is in. How long they have mirrored it is their age; how
+long it has been since they were known to hold everything ever stored is the age of what they hold.
+The two differ after the store came back from an older copy, until what it lost is written again.
+"""
 
 import asyncio
 import random
 from collections.abc import Callable
 
-import msgspec
-import xxhash
-
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.fleet.host_reports import HostReports
@@ -17,14 +19,19 @@
 from wagtailloft.fleet.ports import Conflict, Store, StoreDown
 from wagtailloft.fleet.records import (
     Changes,
+    Configuration,
     Entry,
+    EraRecord,
     HostRecord,
     PrimaryAssignment,
     Topic,
     Value,
     host_record_name,
 )
-from wagtailloft.fleet.topic_cache import TopicCache
+from wagtailloft.fleet.records_in_force import RecordsInForce
+from wagtailloft.fleet.store_era import StoreEra
+from wagtailloft.fleet.topic_cache import NEVER, TopicCache
+from wagtailloft.revisions import era_of, make_revision
 
 # Each call to the store has a price; longer polls need fewer calls.
 LONG_POLL_S = {Topic.SETTINGS: 1.0, Topic.FLEET: 1.0, Topic.TARGETS: 2.0}
@@ -53,15 +60,27 @@
     """
 
     def __init__(
-        self, *, store: Store, hosts: Hosts, mesh: Mesh, max_age: float, assignment_max_age: float
+        self,
+        *,
+        store: Store,
+        hosts: Hosts,
+        mesh: Mesh,
+        max_age: float,
+        assignment_max_age: float,
+        on_new_era: Callable[[], None] = lambda: None,
     ) -> None:
         self.max_age = max_age
         self.assignment_max_age = assignment_max_age
         self._store = store
         self._hosts = hosts
         self._topics = {topic: TopicCache(topic=topic) for topic in Topic}
-        self._assignments: dict[str, PrimaryAssignment] = {}
-        self.assignments_digest = _digest({})
+        self.era = StoreEra(on_new_era=on_new_era)
+        self._in_force = RecordsInForce(
+            era=self.era,
+            notify=self._notify,
+            is_stored=lambda topic, name: self.get(topic, name) is not None,
+        )
+        self._known_complete_at = dict.fromkeys(FRESHNESS_TOPICS, NEVER)
         self._listeners: dict[Topic, list[Callable[[Entry], None]]] = {t: [] for t in Topic}
         self._rng = random.Random()
         self._reports = HostReports(hosts=hosts)
@@ -91,13 +110,28 @@
         return self._topics[topic].age(now())
 
     def age(self) -> float:
-        """Return the seconds since keys and assignments were last known to be current."""
+        """Return the seconds since the caches of settings and fleet last mirrored the store."""
         at = now()
         return max(self._topics[topic].age(at) for topic in FRESHNESS_TOPICS)
 
+    def settings_age(self) -> float:
+        """Return the seconds since no configuration was accepted that this host does not know.
+
+        It is infinite until that was so once since this process started.
+        """
+        return now() - self._known_complete_at[Topic.SETTINGS]
+
+    def assignments_age(self) -> float:
+        """Return the seconds since no assignment was stored that this host does not know."""
+        return now() - self._known_complete_at[Topic.FLEET]
+
+    def knows_settings(self) -> bool:
+        """Tell whether this process has ever known every configuration accepted by then."""
+        return self._known_complete_at[Topic.SETTINGS] > NEVER
+
     def is_fresh(self) -> bool:
-        """Tell whether keys and assignments are recent enough to be used."""
-        return self.age() <= self.max_age
+        """Tell whether the keys are recent enough to be used."""
+        return self.settings_age() <= self.max_age
 
     def assignments_valid(self) -> bool:
         """Tell whether no assignment can have changed without this host knowing.
@@ -106,7 +140,7 @@
         a majority of the hosts has just reported its assignments: a failover coordinator informs a
         majority and then waits until earlier reports have expired.
         """
-        age = self.age()
+        age = self.assignments_age()
         if age <= self.assignment_max_age:
             return True
         if age > OUTAGE_ASSIGNMENT_MAX_AGE_S:
@@ -126,30 +160,28 @@
 
     def assignments(self) -> tuple[PrimaryAssignment, ...]:
         """Return every known primary assignment."""
-        return tuple(self._assignments.values())
+        return tuple(self._in_force.assignments.values())
 
     def assignment(self, group: str) -> PrimaryAssignment | None:
         """Return the latest known primary assignment of a group."""
-        return self._assignments.get(group)
+        return self._in_force.assignments.get(group)
+
+    @property
+    def assignments_digest(self) -> int:
+        """Return a digest by which two hosts find out whether they know the same assignments."""
+        return self._in_force.assignments_digest
 
     def accept_assignment(self, assignment: PrimaryAssignment) -> bool:
         """Store an assignment if it is later than the known one; return whether it was."""
-        known = self._assignments.get(assignment.group)
-        if known and known.sort_key >= assignment.sort_key:
-            return False
-        self._assignments[assignment.group] = assignment
-        self.assignments_digest = _digest(self._assignments)
-        logs.event(
-            "assignment_changed",
-            group=assignment.group,
-            epoch=assignment.epoch,
-            settled=assignment.settled,
-            primary=assignment.primary,
-            term=assignment.term,
-            replaced=assignment.replaced,
-        )
-        self._notify(Topic.FLEET, Entry(name=assignment.group, revision=0, value=assignment))
-        return True
+        return self._in_force.accept_assignment(assignment)
+
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force, None before the first."""
+        return self._in_force.configuration
+
+    def accept_configuration(self, configuration: Configuration) -> bool:
+        """Put a configuration from another host in force if it is later; return whether it was."""
+        return self._in_force.accept_configuration(configuration)
 
     def accept(self, topic: Topic, entry: Entry) -> None:
         """Cache a single object that the store returned for a write."""
@@ -162,8 +194,11 @@
         Return None if the store has another revision, which is cached instead. Raise StoreDown.
         """
         known = self.get(topic, name)
+        none_yet = make_revision(era_of(self.revision(topic)), 0)
         try:
-            written = await self._store.put(topic, name, value, known.revision if known else 0)
+            written = await self._store.put(
+                topic, name, value, known.revision if known else none_yet
+            )
         except Conflict as exc:
             if exc.entry is not None:
                 self.accept(topic, exc.entry)
@@ -191,8 +226,10 @@
                 continue
             try:
                 at_once = unreachable or is_old or self._would_grow_old(topic)
-                await self._read_store(topic, 0.0 if at_once else LONG_POLL_S[topic])
+                is_accepted = await self._read_store(topic, 0.0 if at_once else LONG_POLL_S[topic])
                 self._mark_store_recovered(topic)
+                if not is_accepted:
+                    await asyncio.sleep(STORE_RETRY_S)
             except StoreDown as exc:
                 self._mark_store_unreachable(topic, exc)
                 await asyncio.sleep(self._store_retry_delay() * self._rng.uniform(0.8, 1.4))
@@ -203,7 +240,7 @@
 
     def is_verified(self) -> bool:
         """Tell whether the cache was current at some time since this process started."""
-        return all(self._topics[topic].confirmed_at >= self._started for topic in FRESHNESS_TOPICS)
+        return all(at >= self._started for at in self._known_complete_at.values())
 
     async def join_through_seeds(self, ips: tuple[str, ...]) -> None:
         """Learn the fleet's hosts from the first seed that answers, unless the store lists them."""
@@ -227,17 +264,18 @@
             return STORE_RETRY_S
         return STORE_RETRY_S * max(1.0, len(self._hosts.all()) / MAX_STORE_PROBERS)
 
-    async def _read_store(self, topic: Topic, wait: float) -> None:
+    async def _read_store(self, topic: Topic, wait: float) -> bool:
+        """Read the changes of a topic; return False if they are older than what is cached."""
         started_at = now()
         cache = self._topics[topic]
         changes = await self._store.changes(topic, cache.revision, wait if cache.revision else 0.0)
         # A long poll without changes is answered when its wait ends, so the cache is current then.
         unchanged = not changes.is_snapshot and not changes.entries
         confirmed_at = started_at + (wait if unchanged else 0.0)
-        self.apply(changes, min(confirmed_at, now()))
+        return self.apply(changes, min(confirmed_at, now()))
 
-    def apply(self, changes: Changes, confirmed_at: float) -> None:
-        """Cache changes that were current at a time."""
+    def apply(self, changes: Changes, confirmed_at: float) -> bool:
+        """Cache changes that were current at a time; return False if they are older than cached."""
         cached = self.revision(changes.topic)
         if changes.revision < cached:
             logs.event(
@@ -247,24 +285,44 @@
                 revision=changes.revision,
                 snapshot=changes.is_snapshot,
             )
+            return False
+        self.era.observe(era_of(changes.revision))
+        is_new_era = cached > 0 and era_of(changes.revision) != era_of(cached)
         for entry in self._topics[changes.topic].apply(changes, confirmed_at):
-            self._entry_changed(changes.topic, entry)
+            if entry.value is None and is_new_era:
+                self._in_force.accept_missing(changes.topic, entry)
+            else:
+                self._entry_changed(changes.topic, entry)
+        self._update_known_complete()
+        return True
+
+    def _update_known_complete(self) -> None:
+        is_complete = {
+            Topic.SETTINGS: self.era.settings_complete_at,
+            Topic.FLEET: self.era.assignments_complete_at,
+        }
+        for topic, complete_at in is_complete.items():
+            cache = self._topics[topic]
+            is_current_era = era_of(cache.revision) == self.era.era
+            if is_current_era and complete_at(cache.revision, cache.confirmed_at):
+                known_at = max(self._known_complete_at[topic], cache.confirmed_at)
+                self._known_complete_at[topic] = known_at
 
     def _entry_changed(self, topic: Topic, entry: Entry) -> None:
         value = entry.value
-        if isinstance(value, PrimaryAssignment):
-            self.accept_assignment(value)
-            return
         if isinstance(value, HostRecord):
             self._hosts.add(value.host)
-        logs.event(
-            "cache_updated",
-            topic=topic.value,
-            name=entry.name,
-            revision=entry.revision,
-            removed=value is None,
-        )
-        self._notify(topic, entry)
+        if isinstance(value, EraRecord):
+            self.era.observe_record(value, entry.revision)
+        if not isinstance(value, PrimaryAssignment):
+            logs.event(
+                "cache_updated",
+                topic=topic.value,
+                name=entry.name,
+                revision=entry.revision,
+                removed=value is None,
+            )
+        self._in_force.accept(topic, entry)
 
     def _notify(self, topic: Topic, entry: Entry) -> None:
         for action in self._listeners[topic]:
@@ -286,9 +344,3 @@
         assert isinstance(message, PrimaryAnnouncement)
         self.accept_assignment(message.assignment)
         return PullResponse(topic_changes=())
-
-
-def _digest(assignments: dict[str, PrimaryAssignment]) -> int:
-    """Return a digest by which two hosts find out whether they know the same assignments."""
-    states = sorted((a.group, a.epoch, a.settled) for a in assignments.values())
-    return xxhash.xxh64_intdigest(msgspec.msgpack.encode(states))
--- /dev/null
+++ b/src/wagtailloft/fleet/store_era.py
@@ -0,0 +1,84 @@
+"""The store's era as this host knows it, and whether the records lost in a restore are back."""
+
+from collections.abc import Callable
+
+from wagtailloft import logs
+from wagtailloft.clock import now
+from wagtailloft.fleet.records import EraRecord
+from wagtailloft.revisions import NO_ERA, era_of
+
+ERA_OBJECT = "era"
+# After a restore, members and operators write their records again within about two seconds.
+REWRITE_S = 2.0
+# By then, whatever a process believed from an earlier era has expired: the promotion lease, and
+# primary assignments (assignment_max_age and a margin).
+EARLIER_ERAS_END_S = 2.7
+
+
+class StoreEra:
+    """Track the newest era of the store that this host has heard of, and since when.
+
+    A process that starts can't tell by itself whether an era is new. The store's record of the era
+    tells it: it is written once, after EARLIER_ERAS_END_S.
+    """
+
+    def __init__(self, *, on_new_era: Callable[[], None]) -> None:
+        self.era = NO_ERA
+        self._on_new_era = on_new_era
+        self._first_seen_at = 0.0
+        self._record_revision: int | None = None
+        self._settings_rewritten = False
+
+    def observe(self, era: int) -> None:
+        """Record an era that the store or another host named."""
+        if era <= self.era:
+            return
+        logs.warn("store_era_changed", store_era=era, before=self.era)
+        if self.era != NO_ERA:
+            self._on_new_era()
+        self.era = era
+        self._first_seen_at = now()
+        self._record_revision = None
+        self._settings_rewritten = False
+
+    def observe_record(self, record: EraRecord, revision: int) -> None:
+        """Use the store's record of an era, which tells that the era is not new."""
+        if record.era == self.era == era_of(revision) and self._record_revision is None:
+            self._record_revision = revision
+            logs.event("store_era_settled", store_era=self.era)
+
+    def observe_settings_rewritten(self) -> None:
+        """Record that the operator has written the settings again in this era."""
+        self._settings_rewritten = True
+
+    @property
+    def is_recorded(self) -> bool:
+        """Tell whether the store's record of this era is known."""
+        return self.era == NO_ERA or self._record_revision is not None
+
+    def age(self) -> float:
+        """Return for how many seconds the era has lasted at least, infinite if it is recorded."""
+        return float("inf") if self.is_recorded else now() - self._first_seen_at
+
+    def records_are_back(self) -> bool:
+        """Tell whether what the restore lost has been written again, by those still there."""
+        return self.age() >= REWRITE_S
+
+    def earlier_beliefs_expired(self) -> bool:
+        """Tell whether no process acts any more on what it knew from an earlier era."""
+        return self.age() >= EARLIER_ERAS_END_S
+
+    def settings_complete_at(self, revision: int, at: float) -> bool:
+        """Tell whether a revision that was current at a time has all settings ever accepted."""
+        if self._settings_rewritten or self._covers_record(revision):
+            return True
+        return at >= self._first_seen_at + REWRITE_S
+
+    def assignments_complete_at(self, revision: int, at: float) -> bool:
+        """Tell whether a revision that was current at a time has all assignments ever stored."""
+        return self._covers_record(revision) or at >= self._first_seen_at + EARLIER_ERAS_END_S
+
+    def _covers_record(self, revision: int) -> bool:
+        if self.era == NO_ERA:
+            return True
+        return self._record_revision is not None and revision >= self._record_revision
--- a/src/wagtailloft/fleet/topic_cache.py
+++ b/src/wagtailloft/fleet/topic_cache.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from wagtailloft.fleet.records import Changes, Entry, Topic
+from wagtailloft.revisions import era_of
 
 NEVER = float("-inf")
 # Removals kept for hosts that have an older cache; those that miss one get a snapshot.
@@ -51,16 +52,23 @@
         """Store one entry if it is newer than the cached one; return whether it was.
 
         The topic's revision and age stay, since other entries may have changed before this one.
+        An entry of another era than the topic's is ignored: the topic is then read as a whole.
         """
+        if self.revision and era_of(entry.revision) != era_of(self.revision):
+            return False
         if not self._is_newer(entry):
             return False
         self._entries[entry.name] = entry
         return True
 
     def since(self, revision: int) -> Changes:
-        """Return the changes after a revision, or a snapshot if not all removals are known."""
+        """Return the changes after a revision, or a snapshot if not all removals are known.
+
+        Changes since another era are always a snapshot: that era's content may differ anywhere.
+        """
         is_snapshot = (
             revision == 0
+            or era_of(revision) != era_of(self.revision)
             or revision < self._removals_since
             or any(first < revision < last for first, last in self._gaps)
         )
--- a/src/wagtailloft/groups/directory.py
+++ b/src/wagtailloft/groups/directory.py
@@ -5,7 +5,6 @@
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.fleet.records import (
-    Configuration,
     Entry,
     GroupRule,
     PrimaryAssignment,
@@ -16,8 +15,6 @@
 from wagtailloft.groups.samples import PositionSamples
 from wagtailloft.models import Role
 
-CONFIGURATION_OBJECT = "main"
-
 
 class GroupDirectory:
     """Look up the members of a group, its primary and its rule."""
@@ -51,12 +48,9 @@
 
     def rule(self, group: str) -> GroupRule:
         """Return a group's configured limits, or the defaults if it has none."""
-        entry = self.cache.get(Topic.SETTINGS, CONFIGURATION_OBJECT)
-        if entry and isinstance(entry.value, Configuration):
-            for rule in entry.value.groups:
-                if rule.name == group:
-                    return rule
-        return GroupRule(name=group)
+        configuration = self.cache.configuration()
+        rules = configuration.groups if configuration else ()
+        return next((r for r in rules if r.name == group), GroupRule(name=group))
 
     def primary(self, group: str) -> Target | None:
         """Return a group's primary, or None while a failover is in progress or none is listed."""
@@ -64,7 +58,9 @@
         members = self._targets.get(group, {})
         if assignment is None:
             return self._reported_primary(members)
-        return members.get(assignment.primary) if assignment.settled else None
+        if not assignment.settled or self._is_contradicted(assignment, members):
+            return None
+        return members.get(assignment.primary)
 
     def may_use_as_primary(self, group: str, target: str) -> bool:
         """Tell whether this host may use a target as primary now."""
@@ -86,6 +82,17 @@
         primaries = [t for t in members.values() if t.role is Role.PRIMARY]
         return max(primaries, key=lambda t: self._revisions.get(t.name, 0), default=None)
 
+    def _is_contradicted(self, assignment: PrimaryAssignment, members: dict[str, Target]) -> bool:
+        """Tell whether the members report another primary than an earlier era's assignment names.
+
+        The store may have lost a later assignment that no host remembers.
+        """
+        assigned = members.get(assignment.primary)
+        if assignment.era >= self.cache.era.era or assigned is None:
+            return False
+        others = (m for m in members.values() if m.name != assigned.name)
+        return assigned.role is Role.REPLICA and any(m.role is Role.PRIMARY for m in others)
+
     def _handle_target_change(self, entry: Entry) -> None:
         self._revisions[entry.name] = entry.revision
         for members in self._targets.values():
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -237,7 +237,7 @@
             epoch=assignment.epoch,
             settled=assignment.settled,
             replaced=assignment.replaced,
-            age=round(self._directory.cache.age(), 3),
+            age=round(self._directory.cache.assignments_age(), 3),
         )
 
     def _choose(
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -22,11 +22,11 @@
 from wagtailloft.groups.member_promotion import MemberPromotion
 from wagtailloft.groups.ports import LinkFactory, PromotionApi
 from wagtailloft.groups.promotion_lease import PromotionLease
+from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX, RecordRepair
 from wagtailloft.groups.target_queries import QUERY_TIMEOUT_S, TargetQueries
 from wagtailloft.models import HostState, Role
 
 COORDINATOR_KEY = "promoter"  # hashed with the host names; must be the same on all hosts
-ASSIGNMENT_PREFIX = "lead-"
 CHECK_INTERVAL_S = 0.2  # checks read the cached member entries, which show a change at once
 REPORT_INTERVAL_S = 0.3  # least time between two reports of a suspicion in one group
 # Longer than a restart or a usual network cut; a removed host that is alive registers itself again.
@@ -64,6 +64,7 @@
             hosts=hosts, mesh=mesh, cache=cache, local_executor=local_executor
         )
         self._lease = lease
+        self._repair = RecordRepair(cache=cache)
         self._promotion = MemberPromotion(
             directory=directory, queries=self._queries, promotion_api=promotion_api, lease=lease
         )
@@ -93,12 +94,15 @@
         """Fail over groups whose primary is leaving or missing, and resume unfinished failovers."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            is_coordinator = self._is_coordinator()
+            if is_coordinator and self._cache.age() <= self._cache.max_age:
+                await self._repair.run_once()
             if not self._cache.is_fresh():
                 continue
-            is_coordinator = self._is_coordinator()
             if not is_coordinator:
                 # The time counts from when this host could have acted on it.
                 self._primary_missing_since.clear()
+                self._repair.stop()
             for group in self._directory.groups():
                 if is_coordinator or self._has_unfinished_failover(group):
                     self._check_group(group)
@@ -323,6 +327,7 @@
             primary=status.target,
             term=status.term,
             replaced=replaced,
+            era=assignment.era,
         )
         self._cache.accept_assignment(settled)
         self._announce(settled)
@@ -352,6 +357,7 @@
             term=previous.term,
             replaced=replaced,
             claimant=self._hosts.own.process_name,
+            era=self._cache.era.era,
         )
         return assignment if await self._store_assignment(assignment) else None
 
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -110,7 +110,7 @@
         accepted: bool | None = None
         while now() < deadline:
             if not accepted:
-                if not self._lease.is_held() and not await self._lease.acquire():
+                if not await self._may_order(assignment):
                     return None
                 accepted = await self._promotion_api.promote(
                     group=assignment.group,
@@ -129,6 +129,12 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         return None
 
+    async def _may_order(self, assignment: PrimaryAssignment) -> bool:
+        """Tell whether this process holds the lease, and no other has replaced its claim."""
+        if not self._lease.is_held() and not await self._lease.acquire():
+            return False
+        return self._directory.cache.assignment(assignment.group) == assignment
+
     async def demote_old_primary(self, group: str, name: str, term: int) -> None:
         """Turn the old primary into a replica as soon as it can be reached."""
         pause = POLL_INTERVAL_S
--- a/src/wagtailloft/groups/promotion_lease.py
+++ b/src/wagtailloft/groups/promotion_lease.py
@@ -1,6 +1,12 @@
 """The exclusive right to order promotions.
 
-One process holds the lease at a time; each new holder gets a higher fencing token.
+One process holds the lease at a time. The fencing token is the revision at which the lease was
+taken: the store gives each revision once, so no two holders have the same token, whatever records
+it lost when it came back from an older copy.
+
+An earlier era's holder may act although the store has forgotten it. Nobody takes the lease in a new
+era before every lease of earlier eras has expired, and a record that was written for another era
+names no holder of this one.
 """
 
 import asyncio
@@ -11,13 +17,16 @@
 from wagtailloft.digits import is_decimal
 from wagtailloft.fleet.records import Entry, PromotionLeaseRecord, Topic
 from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.fleet.store_era import EARLIER_ERAS_END_S
 from wagtailloft.models import Host
+from wagtailloft.revisions import era_of
 
 LEASE_OBJECT = "duty"
 LEASE_S = 1.5  # covers the conditional write and the promotion order, even at a slow store
 # For this long, requests of an ended process may still arrive, also when retransmitted.
 ENDED_HOLDER_WAIT_S = 0.6
 TAKEOVER_WAIT_S = 2.2  # LEASE_S, plus the transit time of an order that was sent within it
+MIN_WAIT_S = 0.01  # between two looks at a condition that is nearly met
 
 
 class PromotionLease:
@@ -35,6 +44,7 @@
         self._cache = cache
         self._has_ended = has_ended
         self._valid_until = 0.0
+        self._taken_at_revision = -1
         self._observed: tuple[int, float] = (-1, 0.0)
         self.fencing_token = 0
 
@@ -44,15 +54,13 @@
 
     async def acquire(self) -> bool:
         """Acquire or renew the lease; return whether it is held. Raise StoreDown."""
+        await self._wait_for_earlier_eras()
         entry = await self._wait_for_other_holder()
-        record = entry.value if entry else None
-        fencing_token = record.fence if record else 0
-        times_taken = record.taken if record else 0
-        renews = record is not None and record.holder == self._process_name
+        renews = entry is not None and entry.revision == self._taken_at_revision
         new_record = PromotionLeaseRecord(
             holder=self._process_name,
-            fence=fencing_token if renews else fencing_token + 1,
-            taken=times_taken + 1,
+            era=era_of(self._cache.revision(Topic.FLEET)),
+            taken=entry.value.taken + 1 if entry else 1,
         )
         sent_at = now()
         written = await self._cache.write(Topic.FLEET, LEASE_OBJECT, new_record)
@@ -60,22 +68,30 @@
             logs.event("promotion_lease_lost", holder=self._process_name)
             return False
         self._valid_until = sent_at + LEASE_S
-        self.fencing_token = new_record.fence
+        self._taken_at_revision = written.revision
+        if not renews:
+            self.fencing_token = written.revision
         logs.event(
             "promotion_lease_taken",
             holder=self._process_name,
             fence=self.fencing_token,
-            revision=written.revision,
         )
         return True
 
+    async def _wait_for_earlier_eras(self) -> None:
+        """Wait until no process can act on a lease of an earlier era of the store."""
+        era = self._cache.era
+        while not era.earlier_beliefs_expired():
+            logs.event("promotion_lease_wait", store_era=era.era, seconds=EARLIER_ERAS_END_S)
+            await asyncio.sleep(max(EARLIER_ERAS_END_S - era.age(), MIN_WAIT_S))
+
     async def _wait_for_other_holder(self) -> Entry | None:
         """Return the lease's entry once no other process can act on it.
 
         A renewal, or another holder, that arrives during a wait is waited for as well.
         """
         entry = self._lease_entry()
-        while entry is not None and entry.value.holder != self._process_name:
+        while entry is not None and not self._is_own(entry):
             await self._wait_for_expiry(entry)
             latest = self._lease_entry()
             if latest is not None and latest.revision == entry.revision:
@@ -90,7 +106,11 @@
             seen_at = now()
             self._observed = (entry.revision, seen_at)
         host, _, incarnation = entry.value.holder.rpartition("/")
-        ended = is_decimal(incarnation) and self._has_ended(host, int(incarnation))
+        ended = (
+            entry.value.era == era_of(entry.revision)
+            and is_decimal(incarnation)
+            and self._has_ended(host, int(incarnation))
+        )
         remaining = seen_at + (ENDED_HOLDER_WAIT_S if ended else TAKEOVER_WAIT_S) - now()
         if remaining > 0:
             logs.event(
@@ -103,6 +123,11 @@
         if entry.name == LEASE_OBJECT and self._observed[0] != entry.revision:
             self._observed = (entry.revision, now())
 
+    def _is_own(self, entry: Entry) -> bool:
+        """Tell whether this process holds the lease by a record written for the entry's era."""
+        record = entry.value
+        return record.holder == self._process_name and record.era == era_of(entry.revision)
+
     def _lease_entry(self) -> Entry | None:
         entry = self._cache.get(Topic.FLEET, LEASE_OBJECT)
         return entry if entry and isinstance(entry.value, PromotionLeaseRecord) else None
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -131,6 +131,7 @@
             mesh=self.mesh,
             max_age=max_age,
             assignment_max_age=cfg.bounds.key_withdrawal * ASSIGNMENT_MAX_AGE_SHARE,
+            on_new_era=self.metrics.store_eras.inc,
         )
         self.directory = GroupDirectory(cache=self.cache)
         self.local_executor = LocalExecutor(directory=self.directory, link_factory=link_factory)
@@ -257,6 +258,8 @@
             return False
         if not self.admission.ready or not self.cache.is_registered():
             return False
+        if not self.cache.knows_settings():
+            return False
         # While most hosts can't reach the store, their caches are as old as this one, so other
         # hosts would not serve callers better.
         return self.cache.age() < READY_MAX_AGE_S or self.cache.heard_from_majority()
--- a/src/wagtailloft/sessions/admission.py
+++ b/src/wagtailloft/sessions/admission.py
@@ -61,7 +61,7 @@
 
     def age(self) -> float:
         """Return the seconds since the configuration was last confirmed as current."""
-        return self._cache.age()
+        return self._cache.settings_age()
 
     def transaction_idle(self) -> float:
         """Return the idle timeout of transactions, in seconds."""
@@ -75,12 +75,14 @@
         rule = self._routes.get(database)
         if rule is None:
             return self._not_found(Kind.UNKNOWN_ROUTE, "no route for the database")
+        if not self._cache.knows_settings():
+            return not_executed(Kind.SETTINGS_STALE, "a later configuration may be missing here")
         if rule.public:
             return OK_NOT_SENT
         if digest not in self._team_by_digest:
             return self._not_found(Kind.KEY_UNKNOWN, "the key is unknown or withdrawn")
         if not new_session and not self._cache.is_fresh():
-            age = self._cache.age()
+            age = self.age()
             return not_executed(Kind.SETTINGS_STALE, f"keys were last confirmed {age:.1f} s ago")
         return OK_NOT_SENT
 
@@ -153,10 +155,10 @@
         self._metrics.latency.labels("", rule.freshness.value if rule else "").observe(seconds)
 
     def _not_found(self, kind: Kind, detail: str) -> StatementResult:
-        if self._cache.age() > self._not_found_max_age:
+        if self.age() > self._not_found_max_age:
             return not_executed(
                 Kind.SETTINGS_STALE,
-                f"{detail}, but the configuration is {self._cache.age():.1f} s old",
+                f"{detail}, but the configuration is {self.age():.1f} s old",
             )
         return not_executed(kind, detail)
 
