Read a topic at once only if its own cache is old

The store got a call every 15 ms for a topic while another topic's cache was old, since the age that decides was that of the older one, which reading this one does not lower.

--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -225,7 +225,7 @@
                 await asyncio.sleep(PULL_INTERVAL_S / 2)
                 continue
             try:
-                at_once = unreachable or is_old or self._would_grow_old(topic)
+                at_once = unreachable or self._would_grow_old(topic)
                 is_accepted = await self._read_store(topic, 0.0 if at_once else LONG_POLL_S[topic])
                 self._mark_store_recovered(topic)
                 if not is_accepted:
@@ -235,8 +235,12 @@
                 await asyncio.sleep(self._store_retry_delay() * self._rng.uniform(0.8, 1.4))
 
     def _would_grow_old(self, topic: Topic) -> bool:
-        """Tell whether the cache could become old before a long poll of a topic ends."""
-        return topic in FRESHNESS_TOPICS and self.age() + LONG_POLL_S[topic] > OLD_CACHE_AGE_S
+        """Tell whether the topic's cache is old, or could become so before a long poll ends.
+
+        Another topic's age doesn't count: reading this one at once would not lower it.
+        """
+        poll = LONG_POLL_S[topic] if topic in FRESHNESS_TOPICS else 0.0
+        return self.topic_age(topic) + poll > OLD_CACHE_AGE_S
 
     def is_verified(self) -> bool:
         """Tell whether the cache was current at some time since this process started."""
