--- /dev/null
+++ b/features/steps/eras.py
@@ -0,0 +1,159 @@
+"""Steps for what a host concludes from the eras of the store."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from features.fake_mesh import FakeMesh, make_host
+from features.virtual_time import run_virtual
+from wagtailloft import clock
+from wagtailloft.fleet.hosts import Hosts
+from wagtailloft.fleet.records import (
+    Changes,
+    Configuration,
+    Entry,
+    PrimaryAssignment,
+    Topic,
+)
+from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.groups import promotion_lease
+from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX, RecordRepair
+from wagtailloft.operations import logbook
+from wagtailloft.revisions import make_revision
+
+CHECK_S = 0.2
+GROUPS = 20
+STEP_S = 0.05
+
+
+def make_cache(*, assignment_max_age=2.4, store=None):
+    """Return a store cache of a host alone in its fleet."""
+    mesh = FakeMesh()
+    hosts = Hosts(own=make_host(0, 1), mesh=mesh)
+    return StoreCache(
+        store=store, hosts=hosts, mesh=mesh, max_age=3.3, assignment_max_age=assignment_max_age
+    )
+
+
+def apply_snapshot(cache, topic, revision, *entries):
+    """Let a cache apply a snapshot that is current now."""
+    changes = Changes(topic=topic, revision=revision, is_snapshot=True, entries=entries)
+    cache.apply(changes, clock.now())
+
+
+class RecordingStore:
+    """A store that accepts every write in one era and records the names written."""
+
+    def __init__(self, *, era):
+        """Start at number 100 of an era."""
+        self.revision, self.names = make_revision(era, 100), []
+
+    async def put(self, topic, name, value, revision):
+        """Store a value at the next revision."""
+        self.revision += 1
+        self.names.append(name)
+        return Entry(name=name, revision=self.revision, value=value)
+
+
+@given("a coordinator that knows assignments which the store has lost")
+def step_lost_assignments(context):
+    async def repair():
+        cache = make_cache(store=store)
+        for number in range(GROUPS):
+            group = f"g{number:02}"
+            lost = PrimaryAssignment(group=group, epoch=3, settled=True, primary="m", era=1)
+            cache.accept_assignment(lost)
+        apply_snapshot(cache, Topic.FLEET, make_revision(2, 90))
+        record_repair = RecordRepair(cache=cache)
+        while not cache.era.is_recorded:
+            await record_repair.run_once()
+            await asyncio.sleep(CHECK_S)
+
+    store = RecordingStore(era=2)
+    run_virtual(repair())
+    context.names = store.names
+
+
+@then("the store gets the record of the era after all of them")
+def step_record_comes_last(context):
+    lost = [ASSIGNMENT_PREFIX + f"g{number:02}" for number in range(GROUPS)]
+    assert sorted(context.names[:-1]) == lost, context.names
+    assert context.names[-1] == "era", context.names
+
+
+@given("deployments that allow assignments to be used for 1, 2.4 and 6 s")
+def step_deployments(context):
+    context.max_ages = (1.0, 2.4, 6.0)
+
+
+@then("an era's assignments count as complete, and the lease may be taken, only after that time")
+def step_beliefs_expire(context):
+    async def complete_after(max_age):
+        cache = make_cache(assignment_max_age=max_age)
+        apply_snapshot(cache, Topic.FLEET, make_revision(1, 90))
+        apply_snapshot(cache, Topic.FLEET, make_revision(2, 90))
+        started, lease_after, complete = clock.now(), None, None
+        while lease_after is None or complete is None:
+            await asyncio.sleep(STEP_S)
+            apply_snapshot(cache, Topic.FLEET, make_revision(2, 90))
+            elapsed = clock.now() - started
+            if lease_after is None and cache.era.earlier_beliefs_expired():
+                lease_after = elapsed
+            if complete is None and cache.assignments_age() < STEP_S:
+                complete = elapsed
+        return lease_after, complete
+
+    for max_age in context.max_ages:
+        lease_after, complete = run_virtual(complete_after(max_age))
+        least = max(max_age, promotion_lease.TAKEOVER_WAIT_S)
+        assert lease_after > least and complete > max_age, (max_age, lease_after, complete)
+        assert max(lease_after, complete) < least + 0.5, (max_age, lease_after, complete)
+
+
+@given("a host that knows version 16 when the store comes back from a copy with version 10")
+def step_older_copy(context):
+    context.cache = make_cache()
+    write_settings(context.cache, make_revision(1, 30), 16)
+    assert not context.cache.knows_settings()
+    write_settings(context.cache, make_revision(2, 20), 10)
+
+
+def write_settings(cache, revision, version):
+    """Let a cache read a version of the configuration."""
+    value = Configuration(version=version, routes=(), groups=(), teams=(), transaction_idle=1.0)
+    apply_snapshot(
+        cache, Topic.SETTINGS, revision, Entry(name="main", revision=revision, value=value)
+    )
+
+
+@when("the operator writes version 13")
+def step_write_older(context):
+    write_settings(context.cache, make_revision(2, 21), 13)
+
+
+@then("the settings are not known in full before version 16 is written")
+def step_known_after_rewrite(context):
+    assert not context.cache.knows_settings()
+    write_settings(context.cache, make_revision(2, 22), 16)
+    assert context.cache.knows_settings()
+
+
+@given("logs of a host that met a new era of the store")
+def step_era_logs(context):
+    lines = (
+        "time=1.0 event=store_era_changed store_era=2 before=1",
+        "time=2.0 event=assignment_rewritten group=g epoch=3",
+        "time=3.0 event=store_era_settled store_era=2",
+        "time=4.0 event=changes_ignored topic=settings cached=21 revision=20",
+    )
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    context.log = Path(folder) / "edge-1.log"
+    context.log.write_text("\n".join(lines) + "\n")
+
+
+@then("the timeline names the new era, when it was settled, and what was written again")
+def step_timeline_eras(context):
+    events = [line.event for line in logbook.timeline([str(context.log)])]
+    assert events == ["store_era_changed", "assignment_rewritten", "store_era_settled"], events
--- a/src/wagtailloft/groups/record_repair.py
+++ b/src/wagtailloft/groups/record_repair.py
@@ -20,10 +20,17 @@
         self._outdated_since: dict[str, float] = {}
 
     async def run_once(self) -> None:
-        """Write one outdated assignment, and the record of the era once it has lasted enough."""
+        """Write one outdated assignment, or the record of the era if it has lasted enough.
+
+        A process that reads the record relies on the assignments stored before it.
+        """
+        outdated = [a for a in self._cache.assignments() if self._is_outdated(a)]
         try:
-            await self._write_assignment()
-            await self._write_era()
+            if outdated:
+                await self._write_first(outdated)
+            else:
+                self._outdated_since.clear()
+                await self._write_era()
         except StoreDown as exc:
             logs.event("repair_failed", why=str(exc))
 
@@ -31,8 +38,8 @@
         """Forget since when records are outdated; another host repairs them."""
         self._outdated_since.clear()
 
-    async def _write_assignment(self) -> None:
-        outdated = [a for a in self._cache.assignments() if self._is_outdated(a)]
+    async def _write_first(self, outdated: list[PrimaryAssignment]) -> None:
+        """Write the first of the assignments that have been outdated for long enough."""
         since = {a.group: self._outdated_since.get(a.group, now()) for a in outdated}
         self._outdated_since = since
         for assignment in outdated:
