Wait for earlier eras as long as the deployment lets assignments be used

The lease and the record of an era waited for a constant 2.7 s, which is right only where withdrawn keys have 5 s. On a deployment that allows more, hosts may use an assignment longer than that, and a primary could have been promoted beside one still in use.

--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -50,6 +50,7 @@
 # coordinator that reaches no majority of hosts waits this long plus assignment_max_age and a
 # margin.
 OUTAGE_ASSIGNMENT_MAX_AGE_S = 10.0
+EXPIRY_MARGIN_S = 0.3  # of an assignment; covers late timers and bytes in transit
 FRESHNESS_TOPICS = (Topic.SETTINGS, Topic.FLEET)  # they hold the keys and the primary assignments
 
 
@@ -74,7 +75,9 @@
         self._store = store
         self._hosts = hosts
         self._topics = {topic: TopicCache(topic=topic) for topic in Topic}
-        self.era = StoreEra(on_new_era=on_new_era)
+        self.era = StoreEra(
+            assignment_expiry=assignment_max_age + EXPIRY_MARGIN_S, on_new_era=on_new_era
+        )
         self._in_force = RecordsInForce(
             era=self.era,
             notify=self._notify,
--- a/src/wagtailloft/fleet/store_era.py
+++ b/src/wagtailloft/fleet/store_era.py
@@ -10,20 +10,21 @@
 ERA_OBJECT = "era"
 # After a restore, members and operators write their records again within about two seconds.
 REWRITE_S = 2.0
-# By then, whatever a process believed from an earlier era has expired: the promotion lease, and
-# primary assignments (assignment_max_age and a margin).
-EARLIER_ERAS_END_S = 2.7
+# After this time, a promotion lease and an order that was sent within it have ended.
+LEASE_EXPIRY_S = 2.2
 
 
 class StoreEra:
     """Track the newest era of the store that this host has heard of, and since when.
 
     A process that starts can't tell by itself whether an era is new. The store's record of the era
-    tells it: it is written once, after EARLIER_ERAS_END_S.
+    tells it: it is written once, after beliefs_end. That is when whatever a process believed from
+    an earlier era has expired, in seconds: assignments after assignment_expiry, and its lease.
     """
 
-    def __init__(self, *, on_new_era: Callable[[], None]) -> None:
+    def __init__(self, *, assignment_expiry: float, on_new_era: Callable[[], None]) -> None:
         self.era = NO_ERA
+        self.beliefs_end = max(assignment_expiry, LEASE_EXPIRY_S)
         self._on_new_era = on_new_era
         self._first_seen_at = 0.0
         self._record_revision: int | None = None
@@ -66,7 +67,7 @@
 
     def earlier_beliefs_expired(self) -> bool:
         """Tell whether no process acts any more on what it knew from an earlier era."""
-        return self.age() >= EARLIER_ERAS_END_S
+        return self.age() >= self.beliefs_end
 
     def settings_complete_at(self, revision: int, at: float) -> bool:
         """Tell whether a revision that was current at a time has all settings ever accepted."""
@@ -76,7 +77,7 @@
 
     def assignments_complete_at(self, revision: int, at: float) -> bool:
         """Tell whether a revision that was current at a time has all assignments ever stored."""
-        return self._covers_record(revision) or at >= self._first_seen_at + EARLIER_ERAS_END_S
+        return self._covers_record(revision) or at >= self._first_seen_at + self.beliefs_end
 
     def _covers_record(self, revision: int) -> bool:
         if self.era == NO_ERA:
--- a/src/wagtailloft/groups/fencing.py
+++ b/src/wagtailloft/groups/fencing.py
@@ -13,13 +13,16 @@
 from wagtailloft.fleet.mesh import Mesh, PeerConnection
 from wagtailloft.fleet.messages import FenceRequest, FenceResponse, Message
 from wagtailloft.fleet.records import PrimaryAssignment, Topic
-from wagtailloft.fleet.store_cache import OUTAGE_ASSIGNMENT_MAX_AGE_S, StoreCache
+from wagtailloft.fleet.store_cache import (
+    EXPIRY_MARGIN_S,
+    OUTAGE_ASSIGNMENT_MAX_AGE_S,
+    StoreCache,
+)
 from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.models import Host, Position
 
 PLANNED_FENCE_TIMEOUT_S = 1.3  # covers the 1 s that hosts give running statements to finish
 PEER_CALL_TIMEOUT_S = 0.4  # covers a connect and a round trip across zones
-EXPIRY_MARGIN_S = 0.3  # covers late timers and bytes in transit
 RETRY_INTERVAL_S = 0.04  # between two attempts; a host that does not answer may return at any time
 
 
--- a/src/wagtailloft/groups/promotion_lease.py
+++ b/src/wagtailloft/groups/promotion_lease.py
@@ -17,7 +17,7 @@
 from wagtailloft.digits import is_decimal
 from wagtailloft.fleet.records import Entry, PromotionLeaseRecord, Topic
 from wagtailloft.fleet.store_cache import StoreCache
-from wagtailloft.fleet.store_era import EARLIER_ERAS_END_S
+from wagtailloft.fleet.store_era import LEASE_EXPIRY_S
 from wagtailloft.models import Host
 from wagtailloft.revisions import era_of
 
@@ -25,7 +25,7 @@
 LEASE_S = 1.5  # covers the conditional write and the promotion order, even at a slow store
 # For this long, requests of an ended process may still arrive, also when retransmitted.
 ENDED_HOLDER_WAIT_S = 0.6
-TAKEOVER_WAIT_S = 2.2  # LEASE_S, plus the transit time of an order that was sent within it
+TAKEOVER_WAIT_S = LEASE_EXPIRY_S
 MIN_WAIT_S = 0.01  # between two looks at a condition that is nearly met
 
 
@@ -82,8 +82,9 @@
         """Wait until no process can act on a lease of an earlier era of the store."""
         era = self._cache.era
         while not era.earlier_beliefs_expired():
-            logs.event("promotion_lease_wait", store_era=era.era, seconds=EARLIER_ERAS_END_S)
-            await asyncio.sleep(max(EARLIER_ERAS_END_S - era.age(), MIN_WAIT_S))
+            remaining = era.beliefs_end - era.age()
+            logs.event("promotion_lease_wait", store_era=era.era, seconds=round(remaining, 3))
+            await asyncio.sleep(max(remaining, MIN_WAIT_S))
 
     async def _wait_for_other_holder(self) -> Entry | None:
         """Return the lease's entry once no other process can act on it.
