Ignore older configurations when looking for the operator's rewrite after a restore

A host took any change of the configuration in a new era as a sign that the operator had written its latest one. A host that knows a later version can tell that it is not the latest, and must go on waiting, since a still later one may be missing too.

The test failed before: version 13 counted, with 16 known. After: only 16 or later does.

--- a/features/eras.feature
+++ b/features/eras.feature
@@ -7,3 +7,8 @@
   Scenario: Beliefs of earlier eras last as long as the deployment lets assignments be used
     Given deployments that allow assignments to be used for 1, 2.4 and 6 s
     Then an era's assignments count as complete, and the lease may be taken, only after that time
+
+  Scenario: An older configuration written in a new era does not count as the operator's latest
+    Given a host that knows version 16 when the store comes back from a copy with version 10
+    When the operator writes version 13
+    Then the settings are not known in full before version 16 is written
--- a/src/wagtailloft/fleet/records_in_force.py
+++ b/src/wagtailloft/fleet/records_in_force.py
@@ -119,9 +119,10 @@
         """
         before, after = self._configuration_revision, entry.revision
         self._configuration_revision = after
-        if not before or before == after or era_of(after) != self._era.era:
+        known = self.configuration.version if self.configuration else value.version
+        if not before or era_of(after) != self._era.era or value.version < known:
             return
-        is_known = self.configuration is not None and value.version == self.configuration.version
+        is_known = value.version == known
         if era_of(before) == era_of(after) or (is_known and number_of(before) != number_of(after)):
             self._era.observe_settings_rewritten()
 
