Show the eras of the store in the timeline

wagtailloft timeline left out when a host met a new era, when it was settled, and what was written again, so that the cause of a refusal after a restore was not on it. The test failed before.

--- a/features/eras.feature
+++ b/features/eras.feature
@@ -12,3 +12,7 @@
     Given a host that knows version 16 when the store comes back from a copy with version 10
     When the operator writes version 13
     Then the settings are not known in full before version 16 is written
+
+  Scenario: The timeline shows the eras of the store
+    Given logs of a host that met a new era of the store
+    Then the timeline names the new era, when it was settled, and what was written again
--- a/src/wagtailloft/operations/logbook.py
+++ b/src/wagtailloft/operations/logbook.py
@@ -8,6 +8,7 @@
 FIELD_PATTERN = re.compile(r'([A-Za-z_]\w*)=("(?:[^"\\]|\\.)*"|\S*)')
 STATE_EVENTS = frozenset(
     {
+        "assignment_rewritten",
         "configuration",
         "demoted",
         "promotion_lease_taken",
@@ -25,6 +26,8 @@
         "started",
         "stopped",
         "stopping",
+        "store_era_changed",
+        "store_era_settled",
         "store_recovered",
         "store_lost",
         "target_removed",
