Give the own interface's revisions their era, and write again what a restored store lost

Callers saw keys unknown that had been acknowledged, for as long as the store's revision stayed below the cached one. The copy could also bring back what was withdrawn: at a daemon that started meanwhile, and at all others with the next whole list.

Change: the client of the object API includes the era in every revision and version. The first write of an era is a start mark, so each host can tell what comes from the copy from what was written since. What the copy lacks stays in force (ObjectCache), is written again by one host each (ObjectRepair), and a settled mark ends the repair after 2 s. Until then no host counts its settings as confirmed, a host without a memory of earlier eras serves nobody, removals wait, and no rate lease is acquired; a holder writes its unexpired lease again. Epochs of an era are above those of all earlier ones.

New scenarios: a daemon that starts while the copy has a withdrawn key, and lost settings stay in force and are back on the platform within 3 s. "A key withdrawn ... stays withdrawn" had the operator withdraw it once more after 1 s; the hosts now do that themselves, so the step asks for it within 3 s, and still that no daemon ever serves the key.

--- a/features/restored.feature
+++ b/features/restored.feature
@@ -23,4 +23,16 @@
     Given a fleet of 3 daemons behind the fault proxy
     When a second key is used on every daemon and in an open transaction
     And the second key is withdrawn, and the platform comes back from a copy that has it
-    Then no daemon serves the second key before and after it is withdrawn again
+    Then no daemon serves the second key, and the platform loses it again within 3 s
+
+  Scenario: A daemon that starts while an older copy is current does not accept a key withdrawn since
+    Given a fleet of 3 daemons behind the fault proxy
+    When a second key is used on every daemon and in an open transaction
+    And the second key is withdrawn, the platform comes back from a copy that has it, and daemon 3 is restarted
+    Then no daemon serves the second key, and the platform loses it again within 3 s
+    And daemon 3 serves the first key
+
+  Scenario: Settings that an older copy lacks stay in force and are written again
+    Given a fleet of 3 daemons behind the fault proxy
+    When the platform comes back from a copy that lacks a key and has an older deadline
+    Then the key and the newer deadline stay in force, and the platform has both again within 3 s
--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -7,7 +7,7 @@
 from result import Ok
 
 from wagtailloft.catalog import Catalog
-from wagtailloft.controllers.object_cache import ObjectCache
+from wagtailloft.controllers.object_cache import Delta, ObjectCache
 from wagtailloft.decisions import Decisions
 from wagtailloft.leases import LEASE_DURATION_S, Leases
 from wagtailloft.models import Change, Host, Lease
@@ -70,11 +70,13 @@
 @given("a host that acquired and released a lease that another host then acquired and lost")
 def step_lease_taken_over(context):
     context.object_api, context.gossip = FakeObjectApi(), FakeGossip()
+    objects = ObjectCache()
+    objects.apply(Delta(revision=1, changes=()))
     context.leases = Leases(
         holder="me/1",
         object_api=context.object_api,
         gossip=context.gossip,
-        catalog=Catalog(objects=ObjectCache(), region="r", zone="z"),
+        catalog=Catalog(objects=objects, region="r", zone="z"),
         decisions=Decisions(host="me"),
     )
     context.leases.tick()
--- a/features/steps/restored.py
+++ b/features/steps/restored.py
@@ -9,6 +9,7 @@
 from features.test_fleet import TEAM
 from standins.fleet import wait_until
 from standins.site import KEY, SECOND_KEY
+from wagtailloft.catalog import key_digest
 
 OUTAGE_S = 1.0
 OBSERVE_S = 4.0
@@ -154,6 +155,22 @@
 
 @when("the second key is withdrawn, and the platform comes back from a copy that has it")
 def step_restore_platform_with_key(context):
+    withdraw_and_restore(context)
+
+
+@when(
+    "the second key is withdrawn, the platform comes back from a copy that has it, "
+    "and daemon {number:d} is restarted"
+)
+def step_restore_and_restart(context, number):
+    withdraw_and_restore(context)
+    daemon = context.test_fleet.fleet.hosts[f"host-{number}"]
+    daemon.process.kill()
+    daemon.process.start()
+
+
+def withdraw_and_restore(context):
+    """Withdraw the second key, and restore the platform from a copy that has it."""
     fleet = context.test_fleet.fleet
     fleet.save_platform()
     context.test_fleet.withdraw_key(context.second_key)
@@ -162,11 +179,48 @@
     fleet.restore_platform()
 
 
-@then("no daemon serves the second key before and after it is withdrawn again")
+@then("no daemon serves the second key, and the platform loses it again within 3 s")
 def step_stays_withdrawn(context):
-    started, withdrawn = time.monotonic(), False
+    started, digest = time.monotonic(), key_digest(context.second_key)
+    while time.monotonic() - started < OBSERVE_S:
+        for number in live_daemon_numbers(context):
+            kind = refusal_kind(context, number, context.second_key)
+            assert kind is not None, (number, time.monotonic() - started)
+        if time.monotonic() - started > CONFIG_APPLY_S:
+            assert context.test_fleet.fleet.api("host-1").find("key", digest) is None
+
+
+@then("daemon {number:d} serves the first key")
+def step_daemon_serves(context, number):
+    wait_until(
+        lambda: refusal_kind(context, number, context.test_fleet.key) is None,
+        OBSERVE_S,
+        f"daemon {number} serves nobody",
+    )
+
+
+@when("the platform comes back from a copy that lacks a key and has an older deadline")
+def step_restore_platform_without_key(context):
+    fleet = context.test_fleet.fleet
+    context.test_fleet.set_level("defaults", deadline="7s")
+    fleet.save_platform()
+    context.test_fleet.set_level("defaults", deadline="9s")
+    context.second_key = context.test_fleet.add_key(TEAM)
+    step_second_key_served(context)
+    fleet.restore_platform()
+
+
+@then("the key and the newer deadline stay in force, and the platform has both again within 3 s")
+def step_stay_in_force(context):
+    started, api = time.monotonic(), context.test_fleet.fleet.api()
     while time.monotonic() - started < OBSERVE_S:
-        step_second_key_refused(context)
-        if not withdrawn and time.monotonic() - started > 1.0:
-            context.test_fleet.withdraw_key(context.second_key)
-            withdrawn = True
+        for number in live_daemon_numbers(context):
+            kind = refusal_kind(context, number, context.second_key)
+            assert kind is None, (number, kind, time.monotonic() - started)
+            options = context.test_fleet.fleet.api(f"host-{number}").call("GET", "settings")
+            values = {o["option"]: o["value"] for o in options}
+            assert values["deadline"] == "9s", (number, values)
+        if time.monotonic() - started > CONFIG_APPLY_S:
+            assert api.find("key", key_digest(context.second_key)) is not None
+            level = api.find("level", "defaults")
+            assert level["value"]["options"]["deadline"] == "9s", level
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -1,4 +1,8 @@
-"""HTTP client of the object API."""
+"""HTTP client of the object API.
+
+The API numbers the changes of its store. Revisions and versions here include the store's era, and
+each era begins with a start mark; see wagtailloft.eras.
+"""
 
 from typing import Any, Protocol
 
@@ -6,14 +10,19 @@
 import urllib3
 from result import Err, Ok, Result
 
+from wagtailloft import logs
 from wagtailloft.adapters.sockets import TCP_OPTIONS
 from wagtailloft.controllers.object_cache import Delta
+from wagtailloft.digits import is_decimal
+from wagtailloft.eras import ERA_KIND
 from wagtailloft.errors import Kind, Refusal
-from wagtailloft.models import REMOVED, Change, Host
+from wagtailloft.models import REMOVED, Change, EraMark, Host
+from wagtailloft.revisions import NO_ERA, era_of, make_revision, number_of
 
 OBJECT_CALL_TIMEOUT_S = 2.0
 WATCH_GRACE_S = 1.5  # added to the wait of a watch, so that the response can arrive
-WATCHED_KINDS = "team,key,group,route,level,leadership,host,epoch"
+WATCHED_KINDS = f"team,key,group,route,level,leadership,host,epoch,{ERA_KIND}"
+ERA_HEADER = "Store-Era"  # rises by one each time the store comes back from an older copy
 
 
 class WriteConflict(msgspec.Struct, frozen=True, kw_only=True):
@@ -38,7 +47,10 @@
     def put(
         self, kind: str, name: str, value: Any, version: int, timeout: float = OBJECT_CALL_TIMEOUT_S
     ) -> Result[Change, WriteConflict | Refusal]:
-        """Write an object if it is still at a version; 0 creates it, a None value removes it."""
+        """Write an object if it is still at a version; a None value removes it.
+
+        Version 0 creates it in the present era, number 0 of an era in that era only.
+        """
 
     def watch(self, after: int, wait: float) -> Result[Delta, Refusal]:
         """Return the changes after a revision, waiting up to some seconds for the first."""
@@ -52,6 +64,8 @@
 
     def __init__(self, *, address: str, source: str) -> None:
         self._base = f"http://{address}"
+        self._era = NO_ERA  # of the latest response
+        self._started_era = NO_ERA  # known to have its start mark
         self._http = urllib3.PoolManager(
             maxsize=8,
             retries=False,
@@ -68,32 +82,47 @@
             return response
         if response.ok_value.status == 404:
             return Ok(None)
-        return _decode(response.ok_value.data, Change)
+        return _decode_change(response.ok_value)
 
     def put(
         self, kind: str, name: str, value: Any, version: int, timeout: float = OBJECT_CALL_TIMEOUT_S
     ) -> Result[Change, WriteConflict | Refusal]:
-        """Write an object if it is still at a version; 0 creates it, a None value removes it.
+        """Write an object if it is still at a version; a None value removes it.
 
-        If the write's response is lost or is a server error, the object is read back to learn the
-        outcome.
+        Version 0 creates it in the present era, number 0 of an era in that era only. If the write's
+        response is lost or is a server error, the object is read back to learn the outcome.
         """
-        body = msgspec.json.encode({"value": value})
-        path = f"/objects/{kind}/{name}?version={version}"
-        response = self._call("PUT", path, body, timeout)
+        started = self._ensure_era_started(timeout)
+        if isinstance(started, Err):
+            return started
+        era = self._era
+        if version > 0 and era_of(version) != era:
+            return self._conflict(kind, name, timeout)
+        response = self._put_once(kind, name, value, version, timeout)
         if isinstance(response, Err):
             return self._resolve_unknown_write(kind, name, value, version, timeout)
         if response.ok_value.status == 409:
-            return _decode_conflict(response.ok_value.data)
-        return _decode(response.ok_value.data, Change)
+            return _decode_conflict(response.ok_value)
+        written = _decode_change(response.ok_value)
+        if isinstance(written, Err) or era_of(written.ok_value.revision) == era:
+            return written
+        logs.warn("write_in_new_era", kind=kind, store_era=self._era, before=era)
+        if version:
+            return _unavailable("the store came back from an older copy before the write")
+        # Other hosts take what precedes the start mark for a part of the copy.
+        return self.put(kind, name, value, written.ok_value.revision, timeout)
 
     def watch(self, after: int, wait: float) -> Result[Delta, Refusal]:
-        """Return the changes after a revision, waiting up to some seconds for the first."""
-        path = f"/changes?kinds={WATCHED_KINDS}&after={after}&wait={wait:g}"
-        response = self._call("GET", path, timeout=wait + WATCH_GRACE_S)
-        if isinstance(response, Err):
+        """Return the changes after a revision, waiting up to some seconds for the first.
+
+        Return all objects if the store is in another era than the revision.
+        """
+        response = self._changes(number_of(after), wait)
+        if isinstance(response, Err) or not after:
             return response
-        return _decode(response.ok_value.data, Delta)
+        if era_of(response.ok_value.revision) == era_of(after) or response.ok_value.whole:
+            return response
+        return self._changes(0, 0.0).map(_as_whole)
 
     def hosts(self) -> Result[tuple[Host, ...], Refusal]:
         """Return the list of hosts, which may lag behind the actual ones."""
@@ -102,6 +131,50 @@
             return response
         return _decode(response.ok_value.data, _Hosts).map(lambda h: h.hosts)
 
+    def _ensure_era_started(self, timeout: float) -> Result[None, Refusal]:
+        """Make the start mark the first write of the present era."""
+        if self._era == NO_ERA:
+            found = self.get(ERA_KIND, str(NO_ERA), timeout)
+            if isinstance(found, Err):
+                return found
+        era = self._era
+        if era in (NO_ERA, self._started_era):
+            return Ok(None)
+        response = self._put_once(ERA_KIND, str(era), EraMark(era=era), 0, timeout)
+        if isinstance(response, Err):
+            return response
+        if _era(response.ok_value) != era or response.ok_value.status not in (200, 409):
+            return _unavailable(f"era {era} of the store has no start mark")
+        self._started_era = era
+        return Ok(None)
+
+    def _changes(self, after: int, wait: float) -> Result[Delta, Refusal]:
+        path = f"/changes?kinds={WATCHED_KINDS}&after={after}&wait={wait:g}"
+        response = self._call("GET", path, timeout=wait + WATCH_GRACE_S)
+        if isinstance(response, Err):
+            return response
+        era = _era(response.ok_value)
+        return _decode(response.ok_value.data, Delta).map(lambda delta: _with_era(delta, era))
+
+    def _put_once(
+        self, kind: str, name: str, value: Any, version: int, timeout: float
+    ) -> Result[urllib3.BaseHTTPResponse, Refusal]:
+        body = msgspec.json.encode({"value": value})
+        path = f"/objects/{kind}/{name}?version={number_of(version)}"
+        return self._call("PUT", path, body, timeout)
+
+    def _conflict(
+        self, kind: str, name: str, timeout: float
+    ) -> Result[Change, WriteConflict | Refusal]:
+        """Return the conflict of a write that requires a version of another era."""
+        found = self.get(kind, name, timeout)
+        if isinstance(found, Err):
+            return found
+        change = found.ok_value
+        if change is None:
+            return Err(WriteConflict(revision=make_revision(self._era, 0)))
+        return Err(WriteConflict(revision=change.revision, value=change.value))
+
     def _resolve_unknown_write(
         self, kind: str, name: str, value: Any, version: int, timeout: float
     ) -> Result[Change, WriteConflict | Refusal]:
@@ -110,7 +183,7 @@
             return found
         change = found.ok_value
         if change is None:
-            if value is None and version:
+            if value is None and number_of(version):
                 return Ok(Change(kind=kind, name=name, revision=version))
             return _unavailable("the write failed and was not applied")
         if change.revision == version:
@@ -133,16 +206,50 @@
             return _unavailable(type(exc).__name__)
         if response.status >= 500:
             return _unavailable(f"status {response.status}")
+        self._era = max(self._era, _era(response))
         return Ok(response)
 
 
+def _era(response: urllib3.BaseHTTPResponse) -> int:
+    text = response.headers.get(ERA_HEADER, "")
+    return int(text) if is_decimal(text) else NO_ERA
+
+
+def _with_era(delta: Delta, era: int) -> Delta:
+    changes = tuple(
+        msgspec.structs.replace(c, revision=make_revision(era, c.revision)) for c in delta.changes
+    )
+    return msgspec.structs.replace(
+        delta, revision=make_revision(era, delta.revision), changes=changes
+    )
+
+
+def _as_whole(delta: Delta) -> Delta:
+    """Return the objects that all changes since number 0 lead to."""
+    latest = {(c.kind, c.name): c for c in delta.changes}
+    changes = tuple(c for c in latest.values() if not c.removed)
+    return Delta(revision=delta.revision, changes=changes, whole=True)
+
+
 def _equal_json(raw: msgspec.Raw, value: Any) -> bool:
     return msgspec.json.decode(raw) == msgspec.json.decode(msgspec.json.encode(value))
 
 
-def _decode_conflict(data: bytes) -> Err[WriteConflict | Refusal]:
-    decoded = _decode(data, WriteConflict)
-    return Err(decoded.ok_value if isinstance(decoded, Ok) else decoded.err_value)
+def _decode_change(response: urllib3.BaseHTTPResponse) -> Result[Change, Refusal]:
+    era = _era(response)
+    return _decode(response.data, Change).map(
+        lambda change: msgspec.structs.replace(change, revision=make_revision(era, change.revision))
+    )
+
+
+def _decode_conflict(response: urllib3.BaseHTTPResponse) -> Err[WriteConflict | Refusal]:
+    decoded = _decode(response.data, WriteConflict)
+    if isinstance(decoded, Err):
+        return decoded
+    conflict = decoded.ok_value
+    return Err(
+        msgspec.structs.replace(conflict, revision=make_revision(_era(response), conflict.revision))
+    )
 
 
 def _decode(data: bytes, type_: type) -> Result[Any, Refusal]:
--- a/src/wagtailloft/catalog.py
+++ b/src/wagtailloft/catalog.py
@@ -8,8 +8,10 @@
 
 from wagtailloft import options
 from wagtailloft.controllers.object_cache import ObjectCache
+from wagtailloft.eras import ERA_KIND
 from wagtailloft.errors import Kind, Refusal
 from wagtailloft.models import (
+    EraMark,
     Group,
     Host,
     Key,
@@ -31,6 +33,7 @@
     "leadership": PublishedPrimary,
     "host": Host,
     "epoch": LeaseEpoch,
+    ERA_KIND: EraMark,
 }
 KIND_BY_TYPE = {object_type: kind for kind, object_type in TYPE_BY_KIND.items()}
 ANONYMOUS_TEAM = Team(name="open")  # the team of requests without a key on an open route
--- a/src/wagtailloft/controllers/object_cache.py
+++ b/src/wagtailloft/controllers/object_cache.py
@@ -3,11 +3,17 @@
 import threading
 from collections import defaultdict, deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
+from wagtailloft.eras import ERA_KIND, EraMarks, is_first, is_settled, read_marks
 from wagtailloft.models import Change, Record
+from wagtailloft.revisions import NO_ERA, era_of, make_revision
 
 HISTORY_LENGTH = 20_000  # changes
+MAX_REMOVALS = 1000  # remembered; an older copy may have the latest of the removed objects
 SETTINGS_MAX_AGE_S = 2.5
 NEVER_CONFIRMED_AGE_S = 1e9  # the age when the platform has never confirmed a revision
 
@@ -26,46 +32,94 @@
     whole: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class Forgotten:
+    """A change that the store has lost; revision is what a conditional write must require."""
+
+    change: Change
+    revision: int
+
+
 class ObjectCache:
-    """Cache the platform's objects as of one revision, with a history of recent changes."""
+    """Cache the platform's objects as of one revision, with a history of recent changes.
 
-    def __init__(self) -> None:
+    When the store comes back from an older copy, the objects and removals that the copy lacks stay
+    in force here until they are written again, or until the era is settled without them.
+    """
+
+    def __init__(self, *, on_new_era: Callable[[int], None] = lambda era: None) -> None:
         self._lock = threading.RLock()
         self._items: dict[str, dict[str, Change]] = defaultdict(dict)
         self._history: deque[Change] = deque(maxlen=HISTORY_LENGTH)
         self._oldest_revision = 0  # the history holds every change after it
         self._listeners: dict[str, list[ChangeListener]] = defaultdict(list)
+        self._on_new_era = on_new_era
+        self._marks = EraMarks()
+        self._first_era = NO_ERA
+        # Kept by kind and name; their revisions are those of EraMarks.written_at().
+        self._kept: dict[tuple[str, str], Change] = {}
+        self._removals: dict[tuple[str, str], Change] = {}
         self.revision = 0
+        self.was_complete = False
 
     def get(self, kind: str, name: str) -> Change | None:
         """Return an object, or None if it doesn't exist."""
+        kept = self._kept.get((kind, name))
+        if kept is not None:
+            return None if kept.removed else kept
         return self._items[kind].get(name)
 
     def all(self, kind: str) -> tuple[Change, ...]:
         """Return all objects of a kind."""
         with self._lock:
-            return tuple(self._items[kind].values())
+            items = dict(self._items[kind])
+            for (kept_kind, name), change in self._kept.items():
+                if kept_kind == kind:
+                    items[name] = change
+            return tuple(c for c in items.values() if not c.removed)
 
     def watch(self, kind: str, listener: ChangeListener) -> None:
         """Call a function after each change to an object of a kind."""
         self._listeners[kind].append(listener)
 
+    def is_complete(self) -> bool:
+        """Tell whether the store, as cached, lacks nothing that was ever written to it."""
+        with self._lock:
+            return self.revision > 0 and is_settled(self._marks, self.revision, self._first_era)
+
+    def is_first_era(self) -> bool:
+        """Tell whether nothing shows that the store was ever restored."""
+        with self._lock:
+            return is_first(self._marks, self.revision, self._first_era)
+
+    def forgotten(self) -> tuple[Forgotten, ...]:
+        """Return the changes that are in force here and have to be written again."""
+        with self._lock:
+            none_yet = make_revision(era_of(self.revision), 0)
+            stored = {key: self._items[key[0]].get(key[1]) for key in self._kept}
+            return tuple(
+                Forgotten(change=c, revision=stored[k].revision if stored[k] else none_yet)
+                for k, c in self._kept.items()
+            )
+
     def apply(self, delta: Delta) -> bool:
         """Apply the changes up to a revision; return False if the revision is not newer."""
         with self._lock:
+            era, known_era = era_of(delta.revision), era_of(self.revision)
             if delta.revision <= self.revision:
                 return False
-            newer = [c for c in delta.changes if c.revision > self.revision]
-            removals = self._implied_removals(delta) if delta.whole else []
-            for change in removals + newer:
-                self._put(change)
-            if delta.whole:
-                self._oldest_revision = delta.revision
-                self._history.clear()
-            else:
-                self._add_to_history(newer)
-            self.revision = delta.revision
-        for change in removals + newer:
+            is_new_era = self.revision > 0 and era != known_era
+            if is_new_era and not delta.whole:
+                return False
+            if self.revision == 0:
+                self._first_era = era
+            changed = self._apply_whole(delta) if delta.whole else self._apply_changes(delta)
+            if self.is_complete():
+                self.was_complete = True
+                changed += self._drop_kept()
+        if is_new_era:
+            self._on_new_era(era)
+        for change in changed:
             for listener in self._listeners[change.kind]:
                 listener(change)
         return True
@@ -73,17 +127,100 @@
     def changes_since(self, revision: int) -> Delta:
         """Return the changes after a revision, or all objects if the history is too short."""
         with self._lock:
-            if revision >= self._oldest_revision:
+            same_era = era_of(revision) == era_of(self.revision)
+            if revision >= self._oldest_revision and same_era:
                 changes = tuple(c for c in self._history if c.revision > revision)
                 return Delta(revision=self.revision, changes=changes)
             items = tuple(c for kind in self._items.values() for c in kind.values())
             return Delta(revision=self.revision, changes=items, whole=True)
 
+    def _apply_changes(self, delta: Delta) -> list[Change]:
+        newer = [c for c in delta.changes if c.revision > self.revision]
+        for change in newer:
+            self._kept.pop((change.kind, change.name), None)
+            self._put(change)
+        self._add_to_history(newer)
+        self._set_revision(delta.revision)
+        return newer
+
+    def _apply_whole(self, delta: Delta) -> list[Change]:
+        before = self._in_force()
+        candidates = self._versions_in_force() if before else {}
+        is_new_era = era_of(delta.revision) != era_of(self.revision)
+        self._items.clear()
+        for change in delta.changes:
+            if not change.removed:
+                self._items[change.kind][change.name] = change
+        self._history.clear()
+        self._oldest_revision = delta.revision
+        self._set_revision(delta.revision)
+        for key, change in candidates.items():
+            if self._is_lost(change) and (is_new_era or key in self._kept):
+                self._kept[key] = change
+            else:
+                self._kept.pop(key, None)
+        return self._changes_from(before)
+
+    def _set_revision(self, revision: int) -> None:
+        self.revision = revision
+        self._marks = read_marks(self._items[ERA_KIND].values())
+
+    def _in_force(self) -> dict[tuple[str, str], Change]:
+        in_force = {(c.kind, c.name): c for kind in self._items.values() for c in kind.values()}
+        in_force |= self._kept
+        return {key: c for key, c in in_force.items() if not c.removed}
+
+    def _versions_in_force(self) -> dict[tuple[str, str], Change]:
+        """Return what this host knows of each object, with the revision of its write."""
+        versions = dict(self._removals)
+        for kind, items in self._items.items():
+            for name, change in items.items():
+                if kind != ERA_KIND:
+                    written_at = self._marks.written_at(change.revision)
+                    versions[(kind, name)] = msgspec.structs.replace(change, revision=written_at)
+        return versions | self._kept
+
+    def _is_lost(self, change: Change) -> bool:
+        """Tell whether the store's state precedes a version that was in force."""
+        stored = self._items[change.kind].get(change.name)
+        if stored is not None:
+            return self._marks.written_at(stored.revision) < change.revision
+        if change.removed:
+            return False
+        starts = [number for era, number in self._marks.starts if era == era_of(self.revision)]
+        copied_up_to = starts[0] - 1 if starts else self.revision
+        return not self._marks.includes(change.revision, copied_up_to)
+
+    def _drop_kept(self) -> list[Change]:
+        """Drop what the settled store lacks; return the changes to what is in force."""
+        if not self._kept:
+            return []
+        before = self._in_force()
+        self._kept.clear()
+        return self._changes_from(before)
+
+    def _changes_from(self, before: dict[tuple[str, str], Change]) -> list[Change]:
+        """Return what differs from an earlier state in force, and remember the removals."""
+        after = self._in_force()
+        changed = [c for k, c in after.items() if k not in before or before[k].value != c.value]
+        for kind, name in before.keys() - after.keys():
+            removal = Change(kind=kind, name=name, revision=self.revision)
+            self._remember_removal(removal)
+            changed.append(removal)
+        return changed
+
     def _put(self, change: Change) -> None:
         if change.removed:
             self._items[change.kind].pop(change.name, None)
+            self._remember_removal(change)
         else:
             self._items[change.kind][change.name] = change
+            self._removals.pop((change.kind, change.name), None)
+
+    def _remember_removal(self, removal: Change) -> None:
+        self._removals[(removal.kind, removal.name)] = removal
+        if len(self._removals) > MAX_REMOVALS:
+            del self._removals[next(iter(self._removals))]
 
     def _add_to_history(self, changes: list[Change]) -> None:
         for change in changes:
@@ -91,15 +228,6 @@
                 self._oldest_revision = self._history[0].revision
             self._history.append(change)
 
-    def _implied_removals(self, delta: Delta) -> list[Change]:
-        listed = {(c.kind, c.name) for c in delta.changes}
-        return [
-            Change(kind=kind, name=name, revision=delta.revision)
-            for kind, items in self._items.items()
-            for name in items
-            if (kind, name) not in listed
-        ]
-
 
 class SettingsState(Enum):
     """Name how far this host can trust its cached settings.
@@ -151,11 +279,14 @@
         """Record that the platform confirmed this host's revision in answer to a call sent then."""
         self._confirmed_at = max(self._confirmed_at, requested_at)
 
-    def record_peer_report(self, name: str, report: PeerReport, revision: int) -> None:
-        """Record a peer's answer; `revision` is this host's own.
+    def record_peer_report(
+        self, name: str, report: PeerReport, revision: int, complete: bool = True
+    ) -> None:
+        """Record a peer's answer; `revision` and `complete` are of this host's own cache.
 
         The peer counts as a recent peer, and its confirmation by the platform as this host's, only
-        if this host has reached the peer's revision and the platform ever confirmed the peer.
+        if this host has reached the peer's revision and the platform ever confirmed the peer. While
+        this host's cache is not complete, it may lack what confirmed the peer.
         """
         self.record_revision(name, report.revision)
         self._update_fresh_period(name, report)
@@ -164,7 +295,8 @@
         known = self._reports.get(name)
         if known is None or known.requested_at <= report.requested_at:
             self._reports[name] = report
-        self._confirmed_at = max(self._confirmed_at, report.requested_at - report.platform_age)
+        if complete:
+            self._confirmed_at = max(self._confirmed_at, report.requested_at - report.platform_age)
 
     def record_revision(self, name: str, revision: int) -> None:
         """Record the revision that a peer has."""
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -32,6 +32,7 @@
 from wagtailloft.member_endpoint import http_link
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Change, Host, HostState
+from wagtailloft.object_repair import REPAIR_INTERVAL_S, ObjectRepair
 from wagtailloft.operators import OperatorService
 from wagtailloft.platform_watcher import PlatformWatcher
 from wagtailloft.rate_limiter import USAGE_REPORT_INTERVAL_S, RateLimiter, TokenGranter
@@ -73,7 +74,7 @@
         self.metrics = Metrics()
         self.decisions = Decisions(host=own.name)
         self.object_api = HttpObjectApi(address=cfg.platform.address, source=own.ip)
-        self.objects = ObjectCache()
+        self.objects = ObjectCache(on_new_era=self._era_changed)
         self.freshness = FreshnessTracker()
         self.peers = ThriftPeers(source=own.ip)
         self.catalog = Catalog(objects=self.objects, region=own.region, zone=own.zone)
@@ -91,6 +92,12 @@
             freshness=self.freshness,
             gossip=self.gossip,
         )
+        self.object_repair = ObjectRepair(
+            objects=self.objects,
+            object_api=self.object_api,
+            gossip=self.gossip,
+            platform_watcher=self.platform_watcher,
+        )
         self.group_services = GroupServices(
             context=GroupServiceContext(
                 host=own.name,
@@ -178,6 +185,7 @@
         self.timers.every("leases", OWNERSHIP_INTERVAL_S, self.leases.tick)
         self.timers.every("limits", USAGE_REPORT_INTERVAL_S, self.rate_limiter.report_usage)
         self.timers.every("join", REGISTRATION_INTERVAL_S, self._register_host)
+        self.timers.every("repair", REPAIR_INTERVAL_S, self.object_repair.tick)
         self.timers.every("reaper", REGISTRATION_INTERVAL_S, self._remove_dead_hosts)
         self.timers.start()
         self.executor.submit(self._register_host)
@@ -283,6 +291,10 @@
         if found.is_ok() and found.ok_value is not None:
             self.object_api.put("host", self.cfg.host.name, None, found.ok_value.revision)
 
+    def _era_changed(self, era: int) -> None:
+        self.metrics.store_eras.inc()
+        logs.warn("store_era_changed", store_era=era)
+
     def _key_changed(self, change: Change) -> None:
         if change.removed:
             self.executor.submit(self.group_services.withdraw_key, change.name)
--- /dev/null
+++ b/src/wagtailloft/eras.py
@@ -0,0 +1,65 @@
+"""The marks that the fleet leaves in each era of the platform's store.
+
+The first write of an era is its start mark. Objects with a lower number come from the copy, those
+with a higher one were written in the era, so a host can tell which of two versions is later. The
+settled mark is written once everything that the copy lacks has been written again.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from wagtailloft.models import Change, EraMark
+from wagtailloft.revisions import NO_ERA, era_of, make_revision, number_of
+
+ERA_KIND = "era"
+SETTLED = "settled"  # name of the settled mark; a start mark's name is the era
+
+
+@dataclass(frozen=True, kw_only=True)
+class EraMarks:
+    """The marks that a state of the store holds; starts has pairs of era and number."""
+
+    starts: tuple[tuple[int, int], ...] = ()
+    settled: int = NO_ERA
+
+    def written_at(self, revision: int) -> int:
+        """Return the revision of an object's version in the era in which it was written."""
+        number = number_of(revision)
+        eras = [era for era, start in self.starts if start <= number]
+        return make_revision(max(eras, default=NO_ERA), number)
+
+    def includes(self, written_at: int, state: int) -> bool:
+        """Tell whether a state of the store follows the write of a version.
+
+        written_at is what written_at() returned for the version, state a revision.
+        """
+        if number_of(written_at) > number_of(state):
+            return False
+        return self.written_at(written_at) == written_at
+
+
+def read_marks(changes: Iterable[Change]) -> EraMarks:
+    """Return the marks among objects of the kind ERA_KIND."""
+    starts, settled = [], NO_ERA
+    for change in changes:
+        era = change.decode(EraMark).era
+        if change.name == SETTLED:
+            settled = era
+        else:
+            starts.append((era, number_of(change.revision)))
+    return EraMarks(starts=tuple(sorted(starts)), settled=settled)
+
+
+def is_first(marks: EraMarks, revision: int, first_known: int) -> bool:
+    """Tell whether nothing shows that there was an era before that of a revision.
+
+    first_known is the first era that the asking host has known.
+    """
+    return first_known == era_of(revision) and all(e == first_known for e, _ in marks.starts)
+
+
+def is_settled(marks: EraMarks, revision: int, first_known: int) -> bool:
+    """Tell whether the state at a revision lacks nothing that was ever written."""
+    if era_of(revision) in (NO_ERA, marks.settled):
+        return True
+    return is_first(marks, revision, first_known)
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -90,7 +90,12 @@
         return frozenset(names | {self.own().name})
 
     def settings_state(self) -> SettingsState:
-        """Return whether this host's settings are fresh, usable in an outage, or stale."""
+        """Return whether this host's settings are fresh, usable in an outage, or stale.
+
+        A host that started after the store came back from an older copy has no others to use.
+        """
+        if not self._objects.was_complete:
+            return SettingsState.STALE
         return self._freshness.state(self.registered_hosts(), time.monotonic())
 
     def hears_majority(self) -> bool:
@@ -210,7 +215,9 @@
             platform_age=digest.platform_age,
             fresh=digest.fresh,
         )
-        self._freshness.record_peer_report(host.name, report, self._objects.revision)
+        self._freshness.record_peer_report(
+            host.name, report, self._objects.revision, self._objects.is_complete()
+        )
         return True
 
     def probe_host(self, name: str) -> bool:
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -5,6 +5,7 @@
 import time
 from dataclasses import dataclass
 
+import msgspec
 from result import Err
 
 from wagtailloft import logs
@@ -15,7 +16,8 @@
 from wagtailloft.controllers.token_bucket import TOKEN_LIFETIME_S
 from wagtailloft.decisions import Decisions
 from wagtailloft.gossip import Gossip
-from wagtailloft.models import Lease, LeaseEpoch, Record
+from wagtailloft.models import REMOVED, Lease, LeaseEpoch, Record, decode
+from wagtailloft.revisions import era_of, make_revision
 
 LEASE_DURATION_S = 3.0
 RENEW_INTERVAL_S = 1.0
@@ -137,38 +139,40 @@
         return epoch is not None and epoch.epoch == shard_lease.lease.epoch
 
     def _try_acquire(self, shard_lease: _ShardLease, now: float) -> None:
+        if not self._catalog.objects.is_complete():
+            # A holder that a restored store has forgotten may still act.
+            return
         found = self._object_api.get("lease", shard_lease.name, LEASE_CALL_TIMEOUT_S)
         if isinstance(found, Err):
             return
-        change = found.ok_value
-        if change is None:
-            self._acquire(shard_lease, 0, Lease(name=shard_lease.name))
-            return
-        lease = change.decode(Lease)
-        if change.revision != shard_lease.version:
-            shard_lease.version, shard_lease.lease, shard_lease.last_change_at = (
-                change.revision,
-                lease,
-                now,
-            )
-        if not lease.holder:
-            self._acquire(shard_lease, change.revision, lease)
+        change, lease = found.ok_value, Lease(name=shard_lease.name)
+        version = make_revision(era_of(self._catalog.objects.revision), 0)
+        if change is not None:
+            version, lease = change.revision, change.decode(Lease)
+        if version != shard_lease.version:
+            shard_lease.version, shard_lease.lease, shard_lease.last_change_at = version, lease, now
+        is_free = not lease.holder and lease.era == era_of(version)
+        if is_free or (change is None and self._catalog.objects.is_first_era()):
+            self._acquire(shard_lease, version, lease)
         elif now - shard_lease.last_change_at >= LEASE_DURATION_S and self._gossip.hears_majority():
-            self._acquire(shard_lease, change.revision, lease)
+            self._acquire(shard_lease, version, lease)
         elif now - shard_lease.last_change_at >= RENEW_INTERVAL_S / 2:
             self._gossip.exchange_with_all()
 
     def _acquire(self, shard_lease: _ShardLease, version: int, old: Lease) -> None:
-        lease = Lease(name=shard_lease.name, holder=self._holder, epoch=old.epoch + 1)
+        era = era_of(version)
+        # Epochs of an era are above those of earlier ones, which the store may have forgotten.
+        epoch = max(old.epoch, make_revision(era, 0)) + 1
+        lease = Lease(name=shard_lease.name, holder=self._holder, epoch=epoch, era=era)
         # Reset before the write, which makes grant_right() return these values.
         shard_lease.granting_from = math.inf
         shard_lease.epoch_known_at = math.inf
-        shard_lease.released_by_predecessor = not old.holder
+        shard_lease.released_by_predecessor = not old.holder and old.era == era
         if not self._write(shard_lease, lease, version):
             return
         if not self._publish_epoch(shard_lease, lease):
             return
-        if not old.epoch:
+        if not old.epoch and self._catalog.objects.is_first_era():
             shard_lease.granting_from = 0.0
         why = f"epoch {lease.epoch}, previous holder: {old.holder or 'none'}"
         logs.event("lease_taken", shard=shard_lease.name, why=why)
@@ -207,17 +211,12 @@
 
     def _renew(self, shard_lease: _ShardLease) -> None:
         lease = shard_lease.lease
-        renewed = Lease(
-            name=lease.name,
-            holder=lease.holder,
-            epoch=lease.epoch,
-            renewals=lease.renewals + 1,
-        )
+        renewed = msgspec.structs.replace(lease, renewals=lease.renewals + 1)
         self._write(shard_lease, renewed, shard_lease.version)
 
     def _release(self, shard_lease: _ShardLease) -> None:
         shard_lease.held_until = 0.0
-        lease = Lease(name=shard_lease.name, epoch=shard_lease.lease.epoch)
+        lease = msgspec.structs.replace(shard_lease.lease, holder="", renewals=0)
         self._write(shard_lease, lease, shard_lease.version)
         shard_lease.held_until = 0.0
         shard_lease.lease = None
@@ -228,8 +227,13 @@
         requested_at = time.monotonic()
         put = self._object_api.put("lease", shard_lease.name, lease, version, LEASE_CALL_TIMEOUT_S)
         if isinstance(put, Err):
-            if isinstance(put.err_value, WriteConflict):
-                shard_lease.lease = None
+            conflict = put.err_value
+            if not isinstance(conflict, WriteConflict):
+                return False
+            if self._may_write_again(shard_lease, conflict):
+                lease = msgspec.structs.replace(lease, era=era_of(conflict.revision))
+                return self._write(shard_lease, lease, conflict.revision)
+            shard_lease.lease = None
             return False
         shard_lease.version = put.ok_value.revision
         shard_lease.lease = lease
@@ -237,6 +241,18 @@
         shard_lease.held_until = requested_at + LEASE_DURATION_S - EXPIRY_MARGIN_S
         return True
 
+    def _may_write_again(self, shard_lease: _ShardLease, conflict: WriteConflict) -> bool:
+        """Tell whether the store has only forgotten the lease that this host holds.
+
+        Before the lease expires, no other host can have acquired it in any era. One that has done
+        so afterwards wrote it in the present era.
+        """
+        era = era_of(conflict.revision)
+        if era <= era_of(shard_lease.version) or time.monotonic() >= shard_lease.held_until:
+            return False
+        is_stored = bytes(conflict.value) != bytes(REMOVED)
+        return not is_stored or decode(conflict.value, Lease).era < era
+
     def _publish_epoch(self, shard_lease: _ShardLease, lease: Lease) -> bool:
         epoch = LeaseEpoch(name=shard_lease.name, holder=lease.holder, epoch=lease.epoch)
         found = self._object_api.get("epoch", shard_lease.name, LEASE_CALL_TIMEOUT_S)
--- a/src/wagtailloft/models.py
+++ b/src/wagtailloft/models.py
@@ -149,13 +149,15 @@
 class Lease(Record):
     """The exclusive right of one host to grant rate tokens for a shard of teams.
 
-    Each renewal increments the renewals counter.
+    Each renewal increments the renewals counter. era is that of the platform's store in which the
+    lease was written.
     """
 
     name: str
     holder: str = ""
     epoch: int = 0
     renewals: int = 0
+    era: int = 0
 
 
 class LeaseEpoch(Record):
@@ -166,6 +168,12 @@
     epoch: int
 
 
+class EraMark(Record):
+    """A mark that the fleet writes into an era of the platform's store."""
+
+    era: int
+
+
 class SqlStatement(Record):
     """An SQL statement with its arguments."""
 
--- /dev/null
+++ b/src/wagtailloft/object_repair.py
@@ -0,0 +1,90 @@
+"""Write again what the platform's store lost when it came back from an older copy."""
+
+import time
+
+from result import Err
+
+from wagtailloft import logs
+from wagtailloft.adapters.object_api import ObjectApi
+from wagtailloft.controllers.object_cache import Forgotten, ObjectCache
+from wagtailloft.eras import ERA_KIND, SETTLED
+from wagtailloft.gossip import Gossip
+from wagtailloft.models import EraMark
+from wagtailloft.platform_watcher import PlatformWatcher
+from wagtailloft.revisions import era_of, make_revision
+from wagtailloft.timers import Clock
+
+REPAIR_INTERVAL_S = 0.25
+# Each object is written by one host; the others write it too if that host does not.
+OTHERS_REPAIR_AFTER_S = 1.0
+# Every host that reaches the store has written by then. It is less than SETTINGS_MAX_AGE_S, so that
+# a store that was away for a moment only causes no refusals.
+SETTLE_S = 2.0
+
+
+class ObjectRepair:
+    """Run on every host while the store's era is not settled."""
+
+    def __init__(
+        self,
+        *,
+        objects: ObjectCache,
+        object_api: ObjectApi,
+        gossip: Gossip,
+        platform_watcher: PlatformWatcher,
+        clock: Clock = time.monotonic,
+    ) -> None:
+        self._objects = objects
+        self._object_api = object_api
+        self._gossip = gossip
+        self._platform_watcher = platform_watcher
+        self._clock = clock
+        self._era_seen = (0, 0.0)  # the era and when this host met it
+
+    def tick(self) -> None:
+        """Write the forgotten objects that fall to this host, then settle the era."""
+        if self._objects.revision == 0 or self._objects.is_complete():
+            return
+        era = era_of(self._objects.revision)
+        if self._era_seen[0] != era:
+            self._era_seen = (era, self._clock())
+        age = self._clock() - self._era_seen[1]
+        forgotten = self._objects.forgotten()
+        own = [f for f in forgotten if age > OTHERS_REPAIR_AFTER_S or self._is_owner(_subject(f))]
+        for item in own:
+            self._write(item)
+        settle_at = SETTLE_S if self._is_owner(SETTLED) else SETTLE_S + OTHERS_REPAIR_AFTER_S
+        is_settled = not forgotten and age >= settle_at and self._settle(era)
+        if own or is_settled:
+            self._platform_watcher.refresh()
+
+    def _write(self, item: Forgotten) -> None:
+        change = item.change
+        value = None if change.removed else change.value
+        put = self._object_api.put(change.kind, change.name, value, item.revision)
+        logs.event(
+            "object_rewritten",
+            kind=change.kind,
+            name=change.name,
+            removed=change.removed,
+            done=not isinstance(put, Err),
+        )
+
+    def _settle(self, era: int) -> bool:
+        """Write the settled mark; return whether it was written."""
+        found = self._objects.get(ERA_KIND, SETTLED)
+        version = found.revision if found else make_revision(era, 0)
+        put = self._object_api.put(ERA_KIND, SETTLED, EraMark(era=era), version)
+        if isinstance(put, Err):
+            logs.event("settle_failed", store_era=era)
+            return False
+        logs.event("store_era_settled", store_era=era)
+        return True
+
+    def _is_owner(self, subject: str) -> bool:
+        first = self._gossip.owners(subject)[:1]
+        return [h.name for h in first] == [self._gossip.own().name]
+
+
+def _subject(item: Forgotten) -> str:
+    return f"repair:{item.change.kind}/{item.change.name}"
--- a/src/wagtailloft/operations/logbook.py
+++ b/src/wagtailloft/operations/logbook.py
@@ -11,6 +11,7 @@
         "assignment_rewritten",
         "configuration",
         "demoted",
+        "object_rewritten",
         "promotion_lease_taken",
         "host_recovered",
         "host_seen",
--- a/src/wagtailloft/operators.py
+++ b/src/wagtailloft/operators.py
@@ -30,6 +30,9 @@
 from wagtailloft.platform_watcher import PlatformWatcher
 
 EDITABLE = ("team", "key", "group", "route", "level")
+# A removal waits for a new era of the store to be settled, which takes up to 3 s.
+SETTLE_WAIT_S = 5.0
+SETTLE_CHECK_S = 0.05
 LEVEL_PREFIXES = ("region:", "zone:", "group:", "route:")
 
 
@@ -161,9 +164,15 @@
     def remove(
         self, kind: str, name: str, version: int
     ) -> Result[WriteResult, Refusal | WriteConflict]:
-        """Remove an object that nothing uses if its current version is `version`."""
+        """Remove an object that nothing uses if its current version is `version`.
+
+        While the store has forgotten objects, wait until they are written again: a host could not
+        tell an object that is removed now from one that is forgotten.
+        """
         if kind not in EDITABLE:
             return _refuse(Kind.NOT_FOUND, f"objects of kind '{kind}' can't be removed")
+        if not self._wait_until_settled():
+            return _refuse(Kind.PLATFORM_DOWN, "the store is being repaired after a restore")
         references = self._references_to(kind, name)
         if references:
             return _refuse(Kind.CONFLICT, f"{kind} '{name}' is used by {', '.join(references)}")
@@ -274,6 +283,14 @@
         self._platform_watcher.refresh()
         return Ok(WriteResult(revision=revision))
 
+    def _wait_until_settled(self) -> bool:
+        deadline = time.monotonic() + SETTLE_WAIT_S
+        while not self._catalog.objects.is_complete():
+            if time.monotonic() > deadline:
+                return False
+            time.sleep(SETTLE_CHECK_S)
+        return True
+
     def _decode_valid(self, kind: str, name: str, raw: bytes) -> Result[Record, Refusal]:
         if kind not in EDITABLE:
             return _refuse(Kind.NOT_FOUND, f"objects of kind '{kind}' can't be written")
--- a/src/wagtailloft/platform_watcher.py
+++ b/src/wagtailloft/platform_watcher.py
@@ -57,7 +57,7 @@
                 return False
             delta = response.ok_value
             changed = self._objects.apply(delta)
-            if self._objects.revision <= delta.revision:
+            if self._objects.revision <= delta.revision and self._objects.is_complete():
                 self._freshness.record_confirmation(requested_at)
         if changed:
             logs.event("settings_applied", revision=delta.revision, via="platform")
