Let a process that starts the fleet use what it reads at once

Callers of a new fleet were refused ("this host may not use the target as primary") for 2.7 s, and if the store went away meanwhile for as long as it was away: no process could tell the first era of the store from one after a restore. The settings file tells when the whole system starts for the first time; then nothing can be missing.

A process that starts later still waits, and a later era counts as new for all.

--- a/features/eras.feature
+++ b/features/eras.feature
@@ -13,6 +13,13 @@
     When the operator writes version 13
     Then the settings are not known in full before version 16 is written
 
+  Scenario: A process that starts the fleet has no earlier era to wait for
+    Given a process that starts the fleet, and one that does not
+    When both read the store in era 1
+    Then only the one that starts the fleet knows the settings and assignments in full
+    When the store comes back in era 2
+    Then neither counts what it reads as complete
+
   Scenario: The timeline shows the eras of the store
     Given logs of a host that met a new era of the store
     Then the timeline names the new era, when it was settled, and what was written again
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -28,12 +28,17 @@
 STEP_S = 0.05
 
 
-def make_cache(*, assignment_max_age=2.4, store=None):
+def make_cache(*, assignment_max_age=2.4, store=None, starts_fleet=False):
     """Return a store cache of a host alone in its fleet."""
     mesh = FakeMesh()
     hosts = Hosts(own=make_host(0, 1), mesh=mesh)
     return StoreCache(
-        store=store, hosts=hosts, mesh=mesh, max_age=3.3, assignment_max_age=assignment_max_age
+        store=store,
+        hosts=hosts,
+        mesh=mesh,
+        max_age=3.3,
+        assignment_max_age=assignment_max_age,
+        starts_fleet=starts_fleet,
     )
 
 
@@ -140,6 +145,44 @@
     assert context.cache.knows_settings()
 
 
+@given("a process that starts the fleet, and one that does not")
+def step_starting_processes(context):
+    context.caches = (make_cache(starts_fleet=True), make_cache())
+
+
+@when("both read the store in era 1")
+def step_read_first_era(context):
+    read_all(context.caches, 1)
+
+
+def read_all(caches, era):
+    """Let caches read all topics in an era."""
+    for cache in caches:
+        write_settings(cache, make_revision(era, 30), 10 * era)
+        apply_snapshot(cache, Topic.FLEET, make_revision(era, 30))
+
+
+@then("only the one that starts the fleet knows the settings and assignments in full")
+def step_first_is_complete(context):
+    starting, other = context.caches
+    assert starting.knows_settings() and starting.assignments_valid()
+    assert starting.era.earlier_beliefs_expired() and not starting.era.is_recorded
+    assert not other.knows_settings() and not other.assignments_valid()
+    assert not other.era.earlier_beliefs_expired()
+
+
+@when("the store comes back in era 2")
+def step_read_second_era(context):
+    context.known_at = [cache.settings_age() for cache in context.caches]
+    read_all(context.caches, 2)
+
+
+@then("neither counts what it reads as complete")
+def step_second_is_incomplete(context):
+    for cache, age in zip(context.caches, context.known_at, strict=True):
+        assert cache.settings_age() >= age and not cache.era.earlier_beliefs_expired()
+
+
 @given("logs of a host that met a new era of the store")
 def step_era_logs(context):
     lines = (
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -70,7 +70,7 @@
     def __init__(self):
         """Start without a lease."""
         self.entry = None
-        self.era = StoreEra(assignment_expiry=2.7, on_new_era=lambda: None)
+        self.era = StoreEra(assignment_expiry=2.7)
 
     def revision(self, topic):
         """Return the revision of the store."""
@@ -361,7 +361,7 @@
         on_change=lambda *_: None,
         accept_assignment=lambda assignment: True,
         is_fresh=lambda: True,
-        era=StoreEra(assignment_expiry=2.7, on_new_era=lambda: None),
+        era=StoreEra(assignment_expiry=2.7),
         age=lambda: 0.1,
         max_age=3.3,
         assignments=tuple,
--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -577,7 +577,7 @@
     def __init__(self, store):
         """Read from the given store."""
         self.store = store
-        self.era = StoreEra(assignment_expiry=2.7, on_new_era=lambda: None)
+        self.era = StoreEra(assignment_expiry=2.7)
 
     def revision(self, topic):
         """Return the revision of the store."""
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -68,6 +68,7 @@
         mesh: Mesh,
         max_age: float,
         assignment_max_age: float,
+        starts_fleet: bool = False,
         on_new_era: Callable[[], None] = lambda: None,
     ) -> None:
         self.max_age = max_age
@@ -76,7 +77,9 @@
         self._hosts = hosts
         self._topics = {topic: TopicCache(topic=topic) for topic in Topic}
         self.era = StoreEra(
-            assignment_expiry=assignment_max_age + EXPIRY_MARGIN_S, on_new_era=on_new_era
+            assignment_expiry=assignment_max_age + EXPIRY_MARGIN_S,
+            starts_fleet=starts_fleet,
+            on_new_era=on_new_era,
         )
         self._in_force = RecordsInForce(
             era=self.era,
--- a/src/wagtailloft/fleet/store_era.py
+++ b/src/wagtailloft/fleet/store_era.py
@@ -17,13 +17,21 @@
 class StoreEra:
     """Track the newest era of the store that this host has heard of, and since when.
 
-    A process that starts can't tell by itself whether an era is new. The store's record of the era
-    tells it: it is written once, after beliefs_end. That is when whatever a process believed from
-    an earlier era has expired, in seconds: assignments after assignment_expiry, and its lease.
+    Unless it starts the fleet, a process that starts can't tell by itself whether an era is new.
+    The store's record of the era tells it: it is written once, after beliefs_end. That is when
+    whatever a process believed from an earlier era has expired, in seconds: assignments after
+    assignment_expiry, and its lease.
     """
 
-    def __init__(self, *, assignment_expiry: float, on_new_era: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        *,
+        assignment_expiry: float,
+        starts_fleet: bool = False,
+        on_new_era: Callable[[], None] = lambda: None,
+    ) -> None:
         self.era = NO_ERA
+        self._is_first = starts_fleet
         self.beliefs_end = max(assignment_expiry, LEASE_EXPIRY_S)
         self._on_new_era = on_new_era
         self._first_seen_at = 0.0
@@ -36,6 +44,7 @@
             return
         logs.warn("store_era_changed", store_era=era, before=self.era)
         if self.era != NO_ERA:
+            self._is_first = False
             self._on_new_era()
         self.era = era
         self._first_seen_at = now()
@@ -58,8 +67,12 @@
         return self.era == NO_ERA or self._record_revision is not None
 
     def age(self) -> float:
-        """Return for how many seconds the era has lasted at least, infinite if it is recorded."""
-        return float("inf") if self.is_recorded else now() - self._first_seen_at
+        """Return for how many seconds the era has lasted at least.
+
+        It is infinite if the era is recorded, or if none was before it.
+        """
+        is_old = self.is_recorded or self._is_first
+        return float("inf") if is_old else now() - self._first_seen_at
 
     def records_are_back(self) -> bool:
         """Tell whether what the restore lost has been written again, by those still there."""
@@ -80,6 +93,6 @@
         return self._covers_record(revision) or at >= self._first_seen_at + self.beliefs_end
 
     def _covers_record(self, revision: int) -> bool:
-        if self.era == NO_ERA:
+        if self.era == NO_ERA or self._is_first:
             return True
         return self._record_revision is not None and revision >= self._record_revision
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -75,7 +75,10 @@
 
 
 class HostSettings(Record):
-    """Settings of one host process; both addresses are IP:PORT, seeds are IP addresses of hosts."""
+    """Settings of one host process; both addresses are IP:PORT, seeds are IP addresses of hosts.
+
+    starts_fleet tells that no process of the fleet has run before.
+    """
 
     own: Host
     store_address: str
@@ -83,6 +86,7 @@
     bounds: Bounds
     seeds: tuple[str, ...] = ()
     max_fds: int = 1024
+    starts_fleet: bool = False
 
 
 class CallerServer(Protocol):
@@ -131,6 +135,7 @@
             mesh=self.mesh,
             max_age=max_age,
             assignment_max_age=cfg.bounds.key_withdrawal * ASSIGNMENT_MAX_AGE_SHARE,
+            starts_fleet=cfg.starts_fleet,
             on_new_era=self.metrics.store_eras.inc,
         )
         self.directory = GroupDirectory(cache=self.cache)
--- a/standins/site.py
+++ b/standins/site.py
@@ -123,6 +123,7 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.ready_urls: dict[str, str] = {}
         self._host_count = hosts
+        self._is_running = False
         self._servers: list[Server | MemberServer] = []
         self._stack = ExitStack()
         self._ports = {
@@ -153,6 +154,7 @@
             wait_until(
                 lambda name=name: self.is_ready(name), START_TIMEOUT_S, f"{name} is not ready"
             )
+        self._is_running = True
         return self
 
     def __exit__(self, *args: object) -> None:
@@ -275,6 +277,7 @@
 region = "here"
 port_range = [{peers},{peers + 1}]
 seeds = ["{LOOPBACK_PREFIX}.10:1","{LOOPBACK_PREFIX}.11:1"]
+bootstrap = {"false" if self._is_running else "true"}
 [listen]
 frontend = "{ip}:{self._ports["frontend"]}"
 ready = "{ip}:{self._ports["ready"]}"
