Settle a new era of the own interface's store before caches count as stale

Beside load, a daemon refused a caller with settings_stale 2.04 s after a restore without an outage: its settings had last been confirmed 0.46 s before it, and are confirmed again only in a settled era. The repair of what the copy lacks takes half a second at its owner; the others now help after 0.5 s instead of 1 s, and the era is settled after 1.25 s instead of 2 s.

--- a/src/wagtailloft/object_repair.py
+++ b/src/wagtailloft/object_repair.py
@@ -16,10 +16,10 @@
 
 REPAIR_INTERVAL_S = 0.25
 # Each object is written by one host; the others write it too if that host does not.
-OTHERS_REPAIR_AFTER_S = 1.0
+OTHERS_REPAIR_AFTER_S = 0.5
 # Every host that reaches the store has written by then. It is less than SETTINGS_MAX_AGE_S, so that
 # a store that was away for a moment only causes no refusals.
-SETTLE_S = 2.0
+SETTLE_S = 1.25
 
 
 class ObjectRepair:
