Don't take an era for the first if the store has a record of an earlier one

A process takes the first era that it reads for complete if its settings say that it starts the fleet. With settings that still say so at a later start, it could have served by an older copy: a withdrawn key, or a primary that another has replaced.

Cause: nothing but the flag decided. Class: state from outside the store, believed across eras.

Change: the flag counts only once the fleet's records were read, and none of them records an earlier era. The scenario failed before (the starting process knew the settings in full).

--- a/features/eras.feature
+++ b/features/eras.feature
@@ -20,6 +20,11 @@
     When the store comes back in era 2
     Then neither counts what it reads as complete
 
+  Scenario: A process told to start the fleet waits if the store has a record of an earlier era
+    Given a process that starts the fleet, and one that does not
+    When both read era 2 of a store that has the record of era 1
+    Then neither knows the settings and assignments in full
+
   Scenario: The timeline shows the eras of the store
     Given logs of a host that met a new era of the store
     Then the timeline names the new era, when it was settled, and what was written again
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -14,10 +14,12 @@
     Changes,
     Configuration,
     Entry,
+    EraRecord,
     PrimaryAssignment,
     Topic,
 )
 from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.fleet.store_era import ERA_OBJECT
 from wagtailloft.groups import promotion_lease
 from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX, RecordRepair
 from wagtailloft.operations import logbook
@@ -183,6 +185,21 @@
         assert cache.settings_age() >= age and not cache.era.earlier_beliefs_expired()
 
 
+@when("both read era 2 of a store that has the record of era 1")
+def step_read_earlier_record(context):
+    record = Entry(name=ERA_OBJECT, revision=make_revision(2, 20), value=EraRecord(era=1))
+    for cache in context.caches:
+        write_settings(cache, make_revision(2, 30), 20)
+        apply_snapshot(cache, Topic.FLEET, make_revision(2, 30), record)
+
+
+@then("neither knows the settings and assignments in full")
+def step_neither_knows(context):
+    for cache in context.caches:
+        assert not cache.knows_settings() and not cache.assignments_valid()
+        assert not cache.era.earlier_beliefs_expired()
+
+
 @given("logs of a host that met a new era of the store")
 def step_era_logs(context):
     lines = (
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -303,6 +303,8 @@
                 self._in_force.accept_missing(changes.topic, entry)
             else:
                 self._entry_changed(changes.topic, entry)
+        if changes.topic is Topic.FLEET:
+            self.era.observe_fleet_read()
         self._update_known_complete()
         return True
 
--- a/src/wagtailloft/fleet/store_era.py
+++ b/src/wagtailloft/fleet/store_era.py
@@ -31,7 +31,8 @@
         on_new_era: Callable[[], None] = lambda: None,
     ) -> None:
         self.era = NO_ERA
-        self._is_first = starts_fleet
+        self._starts_fleet = starts_fleet
+        self._is_first = False
         self.beliefs_end = max(assignment_expiry, LEASE_EXPIRY_S)
         self._on_new_era = on_new_era
         self._first_seen_at = 0.0
@@ -44,7 +45,7 @@
             return
         logs.warn("store_era_changed", store_era=era, before=self.era)
         if self.era != NO_ERA:
-            self._is_first = False
+            self._starts_fleet = self._is_first = False
             self._on_new_era()
         self.era = era
         self._first_seen_at = now()
@@ -52,11 +53,20 @@
         self._settings_rewritten = False
 
     def observe_record(self, record: EraRecord, revision: int) -> None:
-        """Use the store's record of an era, which tells that the era is not new."""
+        """Use the store's record of an era, which tells that the era is not new.
+
+        One of an earlier era tells that the fleet ran before.
+        """
+        if record.era < self.era:
+            self._starts_fleet = False
         if record.era == self.era == era_of(revision) and self._record_revision is None:
             self._record_revision = revision
             logs.event("store_era_settled", store_era=self.era)
 
+    def observe_fleet_read(self) -> None:
+        """Use that the fleet's records were read: a record of an earlier era is known by now."""
+        self._is_first = self._starts_fleet
+
     def observe_settings_rewritten(self) -> None:
         """Record that the operator has written the settings again in this era."""
         self._settings_rewritten = True
