--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 SEEDS ?= 100
+SECONDS ?= 600
 
-.PHONY: setup test lint demo measure capacity soak gen format
+.PHONY: setup test lint demo measure capacity soak check gen format
 
 $(VENV)/ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -35,5 +36,8 @@
 soak: setup
 	$(BIN)/python -m features.soak --seeds $(SEEDS)
 
+check: setup
+	$(BIN)/python -m features.check --seconds $(SECONDS)
+
 gen:
 	thrift --gen py:slots,package_prefix=wagtailloft.gen. -out src/wagtailloft/gen src/wagtailloft/idl/peer.thrift && rm -f src/wagtailloft/gen/peer/Peer-remote
--- a/features/fake_mesh.py
+++ b/features/fake_mesh.py
@@ -7,7 +7,7 @@
 from wagtailloft.models import Host
 
 
-def make_host(number, zones):
+def make_host(number, zones, incarnation=1):
     """Return a host whose name sorts by its number, in one of `zones` availability zones."""
     return Host(
         name=f"h{number:02}",
@@ -16,7 +16,7 @@
         peer_port=2,
         operator_port=3,
         zone=f"z{number % zones}",
-        incarnation=1,
+        incarnation=incarnation,
     )
 
 
--- /dev/null
+++ b/features/restored_objects.py
@@ -0,0 +1,372 @@
+"""A model of daemons and of a platform that comes back from older copies, for stateful tests.
+
+What the daemons know, repair and lease is real, and so is the client of the object API. The
+platform is the stand-in; the network, the threads and the clock are models.
+"""
+
+import json
+import random
+from collections import deque
+from contextlib import ExitStack
+from dataclasses import dataclass
+from types import SimpleNamespace
+from unittest.mock import patch
+from urllib.parse import parse_qsl, urlsplit
+
+import urllib3
+
+from features.fake_mesh import make_host
+from standins.platform import FakePlatform
+from wagtailloft import gossip, leases, models, platform_watcher
+from wagtailloft.adapters.object_api import HttpObjectApi
+from wagtailloft.catalog import Catalog
+from wagtailloft.controllers.membership import Membership
+from wagtailloft.controllers.object_cache import FreshnessTracker, ObjectCache, SettingsState
+from wagtailloft.decisions import Decisions
+from wagtailloft.errors import NoResponse
+from wagtailloft.object_repair import ObjectRepair
+
+DAEMONS, ZONES = 4, 2
+SHARDS = 2
+STEP_S = 0.05
+COPIES = 400
+CONVERGE_S = 15.0
+LATE_WRITE_S = 3.0
+INTERVALS_S = {"watch": 0.2, "gossip": 0.5, "repair": 0.25, "leases": 0.25, "register": 1.0}
+
+
+class Transport:
+    """The HTTP transport of one daemon's client, without a network."""
+
+    def __init__(self, *, fleet, daemon):
+        """Let a daemon call the platform."""
+        self._fleet, self._daemon = fleet, daemon
+
+    def request(self, method, url, body=None, timeout=None):
+        """Return the platform's response; raise urllib3's error if there is none."""
+        parts, fleet = urlsplit(url), self._fleet
+        query = {**dict(parse_qsl(parts.query)), "wait": "0"}
+        call = (None, method, parts.path, query, json.loads(body) if body else {})
+        if fleet.platform_down or self._daemon.refused:
+            raise urllib3.exceptions.HTTPError("refused")
+        if method == "PUT" and fleet.late_writes:
+            fleet.late_writes -= 1
+            fleet.pending.append((fleet.now + LATE_WRITE_S, call))
+            raise urllib3.exceptions.HTTPError("no response")
+        status, value = fleet.platform.handle(*call)
+        if method == "PUT" and fleet.lost_answers:
+            fleet.lost_answers -= 1
+            raise urllib3.exceptions.HTTPError("no response")
+        headers = {k: str(v) for k, v in fleet.platform.reply_headers().items()}
+        return SimpleNamespace(status=status, data=json.dumps(value).encode(), headers=headers)
+
+
+class ModelPeers:
+    """The connections of one daemon to the others."""
+
+    def __init__(self, *, fleet, daemon):
+        """Connect a daemon."""
+        self._fleet, self._daemon = fleet, daemon
+
+    def exchange(self, host, digest):
+        """Exchange digests; raise NoResponse."""
+        return self._other(host).gossip.handle_digest(digest)
+
+    def pull(self, host, after):
+        """Return the changes after a revision; raise NoResponse."""
+        return self._other(host).objects.changes_since(after)
+
+    def probe(self, host, other):
+        """Return whether a host reaches another; raise NoResponse."""
+        return self._other(host).gossip.probe_host(other)
+
+    def _other(self, host):
+        other = self._fleet.daemons[int(host.name[1:])]
+        if self._daemon.cut or other.cut or other.paused:
+            raise NoResponse("no connection")
+        return other
+
+
+class Queue:
+    """An executor that runs its calls when the model lets the daemon run."""
+
+    def __init__(self):
+        """Start empty."""
+        self._calls = deque()
+
+    def submit(self, function, *args):
+        """Queue a call."""
+        self._calls.append((function, args))
+
+    def run(self):
+        """Run the calls that are queued now."""
+        for _ in range(len(self._calls)):
+            function, args = self._calls.popleft()
+            function(*args)
+
+
+class ModelDaemon:
+    """A daemon, in one process after another."""
+
+    def __init__(self, *, fleet, number):
+        """Start the daemon's first process."""
+        self.fleet, self.number = fleet, number
+        self.cut = self.refused = self.paused = False
+        self.incarnation = 0
+        self.restart()
+
+    def restart(self):
+        """Replace the daemon's process by one that knows nothing."""
+        self.incarnation += 1
+        own = make_host(self.number, ZONES, incarnation=self.incarnation)
+        rng = random.Random(own.process_name)
+        self.name, self.queue, self.withdrawn = own.process_name, Queue(), set()
+        self.api = HttpObjectApi(address="platform", source=own.ip)
+        self.api._http = Transport(fleet=self.fleet, daemon=self)
+        self.objects, self.freshness = ObjectCache(), FreshnessTracker()
+        decisions = Decisions(host=own.name)
+        self.gossip = gossip.Gossip(
+            membership=Membership(own=own, rng=rng),
+            objects=self.objects,
+            freshness=self.freshness,
+            peers=ModelPeers(fleet=self.fleet, daemon=self),
+            executor=self.queue,
+            decisions=decisions,
+        )
+        self.gossip._rng = rng
+        self.watcher = platform_watcher.PlatformWatcher(
+            object_api=self.api,
+            objects=self.objects,
+            freshness=self.freshness,
+            gossip=self.gossip,
+        )
+        self.repair = ObjectRepair(
+            objects=self.objects,
+            object_api=self.api,
+            gossip=self.gossip,
+            platform_watcher=self.watcher,
+            clock=lambda: self.fleet.now,
+        )
+        self.leases = leases.Leases(
+            holder=own.process_name,
+            object_api=self.api,
+            gossip=self.gossip,
+            catalog=Catalog(objects=self.objects, region="r", zone=own.zone),
+            decisions=decisions,
+        )
+        self.leases._shards = dict(list(self.leases._shards.items())[:SHARDS])
+        self._due = {name: self.fleet.now + rng.uniform(0, s) for name, s in INTERVALS_S.items()}
+
+    def step(self):
+        """Run what is due."""
+        self.queue.run()
+        for name, interval in INTERVALS_S.items():
+            if self.fleet.now >= self._due[name]:
+                self._due[name] += interval
+                getattr(self, f"_{name}")()
+
+    def wake(self):
+        """Go on after a pause; what was missed is not caught up."""
+        self.paused = False
+        self._due = {name: max(at, self.fleet.now) for name, at in self._due.items()}
+
+    def accepts(self, key):
+        """Tell whether the daemon serves requests with a key."""
+        if self.gossip.settings_state() is SettingsState.STALE:
+            return False
+        return self.objects.get("key", key) is not None
+
+    def _watch(self):
+        unconfirmed = self.freshness.age(self.fleet.now) > platform_watcher.UNCONFIRMED_LIMIT_S
+        if self.watcher.is_platform_watcher() or unconfirmed:
+            self.watcher.refresh()
+
+    def _gossip(self):
+        self.gossip.tick()
+
+    def _repair(self):
+        self.repair.tick()
+
+    def _leases(self):
+        self.leases.tick()
+
+    def _register(self):
+        listed = self.api.hosts()
+        for host in listed.ok_value if listed.is_ok() else ():
+            if self.gossip.find(host.name) is None and host.name != self.gossip.own().name:
+                self.gossip.exchange(host)
+        own = self.gossip.own()
+        found = self.objects.get("host", own.name)
+        if found is None or found.decode(models.Host).incarnation != own.incarnation:
+            stored = self.api.get("host", own.name)
+            if stored.is_ok():
+                self.api.put("host", own.name, own, _revision(stored.ok_value))
+
+
+@dataclass(frozen=True, kw_only=True)
+class Withdrawal:
+    """An acknowledged withdrawal of a key, and the process that it was sent to."""
+
+    at: float
+    known_by: str
+
+
+class ModelDaemons:
+    """The daemons and the platform, in steps of virtual time."""
+
+    def __init__(self, *, seed):
+        """Start the daemons and let them settle."""
+        self.now, self.rng = 1000.0, random.Random(seed)
+        self.platform = FakePlatform(host_lag_s=1.0)
+        self.platform_down, self.lost_answers, self.late_writes = False, 0, 0
+        self.pending, self._events, self.violations = [], [], []
+        self._copies = deque(maxlen=COPIES)
+        self.keys, self.withdrawals, self._next_key = [], {}, 0
+        self._stack = ExitStack()
+        clock = SimpleNamespace(monotonic=lambda: self.now, time=lambda: self.now)
+        for module in ("wagtailloft.gossip", "wagtailloft.leases", "wagtailloft.platform_watcher"):
+            self._stack.enter_context(patch(f"{module}.time", clock))
+        self._stack.enter_context(patch("standins.platform.time", clock))
+        self.daemons = []
+        self.daemons = [ModelDaemon(fleet=self, number=n) for n in range(DAEMONS)]
+        self.advance(8.0)
+
+    def close(self):
+        """Give the clock back."""
+        self._stack.close()
+
+    def advance(self, seconds):
+        """Let time pass."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += STEP_S
+            self._run_events()
+            order = [d for d in self.daemons if not d.paused]
+            self.rng.shuffle(order)
+            for daemon in order:
+                daemon.step()
+            self._remember_copy()
+            self._check()
+
+    def add_key(self, number):
+        """Let a daemon add a key."""
+        daemon, name = self.daemons[number], f"k{self._next_key}"
+        if daemon.paused:
+            return
+        self._next_key += 1
+        put = daemon.api.put("key", name, models.Key(digest=name, team="t"), 0)
+        if put.is_ok():
+            self.keys.append(name)
+            daemon.watcher.refresh()
+
+    def withdraw_key(self, number):
+        """Let a daemon withdraw the oldest key, as its operator interface does."""
+        daemon = self.daemons[number]
+        if daemon.paused or not self.keys or not daemon.objects.is_complete():
+            return
+        known = daemon.objects.get("key", self.keys[0])
+        if known is None or daemon.api.put("key", known.name, None, known.revision).is_err():
+            return
+        daemon.watcher.refresh()
+        if daemon.objects.get("key", known.name) is None:
+            name = self.keys.pop(0)
+            self.withdrawals[name] = Withdrawal(at=self.now, known_by=daemon.name)
+
+    def restore(self, *, age, outage, restarted):
+        """Bring the platform back from an older copy, and restart daemons at that moment."""
+        if self.platform_down:
+            return
+        self.platform_down = True
+
+        def come_back():
+            wanted = self.now - age - outage
+            _, self.platform.saved = next(c for c in self._copies if c[0] >= wanted)
+            self.platform._restore()
+            self._copies.clear()
+            self.platform_down = False
+            for number in restarted:
+                self.daemons[number].restart()
+
+        self._events.append((self.now + outage, come_back))
+
+    def restart(self, number):
+        """Restart a daemon."""
+        self.daemons[number].restart()
+
+    def refuse(self, number, seconds):
+        """Let the platform refuse a daemon for a time."""
+        self.daemons[number].refused = True
+        self._events.append(
+            (self.now + seconds, lambda: setattr(self.daemons[number], "refused", False))
+        )
+
+    def cut(self, number, seconds):
+        """Cut a daemon off from the others for a time."""
+        self.daemons[number].cut = True
+        self._events.append(
+            (self.now + seconds, lambda: setattr(self.daemons[number], "cut", False))
+        )
+
+    def pause(self, number, seconds):
+        """Freeze a daemon for a time."""
+        self.daemons[number].paused = True
+        self._events.append((self.now + seconds, self.daemons[number].wake))
+
+    def converge(self):
+        """End all faults; return what the daemons and the platform disagree on after a while."""
+        self.lost_answers = self.late_writes = 0
+        for daemon in self.daemons:
+            daemon.cut = daemon.refused = False
+            daemon.wake()
+        self.advance(CONVERGE_S)
+        stored = {name for kind, name in self.platform.objects if kind == "key"}
+        running, wrong = {d.name for d in self.daemons}, []
+        for daemon in self.daemons:
+            keys = {c.name for c in daemon.objects.all("key")}
+            if keys != stored:
+                wrong.append(f"{daemon.name} has {keys}, the platform {stored}")
+            if not daemon.objects.is_complete() or daemon.objects.forgotten():
+                wrong.append(f"{daemon.name} has not settled the era")
+            if daemon.gossip.settings_state() is not SettingsState.FRESH:
+                wrong.append(f"{daemon.name} has old settings")
+        back = [n for n, w in self.withdrawals.items() if n in stored and w.known_by in running]
+        return wrong + [f"the withdrawn {name} is back" for name in back]
+
+    def _run_events(self):
+        due = [e for e in self._events if e[0] <= self.now]
+        self._events = [e for e in self._events if e[0] > self.now]
+        for _, action in due:
+            action()
+        late = [p for p in self.pending if p[0] <= self.now]
+        self.pending = [p for p in self.pending if p[0] > self.now]
+        for _, call in late:
+            self.platform.handle(*call)
+
+    def _remember_copy(self):
+        if not self.platform_down:
+            platform = self.platform
+            state = (platform.revision, platform.objects, platform.last_revision_by_kind)
+            copy = (state[0], dict(state[1]), state[2].copy())
+            self._copies.append((self.now, copy))
+
+    def _check(self):
+        running = [d for d in self.daemons if not d.paused]
+        for shard in self.daemons[0].leases._shards:
+            rights = {d.name: d.leases.grant_right(shard) for d in running}
+            granting = [n for n, r in rights.items() if r and r.granting_from <= self.now]
+            if len(granting) > 1:
+                self.violations.append(f"{granting} grant the tokens of {shard}")
+        for daemon in running:
+            self._check_keys(daemon)
+
+    def _check_keys(self, daemon):
+        for name in self.withdrawals:
+            is_known = daemon.objects.get("key", name) is not None
+            if not is_known and daemon.objects.revision:
+                daemon.withdrawn.add(name)
+            elif name in daemon.withdrawn and daemon.accepts(name):
+                self.violations.append(f"{daemon.name} accepts {name} again")
+
+
+def _revision(change):
+    return change.revision if change else 0
