Withdraw a key again that a daemon withdrew before it missed a restore of the store

A key withdrawn through one daemon was in use again, for good, if the daemon was away (frozen or cut off) while the store came back from a copy that has the key and the others settled the new era.

Cause: once the era was settled, ObjectCache dropped all that the store lacked. But an object that the store still has in the copy's older version can't have been changed since: the daemon's knowledge is later, and nobody else has it. Class: what only one process remembers across a restore.

Change: only objects that the settled store lacks altogether are dropped, since they may have been removed in the new era. The rest stays in force, and ObjectRepair writes it again also in a settled era.

--- a/features/check.feature
+++ b/features/check.feature
@@ -5,3 +5,8 @@
 
   Scenario: Daemons keep their promises in random runs with restores of the platform
     Then 40 random runs of daemons from seed 1 break no promise, and all agree in the end
+
+  Scenario: A key withdrawn through a daemon that was away while an era was settled stays withdrawn
+    Given a model of daemons that know a key
+    When one withdraws the key, is frozen, and the platform comes back from a copy that has the key
+    Then no daemon and the platform have the key once the daemon is back
--- a/features/steps/check.py
+++ b/features/steps/check.py
@@ -1,8 +1,9 @@
 """Steps for models of the fleet whose store comes back from older copies."""
 
-from behave import then
+from behave import given, then, when
 
 from features.check import MACHINES, play
+from features.restored_objects import ModelDaemons
 
 
 @then(
@@ -11,3 +12,28 @@
 )
 def step_random_runs(context, count, machine, first_seed):
     play(MACHINES[machine], count, first_seed)
+
+
+@given("a model of daemons that know a key")
+def step_known_key(context):
+    context.fleet = ModelDaemons(seed=1)
+    context.stack.callback(context.fleet.close)
+    context.fleet.add_key(0)
+    context.fleet.advance(2.0)
+
+
+@when("one withdraws the key, is frozen, and the platform comes back from a copy that has the key")
+def step_withdrawn_and_frozen(context):
+    context.fleet.withdraw_key(1)
+    assert context.fleet.withdrawals
+    context.fleet.pause(1, 4.0)
+    context.fleet.restore(age=1.0, outage=0.0, restarted=())
+    context.fleet.advance(3.0)
+    assert [k for k in context.fleet.platform.objects if k[0] == "key"], "the copy lacks the key"
+    context.fleet.advance(2.0)
+
+
+@then("no daemon and the platform have the key once the daemon is back")
+def step_key_is_gone(context):
+    wrong = context.fleet.converge()
+    assert not wrong and not context.fleet.violations, (wrong, context.fleet.violations)
--- a/src/wagtailloft/controllers/object_cache.py
+++ b/src/wagtailloft/controllers/object_cache.py
@@ -44,7 +44,8 @@
     """Cache the platform's objects as of one revision, with a history of recent changes.
 
     When the store comes back from an older copy, the objects and removals that the copy lacks stay
-    in force here until they are written again, or until the era is settled without them.
+    in force here until they are written again. If the era is settled without them, only those stay
+    whose older version the store still has: this host was away and alone knows the later one.
     """
 
     def __init__(self, *, on_new_era: Callable[[int], None] = lambda era: None) -> None:
@@ -116,7 +117,7 @@
             changed = self._apply_whole(delta) if delta.whole else self._apply_changes(delta)
             if self.is_complete():
                 self.was_complete = True
-                changed += self._drop_kept()
+                changed += self._drop_absent()
         if is_new_era:
             self._on_new_era(era)
         for change in changed:
@@ -191,12 +192,17 @@
         copied_up_to = starts[0] - 1 if starts else self.revision
         return not self._marks.includes(change.revision, copied_up_to)
 
-    def _drop_kept(self) -> list[Change]:
-        """Drop what the settled store lacks; return the changes to what is in force."""
-        if not self._kept:
+    def _drop_absent(self) -> list[Change]:
+        """Drop the kept objects that the settled store lacks; return the changes in force.
+
+        They may have been removed since the era was settled.
+        """
+        absent = [key for key in self._kept if self._items[key[0]].get(key[1]) is None]
+        if not absent:
             return []
         before = self._in_force()
-        self._kept.clear()
+        for key in absent:
+            del self._kept[key]
         return self._changes_from(before)
 
     def _changes_from(self, before: dict[tuple[str, str], Change]) -> list[Change]:
--- a/src/wagtailloft/object_repair.py
+++ b/src/wagtailloft/object_repair.py
@@ -1,6 +1,7 @@
 """Write again what the platform's store lost when it came back from an older copy."""
 
 import time
+from collections.abc import Sequence
 
 from result import Err
 
@@ -23,7 +24,7 @@
 
 
 class ObjectRepair:
-    """Run on every host while the store's era is not settled."""
+    """Run on every host; it has nothing to do in a settled era unless this host was away."""
 
     def __init__(
         self,
@@ -43,19 +44,26 @@
 
     def tick(self) -> None:
         """Write the forgotten objects that fall to this host, then settle the era."""
-        if self._objects.revision == 0 or self._objects.is_complete():
+        if self._objects.revision == 0:
+            return
+        forgotten = self._objects.forgotten()
+        if self._objects.is_complete():
+            self._write_all(forgotten)
             return
         era = era_of(self._objects.revision)
         if self._era_seen[0] != era:
             self._era_seen = (era, self._clock())
         age = self._clock() - self._era_seen[1]
-        forgotten = self._objects.forgotten()
         own = [f for f in forgotten if age > OTHERS_REPAIR_AFTER_S or self._is_owner(_subject(f))]
-        for item in own:
-            self._write(item)
+        self._write_all(own)
         settle_at = SETTLE_S if self._is_owner(SETTLED) else SETTLE_S + OTHERS_REPAIR_AFTER_S
-        is_settled = not forgotten and age >= settle_at and self._settle(era)
-        if own or is_settled:
+        if not forgotten and age >= settle_at and self._settle(era):
+            self._platform_watcher.refresh()
+
+    def _write_all(self, items: Sequence[Forgotten]) -> None:
+        for item in items:
+            self._write(item)
+        if items:
             self._platform_watcher.refresh()
 
     def _write(self, item: Forgotten) -> None:
