Don't take an empty store of a later era for a new one

Two daemons could grant the tokens of one shard at the same time, so that teams could exceed their rates.

Cause: a daemon that starts took a store without marks of the fleet for a new one, also when it was a copy from before the fleet's first write, and acquired the lease without waiting for its earlier holder. Class: an era taken for the first by its content.

Change: only era 1 can be the first.

--- a/features/eras.feature
+++ b/features/eras.feature
@@ -25,6 +25,10 @@
     When both read era 2 of a store that has the record of era 1
     Then neither knows the settings and assignments in full
 
+  Scenario: A daemon that starts does not take an empty store of a later era for a new one
+    Given daemons whose first look at the store is at an empty one, in eras 1 and 4
+    Then only that of era 1 takes the store for a new one
+
   Scenario: The timeline shows the eras of the store
     Given logs of a host that met a new era of the store
     Then the timeline names the new era, when it was settled, and what was written again
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -9,6 +9,7 @@
 from features.fake_mesh import FakeMesh, make_host
 from features.virtual_time import run_virtual
 from wagtailloft import clock
+from wagtailloft.controllers.object_cache import Delta, ObjectCache
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.records import (
     Changes,
@@ -200,6 +201,19 @@
         assert not cache.era.earlier_beliefs_expired()
 
 
+@given("daemons whose first look at the store is at an empty one, in eras {first:d} and {later:d}")
+def step_empty_stores(context, first, later):
+    context.objects = {era: ObjectCache() for era in (first, later)}
+    for era, objects in context.objects.items():
+        objects.apply(Delta(revision=make_revision(era, 0), changes=(), whole=True))
+
+
+@then("only that of era {first:d} takes the store for a new one")
+def step_new_store(context, first):
+    for era, objects in context.objects.items():
+        assert objects.is_first_era() == objects.is_complete() == (era == first), era
+
+
 @given("logs of a host that met a new era of the store")
 def step_era_logs(context):
     lines = (
--- a/src/wagtailloft/eras.py
+++ b/src/wagtailloft/eras.py
@@ -13,6 +13,7 @@
 
 ERA_KIND = "era"
 SETTLED = "settled"  # name of the settled mark; a start mark's name is the era
+FIRST_ERA = 1  # of a store that was never restored
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -53,9 +54,11 @@
 def is_first(marks: EraMarks, revision: int, first_known: int) -> bool:
     """Tell whether nothing shows that there was an era before that of a revision.
 
-    first_known is the first era that the asking host has known.
+    first_known is the first era that the asking host has known. A later era than FIRST_ERA may lack
+    all marks, if the copy is older than the fleet.
     """
-    return first_known == era_of(revision) and all(e == first_known for e, _ in marks.starts)
+    era = era_of(revision)
+    return era == first_known <= FIRST_ERA and all(e == era for e, _ in marks.starts)
 
 
 def is_settled(marks: EraMarks, revision: int, first_known: int) -> bool:
