Name the original revision when a lost object is written again

After a restore, a withdrawn key could be in use again for good, also at daemons that knew of the withdrawal, and an older version of a setting could replace a later one.

Cause: what the copy lacks is written again by one daemon, which may have missed the latest version or the removal. The rewrite got a number of the new era, so it looked later than anything known from earlier ones. Class: a revision of one era given to contents of another, here by ourselves.

Change: the rewritten value names the revision of its version, and caches order versions by it. A daemon that knows a later version keeps that in force and writes it, or the removal, again.

--- a/features/check.feature
+++ b/features/check.feature
@@ -10,3 +10,8 @@
     Given a model of daemons that know a key
     When one withdraws the key, is frozen, and the platform comes back from a copy that has the key
     Then no daemon and the platform have the key once the daemon is back
+
+  Scenario: A withdrawn key stays withdrawn although a daemon that missed it writes the key again
+    Given a model of daemons that know a key
+    When another withdraws the key while one is cut off, and the platform comes back without the key
+    Then no daemon that knows of the withdrawal accepts the key, and all lose it in the end
--- a/features/steps/check.py
+++ b/features/steps/check.py
@@ -37,3 +37,23 @@
 def step_key_is_gone(context):
     wrong = context.fleet.converge()
     assert not wrong and not context.fleet.violations, (wrong, context.fleet.violations)
+
+
+@when("another withdraws the key while one is cut off, and the platform comes back without the key")
+def step_withdrawn_and_missed(context):
+    context.fleet.cut(2, 3.0)
+    context.fleet.refuse(2, 0.5)
+    context.fleet.withdraw_key(1)
+    assert context.fleet.withdrawals
+    context.fleet.advance(0.4)
+    context.fleet.restore(age=3.0, outage=0.0, restarted=())
+    context.fleet.advance(1.0)
+    written = [o for o in context.fleet.platform.history if o.kind == "key" and o.value]
+    assert written, "no daemon wrote the key again"
+
+
+@then("no daemon that knows of the withdrawal accepts the key, and all lose it in the end")
+def step_key_stays_withdrawn(context):
+    assert not context.fleet.violations, context.fleet.violations
+    wrong = context.fleet.converge()
+    assert not wrong and not context.fleet.violations, (wrong, context.fleet.violations)
--- a/src/wagtailloft/controllers/object_cache.py
+++ b/src/wagtailloft/controllers/object_cache.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from wagtailloft.eras import ERA_KIND, EraMarks, is_first, is_settled, read_marks
+from wagtailloft.eras import ERA_KIND, EraMarks, is_first, is_settled, origin, read_marks
 from wagtailloft.models import Change, Record
 from wagtailloft.revisions import NO_ERA, era_of, make_revision
 
@@ -137,12 +137,20 @@
 
     def _apply_changes(self, delta: Delta) -> list[Change]:
         newer = [c for c in delta.changes if c.revision > self.revision]
+        in_force = []
         for change in newer:
-            self._kept.pop((change.kind, change.name), None)
+            key = (change.kind, change.name)
+            known = self._version_in_force(key)
+            self._kept.pop(key, None)
             self._put(change)
+            if known is not None and 0 < origin(change) < known.revision:
+                # Another host has written a version again that this one knows to be outdated.
+                self._kept[key] = known
+            else:
+                in_force.append(change)
         self._add_to_history(newer)
         self._set_revision(delta.revision)
-        return newer
+        return in_force
 
     def _apply_whole(self, delta: Delta) -> list[Change]:
         before = self._in_force()
@@ -156,7 +164,9 @@
         self._oldest_revision = delta.revision
         self._set_revision(delta.revision)
         for key, change in candidates.items():
-            if self._is_lost(change) and (is_new_era or key in self._kept):
+            stored = self._items[key[0]].get(key[1])
+            may_be_lost = is_new_era or key in self._kept or (stored and origin(stored))
+            if may_be_lost and self._is_lost(change):
                 self._kept[key] = change
             else:
                 self._kept.pop(key, None)
@@ -171,21 +181,31 @@
         in_force |= self._kept
         return {key: c for key, c in in_force.items() if not c.removed}
 
+    def _version_in_force(self, key: tuple[str, str]) -> Change | None:
+        """Return what this host knows of an object, with the revision of its write."""
+        known = self._kept.get(key) or self._removals.get(key)
+        stored = self._items[key[0]].get(key[1])
+        if known is not None or stored is None:
+            return known
+        return self._with_written_at(stored)
+
     def _versions_in_force(self) -> dict[tuple[str, str], Change]:
         """Return what this host knows of each object, with the revision of its write."""
         versions = dict(self._removals)
         for kind, items in self._items.items():
             for name, change in items.items():
                 if kind != ERA_KIND:
-                    written_at = self._marks.written_at(change.revision)
-                    versions[(kind, name)] = msgspec.structs.replace(change, revision=written_at)
+                    versions[(kind, name)] = self._with_written_at(change)
         return versions | self._kept
 
+    def _with_written_at(self, change: Change) -> Change:
+        return msgspec.structs.replace(change, revision=self._marks.written_at(change))
+
     def _is_lost(self, change: Change) -> bool:
         """Tell whether the store's state precedes a version that was in force."""
         stored = self._items[change.kind].get(change.name)
         if stored is not None:
-            return self._marks.written_at(stored.revision) < change.revision
+            return self._marks.written_at(stored) < change.revision
         if change.removed:
             return False
         starts = [number for era, number in self._marks.starts if era == era_of(self.revision)]
--- a/src/wagtailloft/object_repair.py
+++ b/src/wagtailloft/object_repair.py
@@ -8,7 +8,7 @@
 from wagtailloft import logs
 from wagtailloft.adapters.object_api import ObjectApi
 from wagtailloft.controllers.object_cache import Forgotten, ObjectCache
-from wagtailloft.eras import ERA_KIND, SETTLED
+from wagtailloft.eras import ERA_KIND, SETTLED, with_origin
 from wagtailloft.gossip import Gossip
 from wagtailloft.models import EraMark
 from wagtailloft.platform_watcher import PlatformWatcher
@@ -68,7 +68,7 @@
 
     def _write(self, item: Forgotten) -> None:
         change = item.change
-        value = None if change.removed else change.value
+        value = None if change.removed else with_origin(change)
         put = self._object_api.put(change.kind, change.name, value, item.revision)
         logs.event(
             "object_rewritten",
