--- a/features/check.py
+++ b/features/check.py
@@ -121,6 +121,11 @@
         """Let the operator withdraw the oldest key through a host."""
         self.fleet.withdraw_key(host)
 
+    @rule(host=hosts)
+    def change_level(self, host):
+        """Let the operator change a setting through a host."""
+        self.fleet.change_level(host)
+
 
 MACHINES = {"hosts": HostMachine, "daemons": DaemonMachine}
 
--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -28,6 +28,7 @@
 
 DAEMONS, ZONES = 4, 2
 SHARDS = 2
+LEVEL = "level"
 STEP_S = 0.05
 COPIES = 400
 CONVERGE_S = 15.0
@@ -120,7 +121,8 @@
         self.incarnation += 1
         own = make_host(self.number, ZONES, incarnation=self.incarnation)
         rng = random.Random(own.process_name)
-        self.name, self.queue, self.withdrawn = own.process_name, Queue(), set()
+        self.name, self.queue = own.process_name, Queue()
+        self.withdrawn, self.value = set(), 0
         self.api = HttpObjectApi(address="platform", source=own.ip)
         self.api._http = Transport(fleet=self.fleet, daemon=self)
         self.objects, self.freshness = ObjectCache(), FreshnessTracker()
@@ -222,6 +224,7 @@
         self.pending, self._events, self.violations = [], [], []
         self._copies = deque(maxlen=COPIES)
         self.keys, self.withdrawals, self._next_key = [], {}, 0
+        self.changes, self._next_value = [], 0
         self._stack = ExitStack()
         clock = SimpleNamespace(monotonic=lambda: self.now, time=lambda: self.now)
         for module in ("wagtailloft.gossip", "wagtailloft.leases", "wagtailloft.platform_watcher"):
@@ -272,6 +275,19 @@
             name = self.keys.pop(0)
             self.withdrawals[name] = Withdrawal(at=self.now, known_by=daemon.name)
 
+    def change_level(self, number):
+        """Let a daemon raise a level of the settings, as its operator interface does."""
+        daemon = self.daemons[number]
+        if daemon.paused or not daemon.objects.revision:
+            return
+        known = daemon.objects.get("level", LEVEL)
+        self._next_value += 1
+        value, revision = {"value": self._next_value}, known.revision if known else 0
+        if daemon.api.put("level", LEVEL, value, revision).is_ok():
+            daemon.watcher.refresh()
+            if _value(daemon.objects) == self._next_value:
+                self.changes.append((self._next_value, daemon.name))
+
     def restore(self, *, age, outage, restarted):
         """Bring the platform back from an older copy, and restart daemons at that moment."""
         if self.platform_down:
@@ -330,7 +346,10 @@
             if daemon.gossip.settings_state() is not SettingsState.FRESH:
                 wrong.append(f"{daemon.name} has old settings")
         back = [n for n, w in self.withdrawals.items() if n in stored and w.known_by in running]
-        return wrong + [f"the withdrawn {name} is back" for name in back]
+        wrong += [f"the withdrawn {name} is back" for name in back]
+        latest = max((v for v, name in self.changes if name in running), default=0)
+        values = [_value(d.objects) for d in self.daemons]
+        return wrong + [f"{values} of {latest}"] * (min(values) < latest or len(set(values)) > 1)
 
     def _run_events(self):
         due = [e for e in self._events if e[0] <= self.now]
@@ -358,15 +377,24 @@
                 self.violations.append(f"{granting} grant the tokens of {shard}")
         for daemon in running:
             self._check_keys(daemon)
+            value = _value(daemon.objects)
+            if daemon.objects.revision and value < daemon.value:
+                self.violations.append(f"{daemon.name} went back from {daemon.value} to {value}")
+            daemon.value = max(daemon.value, value)
 
     def _check_keys(self, daemon):
         for name in self.withdrawals:
-            is_known = daemon.objects.get("key", name) is not None
-            if not is_known and daemon.objects.revision:
+            # A process that never knew the key has not learned of its withdrawal by lacking it.
+            if ("key", name) in daemon.objects._removals:
                 daemon.withdrawn.add(name)
-            elif name in daemon.withdrawn and daemon.accepts(name):
+            if name in daemon.withdrawn and daemon.accepts(name):
                 self.violations.append(f"{daemon.name} accepts {name} again")
 
 
 def _revision(change):
     return change.revision if change else 0
+
+
+def _value(objects):
+    change = objects.get("level", LEVEL)
+    return json.loads(bytes(change.value))["value"] if change else 0
