Name the era in every value, so that a write done after a restore does not replace a later one

On our own interface a setting went back to an older value at all daemons, and in the store for good, after the store had come back from an older copy.

Cause: a write that got no response was done seconds later, in the next era, where its condition held again because the copy had the version that it required. Its number was of the new era, so it looked later than the change that had been confirmed meanwhile. Class: a revision of one era given to contents of another.

Change: every value names the era for which it was sent. A version whose revision is of a later era precedes all that its own era had; a number that a late write took before the era's start mark is told by its contents. Ruled out: reading back before each write, which can't see a write that is still under way.

Evidence: the new scenario of `check` failed on (h00, h01 and h03 went back from 2 to 1, the store kept 1) and passes. A value that names its origin in an unknown way would have ended the reading of all objects; it is logged and taken for an ordinary one (scenario in `eras`, failed before).

--- a/features/check.feature
+++ b/features/check.feature
@@ -15,3 +15,8 @@
     Given a model of daemons that know a key
     When another withdraws the key while one is cut off, and the platform comes back without the key
     Then no daemon that knows of the withdrawal accepts the key, and all lose it in the end
+
+  Scenario: A change without a response that is done after a restore does not replace a later one
+    Given a model of daemons that know a key
+    When a change of a setting gets no response, a later one does, and the first is done in a new era
+    Then every daemon has the later value all the time, and the platform in the end
--- a/features/eras.feature
+++ b/features/eras.feature
@@ -29,6 +29,10 @@
     Given daemons whose first look at the store is at an empty one, in eras 1 and 4
     Then only that of era 1 takes the store for a new one
 
+  Scenario: An object whose origin can't be read does not keep a daemon from the others
+    Given a daemon whose store has objects that name their origin in unknown ways
+    Then the daemon knows all of them, each by the revision that the store gave it
+
   Scenario: The timeline shows the eras of the store
     Given logs of a host that met a new era of the store
     Then the timeline names the new era, when it was settled, and what was written again
--- a/features/steps/check.py
+++ b/features/steps/check.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from features.check import MACHINES, play
-from features.restored_objects import ModelDaemons
+from features.restored_objects import LATE_WRITE_S, LEVEL, STEP_S, ModelDaemons
 
 
 @then(
@@ -57,3 +57,27 @@
     assert not context.fleet.violations, context.fleet.violations
     wrong = context.fleet.converge()
     assert not wrong and not context.fleet.violations, (wrong, context.fleet.violations)
+
+
+@when(
+    "a change of a setting gets no response, a later one does, and the first is done in a new era"
+)
+def step_late_change(context):
+    fleet = context.fleet
+    fleet.late_writes = 1
+    fleet.change_level(1)
+    fleet.change_level(3)
+    assert [value for value, _ in fleet.changes] == [2], fleet.changes
+    fleet.advance(LATE_WRITE_S - 2 * STEP_S)
+    fleet.restore(age=LATE_WRITE_S + 0.5, outage=0.0, restarted=())
+    fleet.advance(3 * STEP_S)
+    written = [o.value["value"] for o in fleet.platform.history if o.kind == "level"]
+    assert written[0] == 1, written
+
+
+@then("every daemon has the later value all the time, and the platform in the end")
+def step_later_value(context):
+    wrong = context.fleet.converge()
+    assert not wrong and not context.fleet.violations, (wrong, context.fleet.violations[:3])
+    stored = context.fleet.platform.objects[("level", LEVEL)]
+    assert stored.value["value"] == 2, stored
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -4,12 +4,14 @@
 import tempfile
 from pathlib import Path
 
+import msgspec
 from behave import given, then, when
 
 from features.fake_mesh import FakeMesh, make_host
 from features.virtual_time import run_virtual
 from wagtailloft import clock
 from wagtailloft.controllers.object_cache import Delta, ObjectCache
+from wagtailloft.eras import EraMarks
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.records import (
     Changes,
@@ -23,6 +25,7 @@
 from wagtailloft.fleet.store_era import ERA_OBJECT
 from wagtailloft.groups import promotion_lease
 from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX, RecordRepair
+from wagtailloft.models import Change
 from wagtailloft.operations import logbook
 from wagtailloft.revisions import make_revision
 
@@ -214,6 +217,31 @@
         assert objects.is_first_era() == objects.is_complete() == (era == first), era
 
 
+@given("a daemon whose store has objects that name their origin in unknown ways")
+def step_unknown_origins(context):
+    values = (
+        b'{"label":"written_in"}',
+        b'{"written_in":"x"}',
+        b'["written_in",1]',
+        b'"written_in"',
+    )
+    context.changes = tuple(
+        Change(kind="key", name=f"k{n}", revision=make_revision(2, n), value=msgspec.Raw(value))
+        for n, value in enumerate(values, start=1)
+    )
+    context.objects = ObjectCache()
+    for _ in range(2):
+        revision = make_revision(2, context.objects.revision + 10)
+        context.objects.apply(Delta(revision=revision, changes=context.changes, whole=True))
+
+
+@then("the daemon knows all of them, each by the revision that the store gave it")
+def step_known_by_revision(context):
+    assert context.objects.all("key") == context.changes
+    marks = EraMarks(starts=((2, 1),))
+    assert [marks.written_at(c) for c in context.changes] == [c.revision for c in context.changes]
+
+
 @given("logs of a host that met a new era of the store")
 def step_era_logs(context):
     lines = (
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -14,7 +14,7 @@
 from wagtailloft.adapters.sockets import TCP_OPTIONS
 from wagtailloft.controllers.object_cache import Delta
 from wagtailloft.digits import is_decimal
-from wagtailloft.eras import ERA_KIND
+from wagtailloft.eras import ERA_KIND, with_era
 from wagtailloft.errors import Kind, Refusal
 from wagtailloft.models import REMOVED, Change, EraMark, Host
 from wagtailloft.revisions import NO_ERA, era_of, make_revision, number_of
@@ -98,9 +98,10 @@
         era = self._era
         if version > 0 and era_of(version) != era:
             return self._conflict(kind, name, timeout)
-        response = self._put_once(kind, name, value, version, timeout)
+        sent = with_era(value, era)
+        response = self._put_once(kind, name, sent, version, timeout)
         if isinstance(response, Err):
-            return self._resolve_unknown_write(kind, name, value, version, timeout)
+            return self._resolve_unknown_write(kind, name, sent, version, timeout)
         if response.ok_value.status == 409:
             return _decode_conflict(response.ok_value)
         written = _decode_change(response.ok_value)
--- a/src/wagtailloft/controllers/object_cache.py
+++ b/src/wagtailloft/controllers/object_cache.py
@@ -8,7 +8,14 @@
 
 import msgspec
 
-from wagtailloft.eras import ERA_KIND, EraMarks, is_first, is_settled, origin, read_marks
+from wagtailloft.eras import (
+    ERA_KIND,
+    EraMarks,
+    is_first,
+    is_settled,
+    read_marks,
+    same_content,
+)
 from wagtailloft.models import Change, Record
 from wagtailloft.revisions import NO_ERA, era_of, make_revision
 
@@ -137,19 +144,22 @@
 
     def _apply_changes(self, delta: Delta) -> list[Change]:
         newer = [c for c in delta.changes if c.revision > self.revision]
+        # First, since the marks tell in which era the other changes were written.
+        for mark in (c for c in newer if c.kind == ERA_KIND):
+            self._put(mark)
+        self._set_revision(delta.revision)
         in_force = []
         for change in newer:
             key = (change.kind, change.name)
             known = self._version_in_force(key)
             self._kept.pop(key, None)
             self._put(change)
-            if known is not None and 0 < origin(change) < known.revision:
-                # Another host has written a version again that this one knows to be outdated.
+            if known is not None and self._is_outdated(change, known):
+                # A version was written again, or a write done late, that is known to be outdated.
                 self._kept[key] = known
             else:
                 in_force.append(change)
         self._add_to_history(newer)
-        self._set_revision(delta.revision)
         return in_force
 
     def _apply_whole(self, delta: Delta) -> list[Change]:
@@ -165,7 +175,7 @@
         self._set_revision(delta.revision)
         for key, change in candidates.items():
             stored = self._items[key[0]].get(key[1])
-            may_be_lost = is_new_era or key in self._kept or (stored and origin(stored))
+            may_be_lost = is_new_era or key in self._kept or stored is not None
             if may_be_lost and self._is_lost(change):
                 self._kept[key] = change
             else:
@@ -205,13 +215,24 @@
         """Tell whether the store's state precedes a version that was in force."""
         stored = self._items[change.kind].get(change.name)
         if stored is not None:
-            return self._marks.written_at(stored) < change.revision
+            return self._is_outdated(stored, change)
         if change.removed:
             return False
         starts = [number for era, number in self._marks.starts if era == era_of(self.revision)]
         copied_up_to = starts[0] - 1 if starts else self.revision
         return not self._marks.includes(change.revision, copied_up_to)
 
+    def _is_outdated(self, stored: Change, known: Change) -> bool:
+        """Tell whether a version of the store precedes a known one.
+
+        A number was given out again if it stands for other contents: by a late write, before the
+        era had its start mark.
+        """
+        written_at = self._marks.written_at(stored)
+        if written_at == known.revision:
+            return not same_content(stored, known)
+        return written_at < known.revision
+
     def _drop_absent(self) -> list[Change]:
         """Drop the kept objects that the settled store lacks; return the changes in force.
 
--- a/src/wagtailloft/eras.py
+++ b/src/wagtailloft/eras.py
@@ -4,7 +4,8 @@
 with a higher one were written in the era, so a host can tell which of two versions is later. The
 settled mark is written once everything that the copy lacks has been written again. An object that
 is written again names the revision of its version, since the host that writes it may have missed a
-later one.
+later one. Every value names the era for which it was sent, since a write without a response may be
+done in a later one.
 """
 
 from collections.abc import Iterable
@@ -13,12 +14,14 @@
 
 import msgspec
 
+from wagtailloft import logs
 from wagtailloft.models import Change, EraMark, Record
 from wagtailloft.revisions import NO_ERA, era_of, make_revision, number_of
 
 ERA_KIND = "era"
 SETTLED = "settled"  # name of the settled mark; a start mark's name is the era
 ORIGIN_FIELD = "rewritten_from"
+ERA_FIELD = "written_in"
 FIRST_ERA = 1  # of a store that was never restored
 
 
@@ -30,8 +33,17 @@
     settled: int = NO_ERA
 
     def written_at(self, change: Change) -> int:
-        """Return the revision of an object's version in the era in which it was first written."""
-        return origin(change) or self._written_at(change.revision)
+        """Return the revision of an object's version in the era in which it was first written.
+
+        A write that was done after its era precedes every version that its era had.
+        """
+        revision = self._written_at(change.revision)
+        origin = _read_origin(change)
+        if origin.rewritten_from:
+            return origin.rewritten_from
+        if NO_ERA < origin.written_in < era_of(revision):
+            return make_revision(origin.written_in, 0)
+        return revision
 
     def includes(self, written_at: int, state: int) -> bool:
         """Tell whether a state of the store follows the write of a version.
@@ -48,7 +60,8 @@
         return make_revision(max(eras, default=NO_ERA), number)
 
 
-class _Rewritten(Record):
+class _Origin(Record):
+    written_in: int = NO_ERA
     rewritten_from: int = NO_ERA
 
 
@@ -57,11 +70,18 @@
     return {**msgspec.json.decode(change.value), ORIGIN_FIELD: change.revision}
 
 
-def origin(change: Change) -> int:
-    """Return the revision of the version that was written again, 0 if the change is no rewrite."""
-    if ORIGIN_FIELD.encode() not in bytes(change.value):
-        return NO_ERA
-    return change.decode(_Rewritten).rewritten_from
+def with_era(value: Any, era: int) -> Any:
+    """Return the JSON value to send for a record in an era of the store."""
+    if value is None or era == NO_ERA:
+        return value
+    return {**msgspec.to_builtins(value), ERA_FIELD: era}
+
+
+def same_content(change: Change, other: Change) -> bool:
+    """Tell whether two versions have the same value, apart from what tells when it was written."""
+    if bytes(change.value) == bytes(other.value):
+        return True
+    return _content(change) == _content(other)
 
 
 def read_marks(changes: Iterable[Change]) -> EraMarks:
@@ -91,3 +111,19 @@
     if era_of(revision) in (NO_ERA, marks.settled):
         return True
     return is_first(marks, revision, first_known)
+
+
+def _read_origin(change: Change) -> _Origin:
+    """Return what an object's value tells of its origin; removals and foreign values tell none."""
+    try:
+        return change.decode(_Origin | None) or _Origin()
+    except msgspec.ValidationError as exc:
+        logs.warn("origin_unreadable", kind=change.kind, name=change.name, message=str(exc))
+        return _Origin()
+
+
+def _content(change: Change) -> Any:
+    value = msgspec.json.decode(change.value)
+    if isinstance(value, dict):
+        return {k: v for k, v in value.items() if k not in (ERA_FIELD, ORIGIN_FIELD)}
+    return value
