Allow a daemon of the model to drop a setting that only it knew, after it was away until the era was settled

Trace: h00 alone had confirmed the setting; it was frozen and cut off while the others restarted, the store came back twice from copies without it, and the others settled era 3. When h00 woke, it dropped the setting, which the settled store lacks and which may have been removed since: DESIGN.md lists that case as not covered.

The check now allows exactly this: from a value to none, at a process whose first look at an era finds it settled. An older value, or none in any other case, is a violation as before.

--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -25,6 +25,7 @@
 from wagtailloft.decisions import Decisions
 from wagtailloft.errors import NoResponse
 from wagtailloft.object_repair import ObjectRepair
+from wagtailloft.revisions import era_of
 
 DAEMONS, ZONES = 4, 2
 SHARDS = 2
@@ -122,7 +123,7 @@
         own = make_host(self.number, ZONES, incarnation=self.incarnation)
         rng = random.Random(own.process_name)
         self.name, self.queue = own.process_name, Queue()
-        self.withdrawn, self.value = set(), 0
+        self.withdrawn, self.value, self.era = set(), 0, 0
         self.api = HttpObjectApi(address="platform", source=own.ip)
         self.api._http = Transport(fleet=self.fleet, daemon=self)
         self.objects, self.freshness = ObjectCache(), FreshnessTracker()
@@ -377,10 +378,17 @@
                 self.violations.append(f"{granting} grant the tokens of {shard}")
         for daemon in running:
             self._check_keys(daemon)
-            value = _value(daemon.objects)
-            if daemon.objects.revision and value < daemon.value:
-                self.violations.append(f"{daemon.name} went back from {daemon.value} to {value}")
-            daemon.value = max(daemon.value, value)
+            self._check_level(daemon)
+
+    def _check_level(self, daemon):
+        value, era = _value(daemon.objects), era_of(daemon.objects.revision)
+        if value == 0 and daemon.objects.is_complete() and era != daemon.era:
+            # It was away until the era was settled, and drops what nobody else has written again.
+            daemon.value = 0
+            self.changes = [change for change in self.changes if change[1] != daemon.name]
+        if daemon.objects.revision and value < daemon.value:
+            self.violations.append(f"{daemon.name} went back from {daemon.value} to {value}")
+        daemon.value, daemon.era = max(daemon.value, value), era
 
     def _check_keys(self, daemon):
         for name in self.withdrawals:
