Correct the start mark of an era that a write for the earlier era preceded

A setting confirmed right before the store came back from an older copy was lost at all daemons and in the store, on our own interface, if a rate lease was renewed in the first moment of the new era.

Cause: the first write of an era is meant to be its start mark, but writes already under way, such as the renewals of leases, are done before it where their condition holds. Whatever has a number below the mark counted as a part of the copy, so an object known by such a number and missing in the store counted as removed. Class: a number of one era used in another, here the number of a write for the earlier one.

Change: the host that gets the response of such a write knows that its number is of the new era, and lets the start mark say so. An object that the copy has only perhaps stays in force until the era is settled, and is written again once the mark shows that the copy lacked it. Ruled out: keeping everything that is missing in the store, which would bring back keys whose withdrawal a host had missed.

--- a/features/check.feature
+++ b/features/check.feature
@@ -20,3 +20,8 @@
     Given a model of daemons that know a key
     When a change of a setting gets no response, a later one does, and the first is done in a new era
     Then every daemon has the later value all the time, and the platform in the end
+
+  Scenario: A change is kept although a lease was renewed in a new era before the era's start mark
+    Given 8 models of daemons
+    When the platform comes back without a change that was just confirmed, and leases are renewed
+    Then every daemon has the change all the time, and the platform in the end
--- a/features/steps/check.py
+++ b/features/steps/check.py
@@ -81,3 +81,29 @@
     assert not wrong and not context.fleet.violations, (wrong, context.fleet.violations[:3])
     stored = context.fleet.platform.objects[("level", LEVEL)]
     assert stored.value["value"] == 2, stored
+
+
+@given("{count:d} models of daemons")
+def step_models(context, count):
+    context.seeds = range(count)
+
+
+@when("the platform comes back without a change that was just confirmed, and leases are renewed")
+def step_renewed_in_new_era(context):
+    context.wrong = {}
+    for seed in context.seeds:
+        fleet = ModelDaemons(seed=seed)
+        context.stack.callback(fleet.close)
+        fleet.advance(2.0 + seed * 0.03)
+        fleet.change_level(0)
+        fleet.restore(age=STEP_S, outage=0.0, restarted=())
+        fleet.advance(STEP_S)
+        assert fleet.changes and ("level", LEVEL) not in fleet.platform.objects, seed
+        wrong = fleet.converge() + fleet.violations
+        if wrong:
+            context.wrong[seed] = wrong[:3]
+
+
+@then("every daemon has the change all the time, and the platform in the end")
+def step_change_is_kept(context):
+    assert not context.wrong, context.wrong
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -14,7 +14,7 @@
 from wagtailloft.adapters.sockets import TCP_OPTIONS
 from wagtailloft.controllers.object_cache import Delta
 from wagtailloft.digits import is_decimal
-from wagtailloft.eras import ERA_KIND, with_era
+from wagtailloft.eras import ERA_KIND, start_of, with_era
 from wagtailloft.errors import Kind, Refusal
 from wagtailloft.models import REMOVED, Change, EraMark, Host
 from wagtailloft.revisions import NO_ERA, era_of, make_revision, number_of
@@ -22,6 +22,7 @@
 OBJECT_CALL_TIMEOUT_S = 2.0
 WATCH_GRACE_S = 1.5  # added to the wait of a watch, so that the response can arrive
 WATCHED_KINDS = f"team,key,group,route,level,leadership,host,epoch,{ERA_KIND}"
+START_CORRECTIONS = 5  # attempts; each competes with those of the other hosts
 ERA_HEADER = "Store-Era"  # rises by one each time the store comes back from an older copy
 
 
@@ -108,9 +109,10 @@
         if isinstance(written, Err) or era_of(written.ok_value.revision) == era:
             return written
         logs.warn("write_in_new_era", kind=kind, store_era=self._era, before=era)
+        self._correct_start(written.ok_value.revision, timeout)
         if version:
             return _unavailable("the store came back from an older copy before the write")
-        # Other hosts take what precedes the start mark for a part of the copy.
+        # Other hosts take a write for an earlier era for an outdated one.
         return self.put(kind, name, value, written.ok_value.revision, timeout)
 
     def watch(self, after: int, wait: float) -> Result[Delta, Refusal]:
@@ -149,6 +151,28 @@
         self._started_era = era
         return Ok(None)
 
+    def _correct_start(self, revision: int, timeout: float) -> None:
+        """Let the start mark of an era tell that a write was done before the mark.
+
+        Without that, other hosts take the writes in between for a part of the copy.
+        """
+        era, start = era_of(revision), number_of(revision)
+        name, version = str(era), 0
+        for _ in range(START_CORRECTIONS):
+            mark = EraMark(era=era, start=start)
+            response = self._put_once(ERA_KIND, name, mark, version, timeout)
+            if isinstance(response, Err) or _era(response.ok_value) != era:
+                break
+            if response.ok_value.status != 409:
+                return
+            found = self.get(ERA_KIND, name, timeout)
+            if isinstance(found, Err) or found.ok_value is None:
+                break
+            if start_of(found.ok_value) <= start:
+                return
+            version = found.ok_value.revision
+        logs.warn("era_start_unknown", store_era=era, start=start)
+
     def _changes(self, after: int, wait: float) -> Result[Delta, Refusal]:
         path = f"/changes?kinds={WATCHED_KINDS}&after={after}&wait={wait:g}"
         response = self._call("GET", path, timeout=wait + WATCH_GRACE_S)
--- a/src/wagtailloft/controllers/object_cache.py
+++ b/src/wagtailloft/controllers/object_cache.py
@@ -17,7 +17,7 @@
     same_content,
 )
 from wagtailloft.models import Change, Record
-from wagtailloft.revisions import NO_ERA, era_of, make_revision
+from wagtailloft.revisions import NO_ERA, era_of, make_revision, number_of
 
 HISTORY_LENGTH = 20_000  # changes
 MAX_REMOVALS = 1000  # remembered; an older copy may have the latest of the removed objects
@@ -50,9 +50,10 @@
 class ObjectCache:
     """Cache the platform's objects as of one revision, with a history of recent changes.
 
-    When the store comes back from an older copy, the objects and removals that the copy lacks stay
-    in force here until they are written again. If the era is settled without them, only those stay
-    whose older version the store still has: this host was away and alone knows the later one.
+    When the store comes back from an older copy, the objects and removals that the copy lacks, or
+    may lack, stay in force here until they are written again. If the era is settled without them,
+    only those stay whose older version the store still has: this host was away and alone knows the
+    later one.
     """
 
     def __init__(self, *, on_new_era: Callable[[int], None] = lambda era: None) -> None:
@@ -64,6 +65,7 @@
         self._on_new_era = on_new_era
         self._marks = EraMarks()
         self._first_era = NO_ERA
+        self._copied_at_least = 0
         # Kept by kind and name; their revisions are those of EraMarks.written_at().
         self._kept: dict[tuple[str, str], Change] = {}
         self._removals: dict[tuple[str, str], Change] = {}
@@ -104,10 +106,11 @@
         """Return the changes that are in force here and have to be written again."""
         with self._lock:
             none_yet = make_revision(era_of(self.revision), 0)
-            stored = {key: self._items[key[0]].get(key[1]) for key in self._kept}
+            lost = [c for c in self._kept.values() if self._is_lost(c)]
+            stored = [self._items[c.kind].get(c.name) for c in lost]
             return tuple(
-                Forgotten(change=c, revision=stored[k].revision if stored[k] else none_yet)
-                for k, c in self._kept.items()
+                Forgotten(change=c, revision=s.revision if s else none_yet)
+                for c, s in zip(lost, stored, strict=True)
             )
 
     def apply(self, delta: Delta) -> bool:
@@ -173,15 +176,32 @@
         self._history.clear()
         self._oldest_revision = delta.revision
         self._set_revision(delta.revision)
+        if is_new_era:
+            self._copied_at_least = self._least_copied()
         for key, change in candidates.items():
-            stored = self._items[key[0]].get(key[1])
-            may_be_lost = is_new_era or key in self._kept or stored is not None
-            if may_be_lost and self._is_lost(change):
+            is_stored = key[1] in self._items[key[0]]
+            may_be_lost = is_new_era or key in self._kept or is_stored
+            if may_be_lost and self._may_precede(change):
                 self._kept[key] = change
             else:
                 self._kept.pop(key, None)
         return self._changes_from(before)
 
+    def _least_copied(self) -> int:
+        """Return a number up to which the store has all of the copy that the new era began with.
+
+        The copy may reach up to the start mark, but writes for the earlier era may precede it.
+        """
+        start = self._era_start()
+        if start is None:
+            return number_of(self.revision)
+        numbers = (number_of(c.revision) for kind in self._items.values() for c in kind.values())
+        return max((n for n in numbers if n < start), default=0)
+
+    def _era_start(self) -> int | None:
+        starts = (number for era, number in self._marks.starts if era == era_of(self.revision))
+        return next(starts, None)
+
     def _set_revision(self, revision: int) -> None:
         self.revision = revision
         self._marks = read_marks(self._items[ERA_KIND].values())
@@ -211,6 +231,13 @@
     def _with_written_at(self, change: Change) -> Change:
         return msgspec.structs.replace(change, revision=self._marks.written_at(change))
 
+    def _may_precede(self, change: Change) -> bool:
+        """Tell whether the store's state may precede a version that was in force."""
+        stored = self._items[change.kind].get(change.name)
+        if stored is not None or change.removed:
+            return self._is_lost(change)
+        return not self._marks.includes(change.revision, self._copied_at_least)
+
     def _is_lost(self, change: Change) -> bool:
         """Tell whether the store's state precedes a version that was in force."""
         stored = self._items[change.kind].get(change.name)
@@ -218,8 +245,8 @@
             return self._is_outdated(stored, change)
         if change.removed:
             return False
-        starts = [number for era, number in self._marks.starts if era == era_of(self.revision)]
-        copied_up_to = starts[0] - 1 if starts else self.revision
+        start = self._era_start()
+        copied_up_to = number_of(self.revision) if start is None else start - 1
         return not self._marks.includes(change.revision, copied_up_to)
 
     def _is_outdated(self, stored: Change, known: Change) -> bool:
--- a/src/wagtailloft/eras.py
+++ b/src/wagtailloft/eras.py
@@ -1,11 +1,12 @@
 """The marks that the fleet leaves in each era of the platform's store.
 
 The first write of an era is its start mark. Objects with a lower number come from the copy, those
-with a higher one were written in the era, so a host can tell which of two versions is later. The
-settled mark is written once everything that the copy lacks has been written again. An object that
-is written again names the revision of its version, since the host that writes it may have missed a
-later one. Every value names the era for which it was sent, since a write without a response may be
-done in a later one.
+with a higher one were written in the era, so a host can tell which of two versions is later. A
+write for an earlier era may be done before the mark, which its host then corrects. The settled mark
+is written once everything that the copy lacks has been written again. An object that is written
+again names the revision of its version, since the host that writes it may have missed a later one.
+Every value names the era for which it was sent, since a write without a response may be done in a
+later one.
 """
 
 from collections.abc import Iterable
@@ -45,12 +46,12 @@
             return make_revision(origin.written_in, 0)
         return revision
 
-    def includes(self, written_at: int, state: int) -> bool:
-        """Tell whether a state of the store follows the write of a version.
+    def includes(self, written_at: int, number: int) -> bool:
+        """Tell whether the store's state at a number follows the write of a version.
 
-        written_at is what written_at() returned for the version, state a revision.
+        written_at is what written_at() returned for the version.
         """
-        if number_of(written_at) > number_of(state):
+        if number_of(written_at) > number:
             return False
         return self._written_at(written_at) == written_at
 
@@ -92,10 +93,15 @@
         if change.name == SETTLED:
             settled = era
         else:
-            starts.append((era, number_of(change.revision)))
+            starts.append((era, start_of(change)))
     return EraMarks(starts=tuple(sorted(starts)), settled=settled)
 
 
+def start_of(mark: Change) -> int:
+    """Return the first number of an era by its start mark."""
+    return mark.decode(EraMark).start or number_of(mark.revision)
+
+
 def is_first(marks: EraMarks, revision: int, first_known: int) -> bool:
     """Tell whether nothing shows that there was an era before that of a revision.
 
--- a/src/wagtailloft/models.py
+++ b/src/wagtailloft/models.py
@@ -169,9 +169,13 @@
 
 
 class EraMark(Record):
-    """A mark that the fleet writes into an era of the platform's store."""
+    """A mark that the fleet writes into an era of the platform's store.
+
+    start is the lowest number known to be of the era, 0 if that is the mark's own.
+    """
 
     era: int
+    start: int = 0
 
 
 class SqlStatement(Record):
