Tell other daemons what the store has lost, so that one that the store refuses is heard

On our own interface a confirmed change was lost when the store came back without it and refused the only daemon that knew it, although that daemon was in touch with all others.

Cause: what a daemon keeps in force was written again by itself or by others that knew it too, and never passed on. The others settled the era without it, after which it counted as removed. Class: what only one process remembers across a restore.

Change: digests carry the changes that the sender knows the store to have lost, 100 at most, none in normal times. A receiver in the same, unsettled era keeps them in force, tells others, and writes them like its own. In a settled era nothing is adopted, since what the store lacks may have been removed since. The field is optional: daemons of the build before ignore it. Ruled out: a longer wait before the era is settled, which refuses callers for longer and helps nobody whom the store refuses.

--- a/features/check.feature
+++ b/features/check.feature
@@ -25,3 +25,8 @@
     Given 8 models of daemons
     When the platform comes back without a change that was just confirmed, and leases are renewed
     Then every daemon has the change all the time, and the platform in the end
+
+  Scenario: A change known only to a daemon that the platform refuses after a restore stays in force
+    Given a model of daemons that know a key
+    When the platform loses a change and refuses the only daemon that knows it for 6 s
+    Then every daemon has the change and the platform too before it serves that daemon
--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -286,7 +286,7 @@
         value, revision = {"value": self._next_value}, known.revision if known else 0
         if daemon.api.put("level", LEVEL, value, revision).is_ok():
             daemon.watcher.refresh()
-            if _value(daemon.objects) == self._next_value:
+            if value_of_level(daemon.objects) == self._next_value:
                 self.changes.append((self._next_value, daemon.name))
 
     def restore(self, *, age, outage, restarted):
@@ -349,7 +349,7 @@
         back = [n for n, w in self.withdrawals.items() if n in stored and w.known_by in running]
         wrong += [f"the withdrawn {name} is back" for name in back]
         latest = max((v for v, name in self.changes if name in running), default=0)
-        values = [_value(d.objects) for d in self.daemons]
+        values = [value_of_level(d.objects) for d in self.daemons]
         return wrong + [f"{values} of {latest}"] * (min(values) < latest or len(set(values)) > 1)
 
     def _run_events(self):
@@ -381,7 +381,7 @@
             self._check_level(daemon)
 
     def _check_level(self, daemon):
-        value, era = _value(daemon.objects), era_of(daemon.objects.revision)
+        value, era = value_of_level(daemon.objects), era_of(daemon.objects.revision)
         if value == 0 and daemon.objects.is_complete() and era != daemon.era:
             # It was away until the era was settled, and drops what nobody else has written again.
             daemon.value = 0
@@ -403,6 +403,7 @@
     return change.revision if change else 0
 
 
-def _value(objects):
+def value_of_level(objects):
+    """Return the value that a daemon has in force, 0 if none."""
     change = objects.get("level", LEVEL)
     return json.loads(bytes(change.value))["value"] if change else 0
--- a/features/steps/check.py
+++ b/features/steps/check.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from features.check import MACHINES, play
-from features.restored_objects import LATE_WRITE_S, LEVEL, STEP_S, ModelDaemons
+from features.restored_objects import LATE_WRITE_S, LEVEL, STEP_S, ModelDaemons, value_of_level
 
 
 @then(
@@ -107,3 +107,25 @@
 @then("every daemon has the change all the time, and the platform in the end")
 def step_change_is_kept(context):
     assert not context.wrong, context.wrong
+
+
+@when("the platform loses a change and refuses the only daemon that knows it for {seconds:g} s")
+def step_refused_witness(context, seconds):
+    fleet = context.fleet
+    fleet.cut(0, 0.3)
+    fleet.change_level(0)
+    assert fleet.changes, "the change was not confirmed"
+    fleet.restore(age=STEP_S, outage=0.0, restarted=())
+    fleet.refuse(0, seconds)
+    fleet.advance(STEP_S)
+    assert ("level", LEVEL) not in fleet.platform.objects, "the change was not lost"
+    fleet.advance(seconds - 2 * STEP_S)
+
+
+@then("every daemon has the change and the platform too before it serves that daemon")
+def step_change_kept(context):
+    fleet = context.fleet
+    assert fleet.daemons[0].refused and not fleet.violations, fleet.violations[:3]
+    assert ("level", LEVEL) in fleet.platform.objects
+    assert [value_of_level(d.objects) for d in fleet.daemons] == [1] * len(fleet.daemons)
+    assert not fleet.converge() and not fleet.violations, fleet.violations[:3]
--- a/src/wagtailloft/adapters/peers.py
+++ b/src/wagtailloft/adapters/peers.py
@@ -3,6 +3,7 @@
 import socket
 import threading
 from collections import defaultdict, deque
+from collections.abc import Iterable
 from typing import Protocol
 
 import msgspec
@@ -33,7 +34,8 @@
     """A host's settings revision, its freshness, and the states of hosts that it reports.
 
     The platform_age is the time in seconds since the sender's settings were last known to be
-    current; fresh means that this age is within the sender's maximum.
+    current; fresh means that this age is within the sender's maximum. forgotten holds changes in
+    force that the store has lost, with the revisions of their writes.
     """
 
     sender: str
@@ -41,6 +43,7 @@
     platform_age: float
     fresh: bool
     updates: tuple[Host, ...]
+    forgotten: tuple[Change, ...] = ()
 
 
 class Peers(Protocol):
@@ -238,6 +241,7 @@
         platform_age=digest.platform_age,
         news=updates,
         fresh=digest.fresh,
+        forgotten=_to_thrift_changes(digest.forgotten) or None,
     )
 
 
@@ -249,30 +253,38 @@
         platform_age=value.platform_age,
         fresh=value.fresh,
         updates=tuple(msgspec.json.decode(n.body, type=Host) for n in value.news),
+        forgotten=_from_thrift_changes(value.forgotten or ()),
     )
 
 
 def to_thrift_delta(delta: Delta) -> ttypes.Changes:
     """Convert changes to their thrift form."""
-    changes = [
-        ttypes.ObjectChange(c.kind, c.name, c.revision, None if c.removed else bytes(c.value))
-        for c in delta.changes
-    ]
-    return ttypes.Changes(delta.revision, changes, delta.whole)
+    return ttypes.Changes(delta.revision, _to_thrift_changes(delta.changes), delta.whole)
 
 
 def from_thrift_delta(value: ttypes.Changes) -> Delta:
     """Convert changes from their thrift form."""
-    changes = tuple(
+    changes = _from_thrift_changes(value.changes)
+    return Delta(revision=value.revision, changes=changes, whole=value.whole)
+
+
+def _to_thrift_changes(changes: Iterable[Change]) -> list[ttypes.ObjectChange]:
+    return [
+        ttypes.ObjectChange(c.kind, c.name, c.revision, None if c.removed else bytes(c.value))
+        for c in changes
+    ]
+
+
+def _from_thrift_changes(values: Iterable[ttypes.ObjectChange]) -> tuple[Change, ...]:
+    return tuple(
         Change(
             kind=c.kind,
             name=c.name,
             revision=c.revision,
             value=REMOVED if c.value is None else msgspec.Raw(c.value),
         )
-        for c in value.changes
+        for c in values
     )
-    return Delta(revision=value.revision, changes=changes, whole=value.whole)
 
 
 def _address(host: Host) -> str:
--- a/src/wagtailloft/controllers/object_cache.py
+++ b/src/wagtailloft/controllers/object_cache.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -113,6 +113,22 @@
                 for c, s in zip(lost, stored, strict=True)
             )
 
+    def adopt(self, changes: Iterable[Change], revision: int) -> bool:
+        """Keep in force what another host, at a revision, knows the store to have lost.
+
+        Return whether any of it was new. In a settled era nothing is adopted: what the store lacks
+        may have been removed since.
+        """
+        with self._lock:
+            if era_of(revision) != era_of(self.revision) or self.is_complete():
+                return False
+            before = self._in_force()
+            adopted = [c for c in changes if self._is_later(c) and self._may_precede(c)]
+            self._kept |= {(c.kind, c.name): c for c in adopted}
+            changed = self._changes_from(before)
+        self._notify(changed)
+        return bool(adopted)
+
     def apply(self, delta: Delta) -> bool:
         """Apply the changes up to a revision; return False if the revision is not newer."""
         with self._lock:
@@ -130,9 +146,7 @@
                 changed += self._drop_absent()
         if is_new_era:
             self._on_new_era(era)
-        for change in changed:
-            for listener in self._listeners[change.kind]:
-                listener(change)
+        self._notify(changed)
         return True
 
     def changes_since(self, revision: int) -> Delta:
@@ -145,6 +159,11 @@
             items = tuple(c for kind in self._items.values() for c in kind.values())
             return Delta(revision=self.revision, changes=items, whole=True)
 
+    def _notify(self, changed: list[Change]) -> None:
+        for change in changed:
+            for listener in self._listeners[change.kind]:
+                listener(change)
+
     def _apply_changes(self, delta: Delta) -> list[Change]:
         newer = [c for c in delta.changes if c.revision > self.revision]
         # First, since the marks tell in which era the other changes were written.
@@ -238,6 +257,11 @@
             return self._is_lost(change)
         return not self._marks.includes(change.revision, self._copied_at_least)
 
+    def _is_later(self, change: Change) -> bool:
+        """Tell whether this host knows no version as late as this one."""
+        known = self._version_in_force((change.kind, change.name))
+        return known is None or known.revision < change.revision
+
     def _is_lost(self, change: Change) -> bool:
         """Tell whether the store's state precedes a version that was in force."""
         stored = self._items[change.kind].get(change.name)
--- a/src/wagtailloft/gen/peer/ttypes.py
+++ b/src/wagtailloft/gen/peer/ttypes.py
@@ -122,34 +122,31 @@
         return not (self == other)
 
 
-class Digest(object):
+class ObjectChange(object):
     """
-    What a host knows: its settings revision, how fresh it is, and news of hosts.
+    One object of the platform; no value means that it was removed.
 
     Attributes:
-     - sender
+     - kind
+     - name
      - revision
-     - platform_age
-     - news
-     - fresh
+     - value
 
     """
 
     __slots__ = (
-        'sender',
+        'kind',
+        'name',
         'revision',
-        'platform_age',
-        'news',
-        'fresh',
+        'value',
     )
 
 
-    def __init__(self, sender=None, revision=None, platform_age=None, news=None, fresh=None,):
-        self.sender = sender
+    def __init__(self, kind=None, name=None, revision=None, value=None,):
+        self.kind = kind
+        self.name = name
         self.revision = revision
-        self.platform_age = platform_age
-        self.news = news
-        self.fresh = fresh
+        self.value = value
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -162,33 +159,22 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.platform_age = iprot.readDouble()
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.LIST:
-                    self.news = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = HostNews()
-                        _elem5.read(iprot)
-                        self.news.append(_elem5)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.BOOL:
-                    self.fresh = iprot.readBool()
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -200,29 +186,22 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Digest')
-        if self.sender is not None:
-            oprot.writeFieldBegin('sender', TType.STRING, 1)
-            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+        oprot.writeStructBegin('ObjectChange')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 2)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
             oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeFieldBegin('revision', TType.I64, 3)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
-        if self.platform_age is not None:
-            oprot.writeFieldBegin('platform_age', TType.DOUBLE, 3)
-            oprot.writeDouble(self.platform_age)
-            oprot.writeFieldEnd()
-        if self.news is not None:
-            oprot.writeFieldBegin('news', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.news))
-            for iter6 in self.news:
-                iter6.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.fresh is not None:
-            oprot.writeFieldBegin('fresh', TType.BOOL, 5)
-            oprot.writeBool(self.fresh)
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 4)
+            oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -249,31 +228,37 @@
         return not (self == other)
 
 
-class ObjectChange(object):
+class Digest(object):
     """
-    One object of the platform; no value means that it was removed.
+    What a host knows: its settings revision, how fresh it is, news of hosts, and what the store lost.
 
     Attributes:
-     - kind
-     - name
+     - sender
      - revision
-     - value
+     - platform_age
+     - news
+     - fresh
+     - forgotten
 
     """
 
     __slots__ = (
-        'kind',
-        'name',
+        'sender',
         'revision',
-        'value',
+        'platform_age',
+        'news',
+        'fresh',
+        'forgotten',
     )
 
 
-    def __init__(self, kind=None, name=None, revision=None, value=None,):
-        self.kind = kind
-        self.name = name
+    def __init__(self, sender=None, revision=None, platform_age=None, news=None, fresh=None, forgotten=None,):
+        self.sender = sender
         self.revision = revision
-        self.value = value
+        self.platform_age = platform_age
+        self.news = news
+        self.fresh = fresh
+        self.forgotten = forgotten
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -286,22 +271,44 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I64:
-                    self.revision = iprot.readI64()
+                if ftype == TType.DOUBLE:
+                    self.platform_age = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.STRING:
-                    self.value = iprot.readBinary()
+                if ftype == TType.LIST:
+                    self.news = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = HostNews()
+                        _elem5.read(iprot)
+                        self.news.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.fresh = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.forgotten = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = ObjectChange()
+                        _elem11.read(iprot)
+                        self.forgotten.append(_elem11)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -313,22 +320,36 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ObjectChange')
-        if self.kind is not None:
-            oprot.writeFieldBegin('kind', TType.STRING, 1)
-            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
-            oprot.writeFieldEnd()
-        if self.name is not None:
-            oprot.writeFieldBegin('name', TType.STRING, 2)
-            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+        oprot.writeStructBegin('Digest')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 1)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
             oprot.writeFieldEnd()
         if self.revision is not None:
-            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeFieldBegin('revision', TType.I64, 2)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
-        if self.value is not None:
-            oprot.writeFieldBegin('value', TType.STRING, 4)
-            oprot.writeBinary(self.value)
+        if self.platform_age is not None:
+            oprot.writeFieldBegin('platform_age', TType.DOUBLE, 3)
+            oprot.writeDouble(self.platform_age)
+            oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.news))
+            for iter12 in self.news:
+                iter12.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.fresh is not None:
+            oprot.writeFieldBegin('fresh', TType.BOOL, 5)
+            oprot.writeBool(self.fresh)
+            oprot.writeFieldEnd()
+        if self.forgotten is not None:
+            oprot.writeFieldBegin('forgotten', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.forgotten))
+            for iter13 in self.forgotten:
+                iter13.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -395,11 +416,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = ObjectChange()
-                        _elem12.read(iprot)
-                        self.changes.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = ObjectChange()
+                        _elem19.read(iprot)
+                        self.changes.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -425,8 +446,8 @@
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter13 in self.changes:
-                iter13.write(oprot)
+            for iter20 in self.changes:
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.whole is not None:
@@ -876,6 +897,14 @@
     (3, TType.STRING, 'state', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
 )
+all_structs.append(ObjectChange)
+ObjectChange.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
+)
 all_structs.append(Digest)
 Digest.thrift_spec = (
     None,  # 0
@@ -884,14 +913,7 @@
     (3, TType.DOUBLE, 'platform_age', None, None, ),  # 3
     (4, TType.LIST, 'news', (TType.STRUCT, [HostNews, None], False), None, ),  # 4
     (5, TType.BOOL, 'fresh', None, None, ),  # 5
-)
-all_structs.append(ObjectChange)
-ObjectChange.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
-    (3, TType.I64, 'revision', None, None, ),  # 3
-    (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
+    (6, TType.LIST, 'forgotten', (TType.STRUCT, [ObjectChange, None], False), None, ),  # 6
 )
 all_structs.append(Changes)
 Changes.thrift_spec = (
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -24,6 +24,7 @@
 
 GOSSIP_INTERVAL_S = 0.5
 FANOUT = 4
+MAX_FORGOTTEN_SENT = 100  # changes in a digest; a restore loses those of a few seconds
 INDIRECT_PROBES = 2
 
 
@@ -175,6 +176,7 @@
             platform_age=self._freshness.age(now),
             fresh=self._freshness.is_fresh(now),
             updates=updates,
+            forgotten=tuple(f.change for f in self._objects.forgotten()[:MAX_FORGOTTEN_SENT]),
         )
 
     def handle_digest(self, digest: GossipDigest) -> GossipDigest:
@@ -183,6 +185,7 @@
         A sender believed suspect or dead is in the reply, so that it can refute that.
         """
         self._merge(digest)
+        self._adopt_forgotten(digest)
         self._freshness.record_revision(digest.sender, digest.revision)
         sender = self.find(digest.sender)
         reply = self.digest()
@@ -208,6 +211,7 @@
         self._merge(digest)
         if digest.revision > self._objects.revision:
             self._catch_up(host)
+        self._adopt_forgotten(digest)
         report = PeerReport(
             requested_at=requested_at,
             answered_at=answered_at,
@@ -246,6 +250,11 @@
         for host in updated:
             logs.event("host_news", host=host.name, state=host.state.value, via=digest.sender)
 
+    def _adopt_forgotten(self, digest: GossipDigest) -> None:
+        if digest.forgotten and self._objects.adopt(digest.forgotten, digest.revision):
+            logs.event("forgotten_adopted", count=len(digest.forgotten), via=digest.sender)
+            self.push()
+
     def _catch_up(self, host: Host) -> None:
         try:
             delta = self._peers.pull(host, self._objects.revision)
--- a/src/wagtailloft/idl/peer.thrift
+++ b/src/wagtailloft/idl/peer.thrift
@@ -8,15 +8,6 @@
   4: binary body
 }
 
-/** What a host knows: its settings revision, how fresh it is, and news of hosts. */
-struct Digest {
-  1: string sender
-  2: i64 revision
-  3: double platform_age
-  4: list<HostNews> news
-  5: bool fresh
-}
-
 /** One object of the platform; no value means that it was removed. */
 struct ObjectChange {
   1: string kind
@@ -25,6 +16,16 @@
   4: optional binary value
 }
 
+/** What a host knows: its settings revision, how fresh it is, news of hosts, and what the store lost. */
+struct Digest {
+  1: string sender
+  2: i64 revision
+  3: double platform_age
+  4: list<HostNews> news
+  5: bool fresh
+  6: optional list<ObjectChange> forgotten
+}
+
 /** Changes after a revision; whole means that it replaces all that is known. */
 struct Changes {
   1: i64 revision
