--- a/features/spread.feature
+++ b/features/spread.feature
@@ -6,7 +6,7 @@
     Then it pulls every topic from at most 6 hosts and nothing from the others
 
   Scenario: The first hosts of all zones lose the store while the others reach it
-    Given a host of a fleet of 8 hosts in 3 zones
+    Given 20 running fleets of 8 hosts in 3 zones, whose processes stall for up to 0.2 s
     When the store refuses the first host of each zone
     Then the next hosts of the zones read the store
     And caches are younger than 2.4 s at the hosts that the store serves, and than 3.3 s at the others
--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import math
+import random
 
 from behave import given, then, when
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
-from features.virtual_time import run_virtual
+from features.virtual_time import run_virtual, stall
 from wagtailloft.clock import now
 from wagtailloft.errors import NoResponse, NotSent
 from wagtailloft.fleet.hosts import Hosts
@@ -18,6 +19,7 @@
 
 PULL_TIME_S = 1.2
 OBSERVE_INTERVAL_S = 0.1  # a look at all hosts of a fleet costs as much as many of their calls
+STALL_PROBABILITY = 0.05  # at each look
 
 
 class UnavailableStore:
@@ -109,44 +111,54 @@
     assert not context.fake_host.assignment_only_hosts(), context.fake_host.assignment_only_hosts()
 
 
+@given(
+    "{count:d} running fleets of {size:d} hosts in {zones:d} zones, whose processes stall for up to"
+    " {stall:g} s"
+)
+def step_stalling_fleets(context, count, size, zones, stall):
+    context.zones, context.stall = zones, stall
+    context.fleets = [
+        (RunningFleet(count=size, zones=zones, age=0.0, seed=seed), random.Random(seed))
+        for seed in range(count)
+    ]
+
+
 @when("the store refuses the first host of each zone")
 def step_store_refuses_first_hosts(context):
-    async def check():
-        meshes, refused, caches = {}, set(), []
-        fleet_hosts = [make_host(n, 3) for n in range(8)]
-        for own in fleet_hosts:
-            meshes[own.ip] = mesh = InProcessMesh(meshes)
-            hosts = Hosts(own=own, mesh=mesh)
-            for other in fleet_hosts:
-                if other is not own:
-                    hosts._put(other)
-            store = PartlyAvailableStore(name=own.name, refused=refused)
-            cache = StoreCache(
-                store=store, hosts=hosts, mesh=mesh, max_age=3.3, assignment_max_age=2.4
-            )
-            caches.append(cache)
-        coroutines = [c.pull_from_peers() for c in caches]
-        coroutines += [c.watch_store(t) for c in caches for t in Topic]
-        tasks = [asyncio.create_task(c) for c in coroutines]
-        await asyncio.sleep(1.5)
-        refused.update({"h00", "h01", "h02"})
-        until = now() + 7.0
-        context.oldest = dict.fromkeys(range(8), 0.0)
-        while now() < until:
-            for number, cache in enumerate(caches):
-                context.oldest[number] = max(context.oldest[number], cache.age())
-            await asyncio.sleep(0.02)
-        context.readers = {c._pulls._reader(z) for c in caches for z in ("z0", "z1", "z2")}
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    context.oldest, context.readers = [], []
+    for fleet, rng in context.fleets:
+        refused = [h.name for h in fleet.members[: context.zones]]
+        context.oldest.append((observe_refusal(fleet, refused, rng, context.stall), refused))
+        zones = {h.zone for h in fleet.members}
+        context.readers.append({c._pulls._reader(z) for c in fleet.caches.values() for z in zones})
 
-    asyncio.run(check())
+
+def observe_refusal(fleet, refused, rng, longest_stall):
+    """Let the store refuse some hosts after a while; return the oldest that each cache became."""
+    oldest = dict.fromkeys(fleet.caches, 0.0)
+    fleet.refused.clear()
+
+    async def run():
+        refused_at = now() + rng.uniform(1.0, 2.5)  # at any time within a long poll
+
+        def observe():
+            if now() >= refused_at:
+                fleet.refused.update(refused)
+            for name, cache in fleet.caches.items():
+                oldest[name] = max(oldest[name], cache.age())
+            if rng.random() < STALL_PROBABILITY:
+                stall(rng.uniform(0, longest_stall))
+
+        await fleet.run(9.5, observe, interval=0.02)
+
+    run_virtual(run())
+    return oldest
 
 
 @then("the next hosts of the zones read the store")
 def step_next_hosts_read_store(context):
-    assert {"h03", "h04", "h05"} <= context.readers, context.readers
+    for readers in context.readers:
+        assert {"h03", "h04", "h05"} <= readers, readers
 
 
 @then(
@@ -154,8 +166,9 @@
     " {others:g} s at the others"
 )
 def step_cache_ages(context, served, others):
-    for number, oldest in context.oldest.items():
-        assert oldest < (others if number < 3 else served), context.oldest
+    for oldest, refused in context.oldest:
+        for name, age in oldest.items():
+            assert age < (others if name in refused else served), oldest
 
 
 class CountingMesh(InProcessMesh):
@@ -182,8 +195,8 @@
 class RunningFleet:
     """Hosts in this process that pull from each other while none of them reaches the store."""
 
-    def __init__(self, *, count, zones, age):
-        """Create the hosts, with caches `age` seconds old."""
+    def __init__(self, *, count, zones, age, seed=None):
+        """Create the hosts, with caches `age` seconds old; a seed makes their delays repeatable."""
         self.cut, self.meshes, self.caches, self.refused = set(), {}, {}, set()
         self.members = [make_host(n, zones) for n in range(count)]
         for own in self.members:
@@ -200,6 +213,9 @@
                 assignment_max_age=2.4,
             )
             cache._started -= 10.0
+            if seed is not None:
+                cache._rng = random.Random(f"{seed} {own.name}")
+                cache._pulls._rng = random.Random(f"{own.name} {seed}")
             self.refused.add(own.name)
             self.confirm(own.name, age)
 
@@ -209,15 +225,15 @@
             changes = Changes(topic=topic, revision=1, is_snapshot=True)
             self.caches[name].apply(changes, now() - age)
 
-    async def run(self, seconds, observe=lambda: None):
-        """Let all hosts pull for some seconds, and call a function all the while."""
+    async def run(self, seconds, observe=lambda: None, interval=OBSERVE_INTERVAL_S):
+        """Let all hosts pull for some seconds, and call a function at an interval."""
         coroutines = [c.pull_from_peers() for c in self.caches.values()]
         coroutines += [c.watch_store(t) for c in self.caches.values() for t in Topic]
         tasks = [asyncio.create_task(c) for c in coroutines]
         until = now() + seconds
         while now() < until:
             observe()
-            await asyncio.sleep(OBSERVE_INTERVAL_S)
+            await asyncio.sleep(interval)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/features/virtual_time.py
+++ b/features/virtual_time.py
@@ -18,12 +18,21 @@
         """Return the virtual time in seconds."""
         return self._virtual_now
 
+    def stall(self, seconds):
+        """Let time pass in which nothing runs, as on a busy machine."""
+        self._virtual_now += seconds
+
     def _run_once(self):
         if not self._ready and self._scheduled:
             self._virtual_now = max(self._virtual_now, self._scheduled[0].when())
         super()._run_once()
 
 
+def stall(seconds):
+    """Let virtual time pass in which nothing runs."""
+    asyncio.get_running_loop().stall(seconds)
+
+
 def run_virtual(coroutine):
     """Run a coroutine that uses no real connections; clock.now() returns the virtual time."""
     loop = VirtualTimeLoop()
