Report a write to the platform without a response as unknown unless the store shows it

Cause: after a lost response the object was read back once, and any other version than the expected one counted as proof that the write had not run. Class: a false "not run".

Change: only the written value proves an outcome; otherwise it is unknown. What was never sent, because no connection was made, is reported as not done as before.

Evidence: both new scenarios in `robustness` failed before, one with ran=no, one with a conflict, and pass.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -89,3 +89,13 @@
 
   Scenario: An operator writes an object under another name than its own
     Then a team that calls itself b is not accepted under the name a
+
+  Scenario: A write to the platform gets no response and is done later
+    Given a platform that does a write later than its response is waited for
+    When a daemon changes an object there
+    Then the outcome is reported as unknown, and one that was never sent as not done
+
+  Scenario: A write to the platform gets no response, and another one follows it
+    Given a platform that does a write without a response, and then another one
+    When a daemon changes an object there
+    Then the outcome is reported as unknown, and one that was never sent as not done
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -1,21 +1,26 @@
 """Steps for odd inputs, lost answers and late messages, against single parts in this process."""
 
 import asyncio
+import json
 import random
 import sys
 import time
 from pathlib import Path
 from types import SimpleNamespace
+from urllib.parse import parse_qsl, urlsplit
 
 import msgspec
+import urllib3
 from behave import given, then, when
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
+from standins.platform import FakePlatform
 from wagtailloft import host_process, options
+from wagtailloft.adapters.object_api import HttpObjectApi
 from wagtailloft.clock import now
 from wagtailloft.controllers.membership import Membership
 from wagtailloft.digits import is_decimal
-from wagtailloft.errors import Kind, NoResponse, NotSent
+from wagtailloft.errors import Execution, Kind, NoResponse, NotSent
 from wagtailloft.fleet import mesh as mesh_module
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh
@@ -43,7 +48,7 @@
 from wagtailloft.groups.failover import FailoverCoordinator
 from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.groups.ports import BoundStatement, LinkSpec, TargetStatus
-from wagtailloft.models import Host, HostState, Position, Role
+from wagtailloft.models import Host, HostState, Key, Position, Role
 from wagtailloft.operators import OperatorService
 from wagtailloft.sessions.statements import Statement, StatementResult, TransactionState, Verb
 
@@ -727,3 +732,57 @@
     refusal = operators._decode_valid("team", name, raw)
     assert refusal.is_err() and refusal.err_value.kind is Kind.BAD_REQUEST, refusal
     assert operators._decode_valid("team", own, raw).is_ok()
+
+
+# The platform's object API.
+
+
+class SilentTransport:
+    """The HTTP transport of a client of the object API whose writes of keys get no response."""
+
+    def __init__(self, *, follow_up=None):
+        """Do each write at once if another value follows it, else do it too late to be seen."""
+        self.platform, self.follow_up = FakePlatform(host_lag_s=0.0), follow_up
+        self.refuses = False
+
+    def request(self, method, url, body=None, timeout=None):
+        """Return the response to a read, and none to a write of a key."""
+        if self.refuses:
+            raise urllib3.exceptions.NewConnectionError(None, "refused")
+        parts = urlsplit(url)
+        query = dict(parse_qsl(parts.query))
+        call = (None, method, parts.path, query, json.loads(body) if body else {})
+        if method == "PUT" and "/key/" in parts.path:
+            if self.follow_up is not None:
+                _, written = self.platform.handle(*call)
+                query = {"version": written["revision"]}
+                self.platform.handle(None, method, parts.path, query, {"value": self.follow_up})
+            raise urllib3.exceptions.ReadTimeoutError(None, url, "no response")
+        status, value = self.platform.handle(*call)
+        headers = {k: str(v) for k, v in self.platform.reply_headers().items()}
+        return SimpleNamespace(status=status, data=json.dumps(value).encode(), headers=headers)
+
+
+@given("a platform that does a write later than its response is waited for")
+def step_late_platform(context):
+    context.transport = SilentTransport()
+
+
+@given("a platform that does a write without a response, and then another one")
+def step_overwriting_platform(context):
+    context.transport = SilentTransport(follow_up={"digest": "k", "team": "other"})
+
+
+@when("a daemon changes an object there")
+def step_change_object(context):
+    api = HttpObjectApi(address="platform", source=LOOPBACK)
+    api._http = context.transport
+    context.lost = api.put("key", "k", Key(digest="k", team="t"), 0)
+    context.transport.refuses = True
+    context.unsent = api.put("key", "k", Key(digest="k", team="t"), 0)
+
+
+@then("the outcome is reported as unknown, and one that was never sent as not done")
+def step_outcome_unknown(context):
+    assert context.lost.err_value.spec.ran is Execution.UNKNOWN, context.lost
+    assert context.unsent.err_value.spec.ran is Execution.NO, context.unsent
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -102,6 +102,8 @@
         sent = with_era(value, era)
         response = self._put_once(kind, name, sent, version, timeout)
         if isinstance(response, Err):
+            if response.err_value.kind is not Kind.OUTCOME_UNKNOWN:
+                return response
             return self._resolve_unknown_write(kind, name, sent, version, timeout)
         if response.ok_value.status == 409:
             return _decode_conflict(response.ok_value)
@@ -202,20 +204,21 @@
 
     def _resolve_unknown_write(
         self, kind: str, name: str, value: Any, version: int, timeout: float
-    ) -> Result[Change, WriteConflict | Refusal]:
+    ) -> Result[Change, Refusal]:
+        """Return the change if the store has it, else that the outcome is unknown.
+
+        The write may still be done later, or another one may have replaced it.
+        """
         found = self.get(kind, name, timeout)
         if isinstance(found, Err):
-            return found
+            return _unknown("no response, and the object can't be read back")
         change = found.ok_value
         if change is None:
             if value is None and number_of(version):
                 return Ok(Change(kind=kind, name=name, revision=version))
-            return _unavailable("the write failed and was not applied")
-        if change.revision == version:
-            return _unavailable("the write failed and was not applied")
-        if value is not None and _equal_json(change.value, value):
+        elif value is not None and _equal_json(change.value, value):
             return Ok(change)
-        return Err(WriteConflict(revision=change.revision, value=change.value))
+        return _unknown("no response, and the object has another value")
 
     def _call(
         self,
@@ -227,10 +230,15 @@
         total = urllib3.Timeout(total=timeout)
         try:
             response = self._http.request(method, self._base + path, body=body, timeout=total)
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
             return _unavailable(type(exc).__name__)
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return _unanswered(method, type(exc).__name__)
         if response.status >= 500:
-            return _unavailable(f"status {response.status}")
+            return _unanswered(method, f"status {response.status}")
         self._era = max(self._era, _era(response))
         return Ok(response)
 
@@ -284,5 +292,13 @@
         return _unavailable(f"the response could not be decoded: {exc}")
 
 
+def _unanswered(method: str, detail: str) -> Err[Refusal]:
+    return _unknown(detail) if method == "PUT" else _unavailable(detail)
+
+
+def _unknown(detail: str) -> Err[Refusal]:
+    return Err(Refusal(kind=Kind.OUTCOME_UNKNOWN, detail=detail))
+
+
 def _unavailable(detail: str) -> Err[Refusal]:
     return Err(Refusal(kind=Kind.PLATFORM_DOWN, detail=detail))
