Check that confirmed settings never go back in the model of daemons

Trace: a change to 3 was sent in era 2 and got no response, so its caller was told that the outcome is unknown. It was done in era 3, where h03 knew later than era 2 that the setting does not exist, and removed it; h01 had seen it for 0.05 s. A write that is done after its era precedes all that its era had (DESIGN.md), so undoing it is meant.

The check now counts the values that were confirmed to somebody.

--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -225,7 +225,7 @@
         self.pending, self._events, self.violations = [], [], []
         self._copies = deque(maxlen=COPIES)
         self.keys, self.withdrawals, self._next_key = [], {}, 0
-        self.changes, self._next_value = [], 0
+        self.changes, self.confirmed, self._next_value = [], set(), 0
         self._stack = ExitStack()
         clock = SimpleNamespace(monotonic=lambda: self.now, time=lambda: self.now)
         for module in ("wagtailloft.gossip", "wagtailloft.leases", "wagtailloft.platform_watcher"):
@@ -288,6 +288,7 @@
             daemon.watcher.refresh()
             if value_of_level(daemon.objects) == self._next_value:
                 self.changes.append((self._next_value, daemon.name))
+                self.confirmed.add(self._next_value)
 
     def restore(self, *, age, outage, restarted):
         """Bring the platform back from an older copy, and restart daemons at that moment."""
@@ -388,7 +389,10 @@
             self.changes = [change for change in self.changes if change[1] != daemon.name]
         if daemon.objects.revision and value < daemon.value:
             self.violations.append(f"{daemon.name} went back from {daemon.value} to {value}")
-        daemon.value, daemon.era = max(daemon.value, value), era
+        daemon.era = era
+        # A change that nobody confirmed may be undone, if it was done after its era.
+        if value in self.confirmed:
+            daemon.value = max(daemon.value, value)
 
     def _check_keys(self, daemon):
         for name in self.withdrawals:
