Close the connection to a daemon whose response is another call's or can't be decoded

Callers got `internal`, and gossip lost a round.

Cause: responses were decoded after their connection had been given back. Class: one malformed message affects more than itself.

Change: a response is decoded while the call still owns its connection; one that can't be counts as none, which closes the connection and leaves the outcome unknown where the call may have run.

Evidence: the two new scenarios in `robustness` failed before (a connection was idle again; DecodeError).

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -99,3 +99,13 @@
     Given a platform that does a write without a response, and then another one
     When a daemon changes an object there
     Then the outcome is reported as unknown, and one that was never sent as not done
+
+  Scenario: A host answers with another request's response
+    Given a host that answers calls with another request's response
+    When a statement is sent to it
+    Then no call gets a response, and no connection is used again
+
+  Scenario: A host answers with what can't be decoded
+    Given a host that answers calls with undecodable bodies and unknown kinds
+    When calls of each kind are sent to it
+    Then no call gets a response, and no connection is used again
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -14,11 +14,14 @@
 from behave import given, then, when
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
+from standins.fleet import free_port
 from standins.platform import FakePlatform
 from wagtailloft import host_process, options
 from wagtailloft.adapters.object_api import HttpObjectApi
+from wagtailloft.adapters.peers import GossipDigest, PeerServer, ThriftPeers
 from wagtailloft.clock import now
 from wagtailloft.controllers.membership import Membership
+from wagtailloft.controllers.token_bucket import GrantRequest
 from wagtailloft.digits import is_decimal
 from wagtailloft.errors import Execution, Kind, NoResponse, NotSent
 from wagtailloft.fleet import mesh as mesh_module
@@ -44,11 +47,12 @@
 )
 from wagtailloft.fleet.store_era import StoreEra
 from wagtailloft.fleet.topic_cache import MAX_REMOVALS, TopicCache
+from wagtailloft.gen.peer import ttypes
 from wagtailloft.groups import failover, promotion_lease
 from wagtailloft.groups.failover import FailoverCoordinator
 from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.groups.ports import BoundStatement, LinkSpec, TargetStatus
-from wagtailloft.models import Host, HostState, Key, Position, Role
+from wagtailloft.models import Call, Host, HostState, Key, Mode, Position, Role, SqlStatement
 from wagtailloft.operators import OperatorService
 from wagtailloft.sessions.statements import Statement, StatementResult, TransactionState, Verb
 
@@ -786,3 +790,82 @@
 def step_outcome_unknown(context):
     assert context.lost.err_value.spec.ran is Execution.UNKNOWN, context.lost
     assert context.unsent.err_value.spec.ran is Execution.NO, context.unsent
+
+
+# Calls between daemons.
+
+
+class OddPeer:
+    """The handler of a daemon that answers with given values."""
+
+    def __init__(self, **answers):
+        """Answer each named call with a value."""
+        for name, value in answers.items():
+            setattr(self, name, lambda *args, value=value: value)
+
+
+def start_peer(context, **answers):
+    """Serve an odd peer; keep its address and a client in the context."""
+    port = free_port()
+    server = PeerServer(ip=LOOPBACK, port=port, handler=OddPeer(**answers))
+    server.start()
+    context.stack.callback(server.stop)
+    context.peer_host = Host(name="h1", ip=LOOPBACK, caller_port=1, peer_port=port, operator_port=2)
+    context.peers = ThriftPeers(source=LOOPBACK)
+
+
+@given("a host that answers calls with another request's response")
+def step_other_response(context):
+    start_peer(context, work=ttypes.WorkResult("other", b"{}"))
+
+
+@given("a host that answers calls with undecodable bodies and unknown kinds")
+def step_undecodable_responses(context):
+    news = [ttypes.HostNews("h", 1, "alive", b"{")]
+    start_peer(
+        context,
+        work=ttypes.WorkResult("r1", b"{"),
+        tokens=ttypes.TokenGrant(1, 1.0, 0.0, "no such kind"),
+        exchange=ttypes.Digest("h1", 1, 0.0, news, True),
+        pull=ttypes.Changes(1, None, False),
+    )
+
+
+@when("a statement is sent to it")
+def step_send_statement(context):
+    context.unanswered = [call_peer(context, "work", make_call())]
+
+
+@when("calls of each kind are sent to it")
+def step_send_calls(context):
+    digest = GossipDigest(sender="h0", revision=1, platform_age=0.0, fresh=True, updates=())
+    request = GrantRequest(team="t", host="h0", number=1, held=0.0, wanted=1.0)
+    calls = (("work", make_call()), ("tokens", request), ("exchange", digest), ("pull", 0))
+    context.unanswered = [call_peer(context, name, value) for name, value in calls]
+
+
+def make_call():
+    """Return a call of a read."""
+    return Call(
+        request_id="r1",
+        team="t",
+        route="r",
+        group="g",
+        statement=SqlStatement(sql="SELECT 1"),
+        mode=Mode.READ,
+        budget=1.0,
+    )
+
+
+def call_peer(context, name, value):
+    """Call the peer; return whether it counts as unanswered, and how many links are idle."""
+    try:
+        getattr(context.peers, name)(context.peer_host, value)
+    except NoResponse:
+        return True, sum(len(idle) for idle in context.peers._idle.values())
+    return False, 0
+
+
+@then("no call gets a response, and no connection is used again")
+def step_no_response(context):
+    assert all(result == (True, 0) for result in context.unanswered), context.unanswered
--- a/src/wagtailloft/adapters/peers.py
+++ b/src/wagtailloft/adapters/peers.py
@@ -3,8 +3,8 @@
 import socket
 import threading
 from collections import defaultdict, deque
-from collections.abc import Iterable
-from typing import Protocol
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
 
 import msgspec
 from result import Err, Ok, Result
@@ -109,11 +109,11 @@
 
     def exchange(self, host: Host, digest: GossipDigest) -> GossipDigest:
         """Exchange gossip digests; raise NotSent or NoResponse."""
-        return from_thrift_digest(self._call(host, "exchange", to_thrift_digest(digest)))
+        return self._call(host, "exchange", to_thrift_digest(digest), decode=from_thrift_digest)
 
     def pull(self, host: Host, after: int) -> Delta:
         """Fetch the changes after a revision; raise NotSent or NoResponse."""
-        return from_thrift_delta(self._call(host, "pull", after))
+        return self._call(host, "pull", after, decode=from_thrift_delta)
 
     def probe(self, host: Host, other: str) -> bool:
         """Ask a host whether it reaches another; raise NotSent or NoResponse."""
@@ -122,12 +122,13 @@
     def work(self, host: Host, call: Call) -> Result[Answer, Refusal]:
         """Run a call at the group's owner; raise NotSent or NoResponse."""
         request = ttypes.Work(call.request_id, msgspec.json.encode(call))
-        result = self._call(host, "work", request, timeout=call.budget + RESPONSE_GRACE_S)
-        if result.request_id != call.request_id:
-            raise NoResponse("the response has another request's id")
-        if result.kind is not None:
-            return Err(Refusal(kind=Kind(result.kind), detail=result.detail or ""))
-        return Ok(msgspec.json.decode(result.body, type=Answer))
+        return self._call(
+            host,
+            "work",
+            request,
+            timeout=call.budget + RESPONSE_GRACE_S,
+            decode=lambda result: _decode_work_result(result, call.request_id),
+        )
 
     def tokens(self, host: Host, request: GrantRequest) -> Result[Grant, Refusal]:
         """Request rate tokens from the token owner; raise NotSent or NoResponse."""
@@ -138,10 +139,7 @@
             held=request.held,
             wanted=request.wanted,
         )
-        grant = self._call(host, "tokens", value)
-        if grant.kind is not None:
-            return Err(Refusal(kind=Kind(grant.kind)))
-        return Ok(Grant(number=grant.number, tokens=grant.tokens, wait=grant.wait))
+        return self._call(host, "tokens", value, decode=_decode_grant)
 
     def explain(self, host: Host, subject: str) -> str:
         """Return a host's decisions about a subject as JSON; raise NotSent or NoResponse."""
@@ -158,12 +156,20 @@
         for connection in connections:
             connection.close()
 
-    def _call(self, host: Host, method: str, *args: object, timeout: float = PEER_CALL_TIMEOUT_S):
+    def _call(
+        self,
+        host: Host,
+        method: str,
+        *args: object,
+        timeout: float = PEER_CALL_TIMEOUT_S,
+        decode: Callable[[Any], Any] = lambda response: response,
+    ) -> Any:
+        """Return the decoded response; one that can't be decoded counts as none."""
         connection = self._acquire(host)
         connection.set_timeout(timeout)
         try:
-            response = getattr(connection.client, method)(*args)
-        except (TException, OSError, EOFError) as exc:
+            response = decode(getattr(connection.client, method)(*args))
+        except (TException, OSError, EOFError, ValueError, TypeError, msgspec.DecodeError) as exc:
             connection.close()
             self.close_idle(host)
             raise NoResponse(f"{host.name}: {type(exc).__name__}") from exc
@@ -229,6 +235,21 @@
         self._inner.close()
 
 
+def _decode_work_result(result: ttypes.WorkResult, request_id: str) -> Result[Answer, Refusal]:
+    """Return the result of a call; raise ValueError if it is another call's."""
+    if result.request_id != request_id:
+        raise ValueError("the response has another request's id")
+    if result.kind is not None:
+        return Err(Refusal(kind=Kind(result.kind), detail=result.detail or ""))
+    return Ok(msgspec.json.decode(result.body, type=Answer))
+
+
+def _decode_grant(grant: ttypes.TokenGrant) -> Result[Grant, Refusal]:
+    if grant.kind is not None:
+        return Err(Refusal(kind=Kind(grant.kind)))
+    return Ok(Grant(number=grant.number, tokens=grant.tokens, wait=grant.wait))
+
+
 def to_thrift_digest(digest: GossipDigest) -> ttypes.Digest:
     """Convert a digest to its thrift form."""
     updates = [
