Refuse a request for a transaction's operation below /statements

`POST /v1/routes/R/statements/ID/commit` committed the transaction ID, although only /transactions/ID/commit is documented (docs/FAULTS.md, row 17); a mistaken path was run instead of being refused.

Cause: one pattern allowed the operations below both collections. Change: only below /transactions. Evidence: the new scenario in `robustness` failed before: the request was parsed as a commit of t1.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -100,6 +100,9 @@
     When a daemon changes an object there
     Then the outcome is reported as unknown, and one that was never sent as not done
 
+  Scenario: A path names a transaction below statements
+    Then a request to commit below /statements is for an unknown path, below /transactions it is not
+
   Scenario: A host answers with another request's response
     Given a host that answers calls with another request's response
     When a statement is sent to it
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -17,8 +17,10 @@
 from standins.fleet import free_port
 from standins.platform import FakePlatform
 from wagtailloft import host_process, options
+from wagtailloft.adapters.callers import CallerHandler
 from wagtailloft.adapters.object_api import HttpObjectApi
 from wagtailloft.adapters.peers import GossipDigest, PeerServer, ThriftPeers
+from wagtailloft.adapters.server import HttpRequest
 from wagtailloft.clock import now
 from wagtailloft.controllers.membership import Membership
 from wagtailloft.controllers.token_bucket import GrantRequest
@@ -792,6 +794,16 @@
     assert context.unsent.err_value.spec.ran is Execution.NO, context.unsent
 
 
+@then("a request to commit below /statements is for an unknown path, below /transactions it is not")
+def step_commit_paths(context):
+    handler = CallerHandler(entry=None, body_limit=lambda route: 1000)
+    for collection, accepted in (("statements", False), ("transactions", True)):
+        path = f"/v1/routes/r/{collection}/t1/commit"
+        parsed = handler.parse(HttpRequest(method="POST", path=path))
+        assert parsed.is_ok() == accepted, parsed
+        assert accepted or parsed.err_value.kind is Kind.NOT_FOUND, parsed
+
+
 # Calls between daemons.
 
 
--- a/src/wagtailloft/adapters/callers.py
+++ b/src/wagtailloft/adapters/callers.py
@@ -20,8 +20,8 @@
 
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 _PATH = re.compile(
-    r"/v1/routes/([^/]+)/(statements|transactions)"
-    r"(?:/([A-Za-z0-9._-]+)/(statements|commit|rollback))?"
+    r"/v1/routes/([^/]+)/"
+    r"(?:(statements)|transactions(?:/([A-Za-z0-9._-]+)/(statements|commit|rollback))?)"
 )
 _ACTIONS_BY_OPERATION = {
     "statements": Action.RUN,
@@ -101,9 +101,8 @@
             return _refuse(Kind.NOT_FOUND, "unknown path; see docs/INTERFACE.md")
         if http.method != "POST":
             return _refuse(Kind.BAD_REQUEST, "this path accepts only POST")
-        route, collection, transaction, operation = path.groups()
-        action = Action.BEGIN if collection == "transactions" and not operation else None
-        action = action or _ACTIONS_BY_OPERATION[operation or collection]
+        route, statements, transaction, operation = path.groups()
+        action = _ACTIONS_BY_OPERATION.get(operation or statements, Action.BEGIN)
         parsed = self._parse_headers(http.headers)
         if isinstance(parsed, Err):
             return parsed
