Confirm the primary's term for bounded reads that fall back to it

Cause: when no replica serves a read, because it is behind or does not catch up in time, the primary was chosen as for a write: without a majority that confirms its term, which only the direct way to the primary required. Class: one rule at two places.

Change: every way on which a bounded read reaches the primary requires the confirmation. Evidence: the new scenario in `consistency` failed before: a read of data up to 5 s old was answered by m0 although no majority was in its term.

--- a/features/consistency.feature
+++ b/features/consistency.feature
@@ -29,3 +29,7 @@
     And the primary is isolated from its replicas
     And callers continue for 3 s
     Then no read was older than its maximum age
+
+  Scenario: A bounded read that falls back to the primary after a replica was behind
+    Given a replica that is behind, and a primary that was replaced without knowing
+    Then a read of data up to 5 s old is refused, and one of data of any age is served
--- a/features/steps/statements.py
+++ b/features/steps/statements.py
@@ -5,24 +5,57 @@
 
 from behave import given, then
 
-from wagtailloft.adapters.members import MemberRejected
+from wagtailloft.adapters.members import MemberRejected, MemberResponse
 from wagtailloft.board import Blackboard
 from wagtailloft.catalog import Catalog
 from wagtailloft.controllers.object_cache import ObjectCache
-from wagtailloft.controllers.views import GroupView, MemberView
+from wagtailloft.controllers.views import GroupView, MemberView, TimedPosition
 from wagtailloft.decisions import Decisions
 from wagtailloft.errors import Kind, NoResponse
 from wagtailloft.group_monitor import GroupMonitor
 from wagtailloft.member_endpoint import MemberEndpoint
 from wagtailloft.metrics import Metrics
-from wagtailloft.models import Call, Group, Member, Mode, Position, Progress, Role, SqlStatement
+from wagtailloft.models import (
+    Call,
+    Group,
+    Member,
+    Mode,
+    Position,
+    Progress,
+    Role,
+    Rows,
+    SqlStatement,
+)
 from wagtailloft.options import Options
 from wagtailloft.statement_executor import CallState, StatementExecutor
 
 MEMBER = Member(name="m0", ip="127.0.0.1", port=1, control_port=2)
+REPLICA = Member(name="m1", ip="127.0.0.1", port=3, control_port=4)
 GROUP = Group(name="g", members=(MEMBER,))
 
 
+class BehindLink:
+    """A link to a replica that lacks the required position."""
+
+    usable = True
+
+    def call(self, action, request, timeout):
+        """Reject the request."""
+        raise MemberRejected("behind", "the position was not applied")
+
+    def close(self):
+        """Ignore the call; there is no connection to close."""
+
+
+class AnsweringLink(BehindLink):
+    """A link to a member that answers every request."""
+
+    def call(self, action, request, timeout):
+        """Return one row."""
+        position = Position(term=1, index=1)
+        return MemberResponse(term=1, results=(Rows(rows=((1,),)),), position=position)
+
+
 class FakeLink:
     """A link that loses the first responses, then refuses every attempt."""
 
@@ -45,19 +78,29 @@
 
 def make_executor(lost_responses):
     """Return an executor for a group of one member that loses responses."""
-    board = Blackboard()
-    monitor = GroupMonitor(group=GROUP, board=board, controls=None, heartbeat_interval=lambda: 1.0)
     position = Position(term=1, index=1)
     progress = Progress(name="m0", term=1, role=Role.PRIMARY, received=position, applied=position)
     view = MemberView(member=MEMBER, progress=progress, last_seen=time.monotonic())
-    board.write("g", GroupView(group=GROUP, members=(view,)))
     link = FakeLink(lost_responses=lost_responses)
-    endpoint = MemberEndpoint(
-        group=GROUP, member=MEMBER, connect=lambda m: link, clock=time.monotonic
+    return make_executor_for(GroupView(group=GROUP, members=(view,)), {"m0": link})
+
+
+def make_executor_for(view, links):
+    """Return an executor for a group as observed, with a link to each member by name."""
+    board = Blackboard()
+    monitor = GroupMonitor(
+        group=view.group, board=board, controls=None, heartbeat_interval=lambda: 1.0
     )
+    board.write("g", view)
+    endpoints = {
+        m.name: MemberEndpoint(
+            group=view.group, member=m, connect=lambda m: links[m.name], clock=time.monotonic
+        )
+        for m in view.group.members
+    }
     return StatementExecutor(
         monitor=monitor,
-        endpoints={"m0": endpoint},
+        endpoints=endpoints,
         catalog=Catalog(objects=ObjectCache(), region="r", zone="z"),
         metrics=Metrics(),
         decisions=Decisions(host="h"),
@@ -65,8 +108,8 @@
     )
 
 
-def run_and_return_kind(lost_responses, mode):
-    """Run one idempotent statement without a request table; return the kind of its refusal."""
+def make_state(mode, max_age=None):
+    """Return the state of a new idempotent call without a request table."""
     call = Call(
         request_id="r",
         team="t",
@@ -76,14 +119,19 @@
         mode=mode,
         budget=0.3,
         idempotent=True,
+        max_age=max_age,
     )
-    state = CallState(
+    return CallState(
         call=call,
         options=Options(request_table=False),
         deadline=time.monotonic() + 0.3,
         weight=1.0,
     )
-    return make_executor(lost_responses).run(state).err_value.kind
+
+
+def run_and_return_kind(lost_responses, mode):
+    """Run one statement; return the kind of its refusal."""
+    return make_executor(lost_responses).run(make_state(mode)).err_value.kind
 
 
 @given("a group whose member loses its first response and refuses every later attempt")
@@ -104,3 +152,29 @@
 @then("a write whose every attempt was refused is reported as not run")
 def step_write_not_run(context):
     assert run_and_return_kind(0, Mode.WRITE) is Kind.LOCK_BUSY
+
+
+@given("a replica that is behind, and a primary that was replaced without knowing")
+def step_replaced_primary(context):
+    position, at = Position(term=1, index=1), time.monotonic()
+    views = []
+    for member, role in ((MEMBER, Role.PRIMARY), (REPLICA, Role.REPLICA)):
+        progress = Progress(
+            name=member.name, term=1, role=role, received=position, applied=position
+        )
+        views.append(MemberView(member=member, progress=progress, last_seen=at))
+    group = Group(name="g", members=(MEMBER, REPLICA))
+    samples = (TimedPosition(time=at, position=position),)
+    links = {MEMBER.name: AnsweringLink(), REPLICA.name: BehindLink()}
+    context.executor = make_executor_for(
+        GroupView(group=group, members=tuple(views), samples=samples), links
+    )
+    context.executor._monitor.confirm_term = lambda term, timeout: False
+
+
+@then("a read of data up to 5 s old is refused, and one of data of any age is served")
+def step_bounded_read_refused(context):
+    for max_age, kind in ((5.0, Kind.NO_PRIMARY), (None, None)):
+        state = make_state(Mode.READ, max_age=max_age)
+        result = context.executor.run(state)
+        assert (result.err_value.kind if result.is_err() else None) is kind, (max_age, result)
--- a/src/wagtailloft/statement_executor.py
+++ b/src/wagtailloft/statement_executor.py
@@ -199,8 +199,10 @@
         return self._catalog.key_is_valid(call.key_digest, call.team)
 
     def _choose_member(self, state: CallState) -> Result[MemberChoice, Refusal]:
-        if state.call.mode is Mode.WRITE or state.skip_replicas:
+        if state.call.mode is Mode.WRITE:
             return self.wait_for_primary(state)
+        if state.skip_replicas:
+            return self._wait_for_primary_to_read(state)
         slot_waits = tuple(
             SlotWait(member=name, wait=endpoint.gate.expected_wait())
             for name, endpoint in self._endpoints.items()
@@ -210,12 +212,18 @@
             state.call, self._monitor.view(), slot_waits, max_replica_wait, time.monotonic()
         )
         if isinstance(chosen, Err):
-            return self.wait_for_primary(state)
+            return self._wait_for_primary_to_read(state)
         choice = chosen.ok_value
         if choice.wait > 0 and not self._wait_caught_up(choice, state):
-            return self.wait_for_primary(state)
+            return self._wait_for_primary_to_read(state)
         return chosen
 
+    def _wait_for_primary_to_read(self, state: CallState) -> Result[MemberChoice, Refusal]:
+        """Return the primary, which a majority has to confirm if the data's age is bounded."""
+        is_bounded = state.call.max_age is not None
+        chosen = self.wait_for_primary(state)
+        return chosen.map(lambda c: msgspec.structs.replace(c, confirm=is_bounded))
+
     def _wait_caught_up(self, choice: MemberChoice, state: CallState) -> bool:
         until = min(state.deadline, time.monotonic() + choice.wait + CATCH_UP_GRACE_S)
         return self._monitor.wait_for(
