Report a commit that got no slot as the rollback that it is

A COMMIT that waited for a slot of the member until its deadline was answered `deadline`: not run, may be sent again. The transaction had been rolled back meanwhile, so the second COMMIT got an unknown outcome (docs/FAULTS.md, row 15).

Cause: the link of a transaction is released after every failed commit, which rolls it back, but the refusal of the slot was passed on as it was. Change: such a commit is answered `transaction_lost`, which tells to begin again. Evidence: the new scenario in `once` failed before with `deadline`.

--- a/features/once.feature
+++ b/features/once.feature
@@ -55,3 +55,7 @@
     Then an idempotent write without request table gets an unknown outcome
     And a read gets an unknown outcome
     And a write whose every attempt was refused is reported as not run
+
+  Scenario: A commit that gets no slot is reported as what it is, a rollback
+    Given an open transaction at a member all of whose slots are in use
+    Then a commit is reported as lost with its transaction, and the transaction is closed
--- a/features/steps/statements.py
+++ b/features/steps/statements.py
@@ -3,6 +3,7 @@
 import random
 import time
 
+import msgspec
 from behave import given, then
 
 from wagtailloft.adapters.members import MemberRejected, MemberResponse
@@ -28,6 +29,7 @@
 )
 from wagtailloft.options import Options
 from wagtailloft.statement_executor import CallState, StatementExecutor
+from wagtailloft.transactions import Transactions
 
 MEMBER = Member(name="m0", ip="127.0.0.1", port=1, control_port=2)
 REPLICA = Member(name="m1", ip="127.0.0.1", port=3, control_port=4)
@@ -178,3 +180,33 @@
         state = make_state(Mode.READ, max_age=max_age)
         result = context.executor.run(state)
         assert (result.err_value.kind if result.is_err() else None) is kind, (max_age, result)
+
+
+@given("an open transaction at a member all of whose slots are in use")
+def step_transaction_without_slots(context):
+    position = Position(term=1, index=1)
+    progress = Progress(name="m0", term=1, role=Role.PRIMARY, received=position, applied=position)
+    view = MemberView(member=MEMBER, progress=progress, last_seen=time.monotonic())
+    executor = make_executor_for(GroupView(group=GROUP, members=(view,)), {"m0": AnsweringLink()})
+    context.transactions = Transactions(
+        host="h",
+        monitor=executor._monitor,
+        endpoints=executor._endpoints,
+        statement_executor=executor,
+        decisions=Decisions(host="h"),
+        rng=random.Random(1),
+    )
+    begun = context.transactions.begin(make_state(Mode.WRITE))
+    context.transaction = begun.ok_value.transaction
+    for _ in range(GROUP.slots):
+        slot = executor._endpoints["m0"].gate.slot(make_state(Mode.WRITE).slot_request())
+        context.stack.enter_context(slot)
+
+
+@then("a commit is reported as lost with its transaction, and the transaction is closed")
+def step_commit_lost(context):
+    state = make_state(Mode.WRITE)
+    state.call = msgspec.structs.replace(state.call, transaction=context.transaction)
+    committed = context.transactions.commit(state)
+    assert committed.err_value.kind is Kind.TRANSACTION_LOST, committed
+    assert context.transactions.count == 0
--- a/src/wagtailloft/transactions.py
+++ b/src/wagtailloft/transactions.py
@@ -201,9 +201,9 @@
                 return recorded
         state.sent_term = tx.term
         committed = self._call_member(state, tx, "commit", ())
-        self._release(tx, isinstance(committed, Ok))
+        was_open = self._release(tx, isinstance(committed, Ok))
         if isinstance(committed, Err):
-            return committed
+            return _unsent_commit(committed.err_value) if was_open else committed
         position = committed.ok_value.position
         acknowledged = self._statement_executor.wait_for_majority(state, position)
         return acknowledged.map(lambda p: self._build_answer(state, tx, Rows(), p))
@@ -293,3 +293,9 @@
             role="primary",
             transaction=tx.id,
         )
+
+
+def _unsent_commit(refusal: Refusal) -> Err[Refusal]:
+    """Return the refusal of a commit that got no slot; closing its link rolled it back."""
+    detail = f"the commit was not sent: {refusal.kind.value}"
+    return Err(Refusal(kind=Kind.TRANSACTION_LOST, detail=detail))
