Check fencing tokens at the stand-in of the promotion API, also across a restore of the store

It now rejects and records an order with a lower token than an earlier one, or with another holder's.

A new scenario with real processes fails the primary twice, with a restore of the store to before the first promotion and a restart of the host that ordered it in between.

--- a/features/restored.feature
+++ b/features/restored.feature
@@ -36,3 +36,13 @@
     Given a fleet of 3 daemons behind the fault proxy
     When the platform comes back from a copy that lacks a key and has an older deadline
     Then the key and the newer deadline stay in force, and the platform has both again within 3 s
+
+  Scenario: A primary stops responding after the store has forgotten the promotion that made it primary
+    Given a site with 3 hosts
+    When the store is copied
+    And callers write while the primary stops responding
+    Then writes are served again within 3 s
+    When the store comes back from a copy of before the promotion, the host that ordered it is restarted, and the new primary stops responding
+    Then writes are served again within 6 s
+    And the second promotion was ordered with a higher fencing token
+    And no write was applied twice, and no refused write was applied
--- a/features/steps/restored.py
+++ b/features/steps/restored.py
@@ -224,3 +224,33 @@
             assert api.find("key", key_digest(context.second_key)) is not None
             level = api.find("level", "defaults")
             assert level["value"]["options"]["deadline"] == "9s", level
+
+
+@when(
+    "the store comes back from a copy of before the promotion, the host that ordered it is"
+    " restarted, and the new primary stops responding"
+)
+def step_restore_before_promotion(context):
+    site = context.site
+    restore(site, context.store_copy)
+    _, holder = site.promotion_api.tokens[-1]
+    host = holder.partition("/")[0]
+    site.hosts[host].kill()
+    site.start_host(host)
+    for member in site.group.members.values():
+        site.register_member(member)
+    context.old_primary.unresponsive = False
+    context.old_primary = site.group.primary
+    context.old_primary.unresponsive = True
+    context.fault_time = time.monotonic()
+
+
+@when("the store is copied")
+def step_copy_store(context):
+    context.store_copy = context.site.store.copy()
+
+
+@then("the second promotion was ordered with a higher fencing token")
+def step_tokens_in_order(context):
+    tokens = [token for token, _ in context.site.promotion_api.tokens]
+    assert len(tokens) > 1 and tokens[0] < tokens[-1] and tokens == sorted(tokens), tokens
--- a/features/steps/site.py
+++ b/features/steps/site.py
@@ -292,6 +292,11 @@
     context.site.register_member(context.old_primary, state="draining")
 
 
+def assert_no_stale_promotion(context):
+    """Check that no promotion was ordered under an older lease, or under another's token."""
+    assert not context.site.promotion_api.rejected, context.site.promotion_api.rejected
+
+
 @then("writes are served again within {limit:d} s")
 def step_writes_recover(context, limit):
     group = context.site.group
@@ -307,6 +312,7 @@
         max(0.5, remaining),
         "writes are not served again",
     )
+    assert_no_stale_promotion(context)
 
 
 @then("no write was applied twice, and no refused write was applied")
--- a/standins/site.py
+++ b/standins/site.py
@@ -5,6 +5,8 @@
 import socket
 import sys
 import tempfile
+import threading
+from collections.abc import Mapping
 from contextlib import ExitStack
 from pathlib import Path
 
@@ -20,6 +22,8 @@
 DATABASES = {"orders": "primary", "stock": "bounded_stale", "accounts": "read_your_writes"}
 KEY = "key-of-team-one"
 SECOND_KEY = "key-of-team-two"
+HOLDER_HEADER = "Wagtailloft-Duty-Holder"
+FENCE_HEADER = "Wagtailloft-Fence-Token"
 START_TIMEOUT_S = 15.0
 BOUNDS = {
     "revoke_ms": 5000,
@@ -32,25 +36,48 @@
 class FakePromotionApi:
     """Serve the cloud API's promotion call for fake groups.
 
-    The headers with the lease holder and the fencing token are not checked.
+    An order with a lower fencing token than an earlier one, or with the token of another holder, is
+    rejected and recorded in `rejected`.
     """
 
     def __init__(self, *, groups: dict[str, FakeGroup]) -> None:
         self._groups = groups
+        self._lock = threading.Lock()
+        self.tokens: list[tuple[int, str]] = []  # of the accepted orders, with their holders
+        self.rejected: list[str] = []
 
-    def connected(self) -> None:
-        """Accept a connection; the API keeps no state for it."""
+    def connected(self) -> dict[str, str]:
+        """Accept a connection; its state is the headers of the present request."""
+        return {}
 
-    def disconnected(self, connection: None) -> None:
+    def disconnected(self, connection: dict[str, str]) -> None:
         """Ignore a closed connection."""
 
-    def handle(self, connection: None, method: str, path: str, query: dict, body: dict):
-        """Start the requested promotion; reply 404 for an unknown path or group."""
+    def handle_headers(self, connection: dict[str, str], headers: Mapping[str, str]) -> None:
+        """Remember the headers of a request."""
+        connection.clear()
+        connection.update(headers)
+
+    def handle(
+        self, connection: dict[str, str], method: str, path: str, query: dict, body: dict
+    ) -> tuple[int, dict]:
+        """Start the requested promotion; reply 404 for an unknown path or group, 403 if fenced."""
         group = self._groups.get(body.get("service", ""))
         if path != "/promote" or group is None:
             return 404, {}
+        if not self._is_latest(int(connection[FENCE_HEADER]), connection[HOLDER_HEADER]):
+            return 403, {}
         return group.promote(body["id"]), {}
 
+    def _is_latest(self, token: int, holder: str) -> bool:
+        with self._lock:
+            known_token, known_holder = self.tokens[-1] if self.tokens else (0, "")
+            if token < known_token or (token == known_token and holder != known_holder):
+                self.rejected.append(f"{holder} with {token} after {known_holder}: {known_token}")
+                return False
+            self.tokens.append((token, holder))
+            return True
+
 
 class LineClient:
     """A caller's client for the line protocol, with one open session."""
@@ -115,6 +142,7 @@
             name: FakeGroup(name=name, sync_replicas=sync_replicas)
             for name in (f"ledger{n}" for n in range(groups))
         }
+        self.promotion_api = FakePromotionApi(groups=self.groups)
         self.rate, self.burst, self.sync_replicas = rate, burst, sync_replicas
         self.version = 1
         self.databases = dict(DATABASES)
@@ -135,13 +163,11 @@
         """Start everything and wait until every host is ready."""
         self._servers.append(self.store.serve(f"{LOOPBACK_PREFIX}.1", self._ports["store"]))
         promotion_api = Server(
-            app=FakePromotionApi(groups=self.groups),
+            app=self.promotion_api,
             port=self._ports["promotion_api"],
             ip=f"{LOOPBACK_PREFIX}.1",
         )
         self._servers.append(promotion_api)
-        import threading
-
         threading.Thread(target=promotion_api.serve_forever, daemon=True).start()
         for group in self.groups.values():
             group.on_role_change = self.register_member
--- a/standins/web.py
+++ b/standins/web.py
@@ -2,7 +2,8 @@
 
 An app has the methods `connected`, which returns its state of a new connection, `handle`, which
 returns a status and a JSON value or None to close without a reply, and `disconnected`. If it has
-`reply_headers`, that returns the headers of every reply.
+`reply_headers`, that returns the headers of every reply; if it has `handle_headers`, that gets the
+headers of each request before `handle` does, on the same thread.
 """
 
 import json
@@ -41,6 +42,9 @@
         parts = urlsplit(self.path)
         query = dict(parse_qsl(parts.query))
         body = json.loads(raw_body) if raw_body else {}
+        handle_headers = getattr(self.server.app, "handle_headers", None)
+        if handle_headers:
+            handle_headers(self.connection_state, self.headers)
         reply = self.server.app.handle(self.connection_state, self.command, parts.path, query, body)
         if reply is None:
             self.close_connection = True
