Don't claim a term alone while the platform answers reads

Since a claim without a response whose outcome can't be read from the platform is unknown, no conflict. With `claim_alone` an election took that for a platform that does not answer, and went on although another host may have written first; the fencing of a majority would have stopped one of them, after a failover that both delay.

Change: after an unknown claim the platform is read; if it answers, the election is given up and tried again. Evidence: the new scenario in `robustness` failed before: term 4 was claimed.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -112,3 +112,7 @@
     Given a host that answers calls with undecodable bodies and unknown kinds
     When calls of each kind are sent to it
     Then no call gets a response, and no connection is used again
+
+  Scenario: A claim of a term gets no response, but the platform answers
+    Given an election that may claim alone, whose claims get no response
+    Then no term is claimed while the platform answers reads, and one is if it does not
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -12,6 +12,7 @@
 import msgspec
 import urllib3
 from behave import given, then, when
+from result import Err, Ok
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
 from standins.fleet import free_port
@@ -24,8 +25,11 @@
 from wagtailloft.clock import now
 from wagtailloft.controllers.membership import Membership
 from wagtailloft.controllers.token_bucket import GrantRequest
+from wagtailloft.controllers.views import GroupView, MemberView
+from wagtailloft.decisions import Decisions
 from wagtailloft.digits import is_decimal
-from wagtailloft.errors import Execution, Kind, NoResponse, NotSent
+from wagtailloft.election import Election
+from wagtailloft.errors import Execution, Kind, NoResponse, NotSent, Refusal
 from wagtailloft.fleet import mesh as mesh_module
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh
@@ -54,7 +58,21 @@
 from wagtailloft.groups.failover import FailoverCoordinator
 from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.groups.ports import BoundStatement, LinkSpec, TargetStatus
-from wagtailloft.models import Call, Host, HostState, Key, Mode, Position, Role, SqlStatement
+from wagtailloft.models import (
+    Call,
+    Change,
+    Group,
+    Host,
+    HostState,
+    Key,
+    Member,
+    Mode,
+    Position,
+    Progress,
+    PublishedPrimary,
+    Role,
+    SqlStatement,
+)
 from wagtailloft.operators import OperatorService
 from wagtailloft.sessions.statements import Statement, StatementResult, TransactionState, Verb
 
@@ -881,3 +899,54 @@
 @then("no call gets a response, and no connection is used again")
 def step_no_response(context):
     assert all(result == (True, 0) for result in context.unanswered), context.unanswered
+
+
+# Elections.
+
+
+class SilentObjectApi:
+    """An object API that holds one record, never answers a write and counts the reads."""
+
+    def __init__(self, record):
+        """Answer reads with a record until a test sets `down`."""
+        self.record, self.down, self.reads = record, False, 0
+
+    def get(self, kind, name, timeout):
+        """Return the record."""
+        self.reads += 1
+        if self.down:
+            return Err(Refusal(kind=Kind.PLATFORM_DOWN))
+        value = msgspec.Raw(msgspec.json.encode(self.record))
+        return Ok(Change(kind=kind, name=name, revision=5, value=value))
+
+    def put(self, kind, name, value, version, timeout):
+        """Leave the outcome unknown."""
+        return Err(Refusal(kind=Kind.OUTCOME_UNKNOWN))
+
+
+def make_election(api, term):
+    """Return an election of a group with one member, which is primary in a term."""
+    member = Member(name="m0", ip=LOOPBACK, port=1, control_port=2)
+    position = Position(term=term, index=1)
+    progress = Progress(
+        name="m0", term=term, role=Role.PRIMARY, received=position, applied=position
+    )
+    view = MemberView(member=member, progress=progress, last_seen=time.monotonic())
+    group = Group(name="g", members=(member,))
+    monitor = SimpleNamespace(group=group, view=lambda: GroupView(group=group, members=(view,)))
+    return Election(
+        host="h0", monitor=monitor, controls=None, object_api=api, decisions=Decisions(host="h0")
+    )
+
+
+@given("an election that may claim alone, whose claims get no response")
+def step_silent_claims(context):
+    context.api = SilentObjectApi(PublishedPrimary(term=3, primary="m0"))
+    context.election = make_election(context.api, 3)
+
+
+@then("no term is claimed while the platform answers reads, and one is if it does not")
+def step_claims(context):
+    assert context.election._claim(4, without_platform=True) == 0
+    context.api.down = True
+    assert context.election._claim(4, without_platform=True) == 4
--- a/src/wagtailloft/election.py
+++ b/src/wagtailloft/election.py
@@ -17,7 +17,7 @@
 from wagtailloft.adapters.object_api import ObjectApi, WriteConflict
 from wagtailloft.controllers.failover import best_candidate
 from wagtailloft.decisions import Decisions
-from wagtailloft.errors import NoResponse
+from wagtailloft.errors import Kind, NoResponse
 from wagtailloft.group_monitor import ControlFactory, GroupMonitor
 from wagtailloft.models import Group, Member, Progress, PublishedPrimary, Record
 
@@ -143,6 +143,9 @@
                 "claim lost", "another host wrote the group's published primary first"
             )
             return 0
+        if written.err_value.kind is Kind.OUTCOME_UNKNOWN and self._platform_answers():
+            self._record_decision("claim in doubt", "the platform answers, but not the claim")
+            return 0
         if not without_platform:
             self._record_decision(
                 "election abandoned", "the platform does not answer, and claim_alone is off"
@@ -151,6 +154,9 @@
         self._record_decision("claim without the platform", "the platform does not answer")
         return term
 
+    def _platform_answers(self) -> bool:
+        return self._object_api.get("leadership", self.group.name, CLAIM_TIMEOUT_S).is_ok()
+
     def _write(self, record: PublishedPrimary, timeout: float) -> Ok[PublishedPrimary] | Err:
         """Write a record unless the stored one is as new; return the record then in force."""
         found = self._object_api.get("leadership", self.group.name, timeout)
