Remember that another host has published a group's primary

Each host that opens a group read the published primary from the platform ten times a second as long as it had not published it itself (docs/FAULTS.md, row 14): calls to the platform that grow with groups and hosts.

Cause: only an own write was remembered. Change: a stored primary that is as new is remembered too; a stored claim is not, since its term's primary has yet to be published.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -116,3 +116,8 @@
   Scenario: A claim of a term gets no response, but the platform answers
     Given an election that may claim alone, whose claims get no response
     Then no term is claimed while the platform answers reads, and one is if it does not
+
+  Scenario: The published primary is as new as the one that a host would publish
+    Given an election whose primary another host has published
+    When the host publishes the primary 5 times
+    Then it reads the platform once
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -950,3 +950,20 @@
     assert context.election._claim(4, without_platform=True) == 0
     context.api.down = True
     assert context.election._claim(4, without_platform=True) == 4
+
+
+@given("an election whose primary another host has published")
+def step_published(context):
+    context.api = SilentObjectApi(PublishedPrimary(term=3, primary="m0", claimant="h1"))
+    context.election = make_election(context.api, 3)
+
+
+@when("the host publishes the primary 5 times")
+def step_publish(context):
+    for _ in range(5):
+        context.election.publish()
+
+
+@then("it reads the platform once")
+def step_one_read(context):
+    assert context.api.reads == 1, context.api.reads
--- a/src/wagtailloft/election.py
+++ b/src/wagtailloft/election.py
@@ -168,6 +168,8 @@
             stored = found.ok_value.decode(PublishedPrimary)
         record = _next_record(record, stored)
         if record is None:
+            if stored.primary:
+                self.last_published = stored
             return Ok(stored)
         put = self._object_api.put("leadership", self.group.name, record, version, timeout)
         if isinstance(put, Err):
