Answer a request that can't be served within its deadline, not right after it

The scenario "... refused within its deadline" allowed 4 s (docs/FAULTS.md, row 20).

Cause: the whole deadline was spent on waiting. Change: an entry keeps 0.1 s of it, a tenth at most, for the response, and the scenario requires the answer within the deadline.

--- a/features/steps/interface.py
+++ b/features/steps/interface.py
@@ -157,7 +157,7 @@
     except (TryAgain, ChangeRequest) as exc:
         context.refusal = exc
     duration = time.monotonic() - began
-    assert duration < 2.0 + 2.0, duration
+    assert duration < 2.0, duration
     assert context.refusal.kind in (Kind.NO_PRIMARY, Kind.NO_OWNER, Kind.DEADLINE), context.refusal
 
 
--- a/src/wagtailloft/entry.py
+++ b/src/wagtailloft/entry.py
@@ -32,6 +32,7 @@
 from wagtailloft.rate_limiter import RateLimiter
 
 MAX_OWNER_ATTEMPTS = 3
+RESPONSE_TIME_S = 0.1  # kept of a deadline for the response to arrive, a tenth of it at most
 OWNER_RETRY_INTERVAL_S = 0.1
 OUTCOME_QUERY_MIN_S = 0.5
 RATE_LIMITED_ACTIONS = frozenset({Action.RUN, Action.BEGIN})
@@ -117,7 +118,7 @@
         positions = read.ok_value
         options = self._catalog.options(req.route, access.route.group)
         budget = min(req.deadline or options.deadline, options.deadline_limit)
-        deadline = started + budget
+        deadline = started + budget - min(RESPONSE_TIME_S, budget / 10)
         if req.action in RATE_LIMITED_ACTIONS:
             limited = self._rate_limiter.admit(access.team.name, deadline)
             if isinstance(limited, Err):
