--- a/features/eras.feature
+++ b/features/eras.feature
@@ -29,6 +29,10 @@
     Given daemons whose first look at the store is at an empty one, in eras 1 and 4
     Then only that of era 1 takes the store for a new one
 
+  Scenario: What a new era lacks is removed in time although clocks round the time that is left
+    Given hosts whose clocks read up to 2048 s when the store comes back without a record
+    Then each removes the record 2 to 2.1 s later
+
   Scenario: An object whose origin can't be read does not keep a daemon from the others
     Given a daemon whose store has objects that name their origin in unknown ways
     Then the daemon knows all of them, each by the revision that the store gave it
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -1,6 +1,7 @@
 """Steps for what a host concludes from the eras of the store."""
 
 import asyncio
+import random
 import tempfile
 from pathlib import Path
 
@@ -19,6 +20,7 @@
     Entry,
     EraRecord,
     PrimaryAssignment,
+    PromotionLeaseRecord,
     Topic,
 )
 from wagtailloft.fleet.store_cache import StoreCache
@@ -217,6 +219,34 @@
         assert objects.is_first_era() == objects.is_complete() == (era == first), era
 
 
+@given("hosts whose clocks read up to {seconds:d} s when the store comes back without a record")
+def step_clocks(context, seconds):
+    rng, context.removed_after = random.Random(1), []
+    lease = PromotionLeaseRecord(holder="h01/1")
+    entry = Entry(name="duty", revision=make_revision(1, 10), value=lease)
+
+    async def run():
+        cache, removed = make_cache(), []
+        cache.on_change(Topic.FLEET, lambda e: removed.append(clock.now()))
+        apply_snapshot(cache, Topic.FLEET, make_revision(1, 10), entry)
+        removed.clear()
+        await asyncio.sleep(rng.uniform(0, 1.0))
+        began = clock.now()
+        apply_snapshot(cache, Topic.FLEET, make_revision(2, 10))
+        await asyncio.sleep(2.2)
+        context.removed_after.append([at - began for at in removed])
+
+    for _ in range(300):
+        # The clock's resolution halves at 2048 s.
+        run_virtual(run(), start=seconds - rng.uniform(0.5, 3.5))
+
+
+@then("each removes the record 2 to 2.1 s later")
+def step_removed_in_time(context):
+    for times in context.removed_after:
+        assert len(times) == 1 and 2.0 <= times[0] <= 2.1, times
+
+
 @given("a daemon whose store has objects that name their origin in unknown ways")
 def step_unknown_origins(context):
     values = (
