Split the tracking of freshness from the cache of the platform's objects

What tells how far settings can be trusted is now in controllers/freshness.py; nothing else changes but the detail of an unknown write, which also covered an object that does not exist.

--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -20,8 +20,9 @@
 from wagtailloft import gossip, leases, models, platform_watcher
 from wagtailloft.adapters.object_api import HttpObjectApi
 from wagtailloft.catalog import Catalog
+from wagtailloft.controllers.freshness import FreshnessTracker, SettingsState
 from wagtailloft.controllers.membership import Membership
-from wagtailloft.controllers.object_cache import FreshnessTracker, ObjectCache, SettingsState
+from wagtailloft.controllers.object_cache import ObjectCache
 from wagtailloft.decisions import Decisions
 from wagtailloft.errors import NoResponse
 from wagtailloft.object_repair import ObjectRepair
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -218,7 +218,7 @@
                 return Ok(Change(kind=kind, name=name, revision=version))
         elif value is not None and _equal_json(change.value, value):
             return Ok(change)
-        return _unknown("no response, and the object has another value")
+        return _unknown("no response, and the store does not show the write")
 
     def _call(
         self,
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -20,8 +20,9 @@
 from wagtailloft.adapters.server import HttpServer
 from wagtailloft.board import Blackboard
 from wagtailloft.catalog import Catalog
+from wagtailloft.controllers.freshness import FreshnessTracker
 from wagtailloft.controllers.membership import Membership
-from wagtailloft.controllers.object_cache import FreshnessTracker, ObjectCache
+from wagtailloft.controllers.object_cache import ObjectCache
 from wagtailloft.decisions import Decisions
 from wagtailloft.entry import Entry
 from wagtailloft.errors import FixSettings
--- a/src/wagtailloft/entry.py
+++ b/src/wagtailloft/entry.py
@@ -9,7 +9,7 @@
 from wagtailloft import logs, session_tokens
 from wagtailloft.adapters.peers import Peers
 from wagtailloft.catalog import Access, Catalog
-from wagtailloft.controllers.object_cache import SettingsState
+from wagtailloft.controllers.freshness import SettingsState
 from wagtailloft.decisions import Decisions
 from wagtailloft.errors import Kind, NoResponse, NotSent, Refusal
 from wagtailloft.gossip import Gossip
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -9,13 +9,9 @@
 
 from wagtailloft import logs
 from wagtailloft.adapters.peers import GossipDigest, Peers
+from wagtailloft.controllers.freshness import FreshnessTracker, PeerReport, SettingsState
 from wagtailloft.controllers.membership import Membership
-from wagtailloft.controllers.object_cache import (
-    FreshnessTracker,
-    ObjectCache,
-    PeerReport,
-    SettingsState,
-)
+from wagtailloft.controllers.object_cache import ObjectCache
 from wagtailloft.controllers.ownership import platform_watchers
 from wagtailloft.controllers.placement import OwnerCache
 from wagtailloft.decisions import Decisions
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -11,7 +11,7 @@
 from wagtailloft import logs
 from wagtailloft.adapters.object_api import ObjectApi, WriteConflict
 from wagtailloft.catalog import Catalog
-from wagtailloft.controllers.object_cache import SETTINGS_MAX_AGE_S, SettingsState
+from wagtailloft.controllers.freshness import SETTINGS_MAX_AGE_S, SettingsState
 from wagtailloft.controllers.ownership import RATE_LEASE_SHARDS
 from wagtailloft.controllers.token_bucket import TOKEN_LIFETIME_S
 from wagtailloft.decisions import Decisions
--- a/src/wagtailloft/operators.py
+++ b/src/wagtailloft/operators.py
@@ -10,7 +10,7 @@
 from wagtailloft.adapters.object_api import ObjectApi, WriteConflict
 from wagtailloft.adapters.peers import Peers
 from wagtailloft.catalog import TYPE_BY_KIND, Catalog
-from wagtailloft.controllers.object_cache import FreshnessTracker
+from wagtailloft.controllers.freshness import FreshnessTracker
 from wagtailloft.decisions import Decision, Decisions
 from wagtailloft.errors import Kind, NoResponse, NotSent, Refusal
 from wagtailloft.gossip import Gossip
--- a/src/wagtailloft/platform_watcher.py
+++ b/src/wagtailloft/platform_watcher.py
@@ -8,7 +8,8 @@
 
 from wagtailloft import logs
 from wagtailloft.adapters.object_api import ObjectApi
-from wagtailloft.controllers.object_cache import FreshnessTracker, ObjectCache
+from wagtailloft.controllers.freshness import FreshnessTracker
+from wagtailloft.controllers.object_cache import ObjectCache
 from wagtailloft.gossip import Gossip
 
 LONG_POLL_S = 0.4
