Send a deadline of 0 s as the shortest one instead of the session's own

Cause: 0 counted as no option. Evidence: the new scenario in `robustness` failed before: 2000 ms were sent instead of 1.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -121,3 +121,7 @@
     Given an election whose primary another host has published
     When the host publishes the primary 5 times
     Then it reads the platform once
+
+  Scenario: A caller has no time left
+    Given a session whose requests are recorded
+    Then a request with a deadline of 0 s is sent with 1 ms, and one without with the session's own
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -5,6 +5,7 @@
 import random
 import sys
 import time
+import uuid
 from pathlib import Path
 from types import SimpleNamespace
 from urllib.parse import parse_qsl, urlsplit
@@ -17,8 +18,8 @@
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
 from standins.fleet import free_port
 from standins.platform import FakePlatform
-from wagtailloft import host_process, options
-from wagtailloft.adapters.callers import CallerHandler
+from wagtailloft import Session, host_process, options
+from wagtailloft.adapters.callers import CallerHandler, Success
 from wagtailloft.adapters.object_api import HttpObjectApi
 from wagtailloft.adapters.peers import GossipDigest, PeerServer, ThriftPeers
 from wagtailloft.adapters.server import HttpRequest
@@ -71,6 +72,7 @@
     Progress,
     PublishedPrimary,
     Role,
+    Rows,
     SqlStatement,
 )
 from wagtailloft.operators import OperatorService
@@ -967,3 +969,40 @@
 @then("it reads the platform once")
 def step_one_read(context):
     assert context.api.reads == 1, context.api.reads
+
+
+# The callers' client.
+
+
+def make_session(exchange):
+    """Return a session whose requests are passed to a function instead of a host."""
+    session = Session(hosts=["http://host"], route="r", deadline=2.0)
+    session._exchange = lambda url, body, headers, deadline: exchange(headers)
+    return session
+
+
+def make_response():
+    """Return a successful response with a token of its own."""
+    success = Success(
+        request_id="r", result=Rows(), transaction="", served_by="m", role="primary", repeated=False
+    )
+    headers = {"Wagtail-Session": uuid.uuid4().hex}
+    return SimpleNamespace(status=200, data=msgspec.json.encode(success), headers=headers)
+
+
+@given("a session whose requests are recorded")
+def step_recorded_session(context):
+    context.deadlines = []
+
+    def exchange(headers):
+        context.deadlines.append(headers["Wagtail-Deadline-Ms"])
+        return make_response()
+
+    context.session = make_session(exchange)
+
+
+@then("a request with a deadline of 0 s is sent with 1 ms, and one without with the session's own")
+def step_deadlines(context):
+    context.session.read("SELECT 1", deadline=0)
+    context.session.read("SELECT 1")
+    assert context.deadlines == ["1", "2000"], context.deadlines
--- a/src/wagtailloft/client.py
+++ b/src/wagtailloft/client.py
@@ -78,7 +78,8 @@
         if unknown:
             raise TypeError(f"unknown options: {', '.join(sorted(unknown))}")
         host = options.get("host") or self.hosts[next(self._call_numbers) % len(self.hosts)]
-        deadline = options.get("deadline") or self.deadline
+        deadline = options.get("deadline")
+        deadline = self.deadline if deadline is None else deadline
         sent = self._tokens
         headers = self._headers(options, deadline, sent)
         response = self._exchange(f"{host}/v1/routes/{self.route}/{path}", body, headers, deadline)
