Bound the requests of a session in progress, so that hosts accept its tokens

A session that more than 16 threads used at once was refused with `bad_session` (docs/FAULTS.md, row 16).

Cause: each response adds a token and replaces those that its request had sent, so as many tokens as requests in progress, and one more, can be left; a host accepts 16. Change: at most 15 requests are in progress, and others wait within their deadline. Ruled out: dropping tokens, which would lose own writes.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -122,6 +122,10 @@
     When the host publishes the primary 5 times
     Then it reads the platform once
 
+  Scenario: Many threads use one session
+    Given a session that 40 threads use at once
+    Then no request has more session tokens than a host accepts
+
   Scenario: A caller has no time left
     Given a session whose requests are recorded
     Then a request with a deadline of 0 s is sent with 1 ms, and one without with the session's own
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -6,6 +6,7 @@
 import sys
 import time
 import uuid
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from types import SimpleNamespace
 from urllib.parse import parse_qsl, urlsplit
@@ -76,6 +77,7 @@
     SqlStatement,
 )
 from wagtailloft.operators import OperatorService
+from wagtailloft.session_tokens import MAX_TOKENS
 from wagtailloft.sessions.statements import Statement, StatementResult, TransactionState, Verb
 
 PLATFORM = Path(__file__).resolve().parents[2] / "platform"
@@ -990,6 +992,27 @@
     return SimpleNamespace(status=200, data=msgspec.json.encode(success), headers=headers)
 
 
+@given("a session that {count:d} threads use at once")
+def step_parallel_session(context, count):
+    context.token_counts, rng = [], random.Random(1)
+
+    def exchange(headers):
+        context.token_counts.append(len(headers.get("Wagtail-Session", "").split(",")))
+        time.sleep(rng.uniform(0.0, 0.02))
+        return make_response()
+
+    session = make_session(exchange)
+    with ThreadPoolExecutor(count) as executor:
+        futs = [executor.submit(session.read, "SELECT 1") for _ in range(count * 5)]
+        for fut in futs:
+            fut.result()
+
+
+@then("no request has more session tokens than a host accepts")
+def step_token_counts(context):
+    assert max(context.token_counts) <= MAX_TOKENS, max(context.token_counts)
+
+
 @given("a session whose requests are recorded")
 def step_recorded_session(context):
     context.deadlines = []
--- a/src/wagtailloft/client.py
+++ b/src/wagtailloft/client.py
@@ -17,10 +17,14 @@
     exception_for,
 )
 from wagtailloft.models import Cell, Mode
+from wagtailloft.session_tokens import MAX_TOKENS
 
 RESPONSE_GRACE_S = 2.0  # added to the deadline, so that the host's response can arrive
 DEFAULT_DEADLINE_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
+# Each response brings a token, which later requests replace; one more token than requests in
+# progress can be left.
+MAX_IN_PROGRESS = MAX_TOKENS - 1
 
 
 class Session:
@@ -47,6 +51,7 @@
         self._key = key
         self._call_numbers = itertools.count()
         self._lock = threading.Lock()
+        self._in_progress = threading.BoundedSemaphore(MAX_IN_PROGRESS)
         self._tokens: frozenset[str] = frozenset()
         self._http = urllib3.PoolManager(maxsize=4, retries=False)
 
@@ -80,9 +85,17 @@
         host = options.get("host") or self.hosts[next(self._call_numbers) % len(self.hosts)]
         deadline = options.get("deadline")
         deadline = self.deadline if deadline is None else deadline
+        if not self._in_progress.acquire(timeout=max(0.0, deadline)):
+            raise TryAgain(f"{MAX_IN_PROGRESS} requests of the session are in progress")
+        try:
+            return self._post(f"{host}/v1/routes/{self.route}/{path}", body, options, deadline)
+        finally:
+            self._in_progress.release()
+
+    def _post(self, url: str, body: bytes, options: dict[str, object], deadline: float) -> Success:
         sent = self._tokens
         headers = self._headers(options, deadline, sent)
-        response = self._exchange(f"{host}/v1/routes/{self.route}/{path}", body, headers, deadline)
+        response = self._exchange(url, body, headers, deadline)
         if response.status != 200:
             raise _exception_from(response)
         with self._lock:
