Wait until the odd peer of a scenario listens before it is called

`robustness: A host answers with another request's response` failed once, and in the 6th of 25 plays beside load, with NotSent "connect to h1". Trace: PeerServer.start returns before its thread listens, and the scenario called at once. A daemon's peers call it only after it has announced itself. The scenario waits for the port now.

--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import socket
 import sys
 import time
 import uuid
@@ -17,7 +18,7 @@
 from result import Err, Ok
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
-from standins.fleet import free_port
+from standins.fleet import free_port, wait_until
 from standins.platform import FakePlatform
 from wagtailloft import Session, host_process, options
 from wagtailloft.adapters.callers import CallerHandler, Success
@@ -844,10 +845,17 @@
     server = PeerServer(ip=LOOPBACK, port=port, handler=OddPeer(**answers))
     server.start()
     context.stack.callback(server.stop)
+    wait_until(lambda: is_listening(port), 5.0, "the peer does not listen")
     context.peer_host = Host(name="h1", ip=LOOPBACK, caller_port=1, peer_port=port, operator_port=2)
     context.peers = ThriftPeers(source=LOOPBACK)
 
 
+def is_listening(port):
+    """Tell whether a loopback port accepts connections."""
+    with socket.socket() as sock:
+        return sock.connect_ex((LOOPBACK, port)) == 0
+
+
 @given("a host that answers calls with another request's response")
 def step_other_response(context):
     start_peer(context, work=ttypes.WorkResult("other", b"{}"))
