Quote the names of objects in the platform's paths

Cause: names went into paths as they were. Evidence: the new scenario in `robustness` failed before: the query of "a?b" was lost. The stand-in of the platform unquotes names now.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -129,3 +129,7 @@
   Scenario: A caller has no time left
     Given a session whose requests are recorded
     Then a request with a deadline of 0 s is sent with 1 ms, and one without with the session's own
+
+  Scenario: An object's name has characters with a meaning in paths
+    Given a platform that answers
+    Then objects named "a b", "a?b", "a/b" and "ü%2F" are stored and found under their names
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -76,6 +76,7 @@
     Role,
     Rows,
     SqlStatement,
+    Team,
 )
 from wagtailloft.operators import OperatorService
 from wagtailloft.session_tokens import MAX_TOKENS
@@ -913,6 +914,27 @@
     assert all(result == (True, 0) for result in context.unanswered), context.unanswered
 
 
+def make_object_api(request):
+    """Return a client of the object API whose calls are passed to a function."""
+    api = HttpObjectApi(address="platform", source=LOOPBACK)
+    api._http = SimpleNamespace(request=request)
+    return api
+
+
+@given("a platform that answers")
+def step_answering_platform(context):
+    transport = SilentTransport()
+    context.platform, context.api = transport.platform, make_object_api(transport.request)
+
+
+@then('objects named "a b", "a?b", "a/b" and "ü%2F" are stored and found under their names')
+def step_named_objects(context):
+    for name in ("a b", "a?b", "a/b", "ü%2F"):
+        written = context.api.put("team", name, Team(name=name), 0)
+        assert written.is_ok() and ("team", name) in context.platform.objects, (name, written)
+        assert context.api.get("team", name).ok_value.name == name
+
+
 # Elections.
 
 
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -5,6 +5,7 @@
 """
 
 from typing import Any, Protocol
+from urllib.parse import quote
 
 import msgspec
 import urllib3
@@ -78,7 +79,7 @@
         self, kind: str, name: str, timeout: float = OBJECT_CALL_TIMEOUT_S
     ) -> Result[Change | None, Refusal]:
         """Return an object, or None if it does not exist."""
-        response = self._call("GET", f"/objects/{kind}/{name}", timeout=timeout)
+        response = self._call("GET", _object_path(kind, name), timeout=timeout)
         if isinstance(response, Err):
             return response
         if response.ok_value.status == 404:
@@ -187,7 +188,7 @@
         self, kind: str, name: str, value: Any, version: int, timeout: float
     ) -> Result[urllib3.BaseHTTPResponse, Refusal]:
         body = msgspec.json.encode({"value": value})
-        path = f"/objects/{kind}/{name}?version={number_of(version)}"
+        path = f"{_object_path(kind, name)}?version={number_of(version)}"
         return self._call("PUT", path, body, timeout)
 
     def _conflict(
@@ -243,6 +244,10 @@
         return Ok(response)
 
 
+def _object_path(kind: str, name: str) -> str:
+    return f"/objects/{kind}/{quote(name, safe='')}"
+
+
 def _era(response: urllib3.BaseHTTPResponse) -> int:
     text = response.headers.get(ERA_HEADER, "")
     return int(text) if is_decimal(text) else NO_ERA
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from typing import Any
+from urllib.parse import unquote
 
 import fire
 
@@ -113,7 +114,7 @@
             return self._hosts()
         if parts[0] != "objects" or len(parts) != 3:
             return 404, {"error": "not_found"}
-        kind, name = parts[1], parts[2]
+        kind, name = parts[1], unquote(parts[2])
         self.calls[method.lower()] += 1
         if method == "GET":
             return self._get(kind, name)
