Report what the platform rejects as rejected, not as a platform that is down

Cause: every status but the expected ones counted as no answer. Change: 4xx means that the change has not run and won't; 429 stays a reason to try again. Evidence: the new scenario in `robustness` failed before: 400 and 413 were reported as platform_down.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -133,3 +133,7 @@
   Scenario: An object's name has characters with a meaning in paths
     Given a platform that answers
     Then objects named "a b", "a?b", "a/b" and "ü%2F" are stored and found under their names
+
+  Scenario: The platform rejects an object
+    Given a platform that answers calls with 400, 413 and 429
+    Then the first two are reported as rejected for good, the last as a platform that does not answer
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -935,6 +935,25 @@
         assert context.api.get("team", name).ok_value.name == name
 
 
+@given("a platform that answers calls with 400, 413 and 429")
+def step_rejecting_platform(context):
+    context.kinds = {}
+    for status in (400, 413, 429):
+        response = SimpleNamespace(status=status, data=b"{}", headers={"Store-Era": "1"})
+        api = make_object_api(lambda *args, response=response, **options: response)
+        api._era = api._started_era = 1
+        put = api.put("team", "t", Team(name="t"), 0)
+        context.kinds[status] = {api.get("team", "t").err_value.kind, put.err_value.kind}
+
+
+@then(
+    "the first two are reported as rejected for good, the last as a platform that does not answer"
+)
+def step_rejected(context):
+    expected = {400: Kind.BAD_REQUEST, 413: Kind.BAD_REQUEST, 429: Kind.PLATFORM_DOWN}
+    assert context.kinds == {status: {kind} for status, kind in expected.items()}, context.kinds
+
+
 # Elections.
 
 
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -240,6 +240,11 @@
             return _unanswered(method, type(exc).__name__)
         if response.status >= 500:
             return _unanswered(method, f"status {response.status}")
+        if response.status == 429:
+            return _unavailable("status 429")
+        if response.status >= 400 and response.status not in (404, 409):
+            detail = f"the platform rejected {method} {path.partition('?')[0]}: {response.status}"
+            return Err(Refusal(kind=Kind.BAD_REQUEST, detail=detail))
         self._era = max(self._era, _era(response))
         return Ok(response)
 
