End the thread that accepts connections of other daemons when a daemon stops

A stopping daemon logged an error without a pause from the moment its peer port was closed until its process ended, as fast as its processor allowed.

Cause: thrift's server logs whatever its socket raises and accepts again, and a closed socket raises at once. Closing it does not wake the thread that accepts, either: it took one more connection first. Change: the listener is shut down, which wakes the thread, and the thread ends.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -137,3 +137,8 @@
   Scenario: The platform rejects an object
     Given a platform that answers calls with 400, 413 and 429
     Then the first two are reported as rejected for good, the last as a platform that does not answer
+
+  Scenario: A daemon stops serving others
+    Given a host that answers calls with another request's response
+    When it stops serving
+    Then its server's thread ends within 1 s, with one error logged at most
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import random
 import socket
 import sys
@@ -10,6 +11,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from types import SimpleNamespace
+from unittest.mock import patch
 from urllib.parse import parse_qsl, urlsplit
 
 import msgspec
@@ -845,6 +847,7 @@
     port = free_port()
     server = PeerServer(ip=LOOPBACK, port=port, handler=OddPeer(**answers))
     server.start()
+    context.peer_server = server
     context.stack.callback(server.stop)
     wait_until(lambda: is_listening(port), 5.0, "the peer does not listen")
     context.peer_host = Host(name="h1", ip=LOOPBACK, caller_port=1, peer_port=port, operator_port=2)
@@ -954,6 +957,21 @@
     assert context.kinds == {status: {kind} for status, kind in expected.items()}, context.kinds
 
 
+@when("it stops serving")
+def step_stop_peer(context):
+    context.errors = []
+    logger = logging.getLogger("thrift.server.TServer")
+    with patch.object(logger, "exception", context.errors.append):
+        context.peer_server.stop()
+        time.sleep(1.0)
+
+
+@then("its server's thread ends within 1 s, with one error logged at most")
+def step_peer_thread_ended(context):
+    assert not context.peer_server.is_serving()
+    assert len(context.errors) <= 1, len(context.errors)
+
+
 # Elections.
 
 
--- a/src/wagtailloft/adapters/peers.py
+++ b/src/wagtailloft/adapters/peers.py
@@ -4,6 +4,7 @@
 import threading
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from typing import Any, Protocol
 
 import msgspec
@@ -209,13 +210,24 @@
             daemon=True,
         )
 
+        self._thread = threading.Thread(target=self._server.serve, name="peers", daemon=True)
+
     def start(self) -> None:
         """Start to serve in a background thread."""
-        threading.Thread(target=self._server.serve, name="peers", daemon=True).start()
+        self._thread.start()
 
     def stop(self) -> None:
         """Stop accepting connections."""
-        self._socket.close()
+        listener = self._socket.handle
+        self._socket.handle = None
+        if listener is not None:
+            with suppress(OSError):
+                listener.shutdown(socket.SHUT_RDWR)  # wakes the thread that accepts
+            listener.close()
+
+    def is_serving(self) -> bool:
+        """Tell whether connections are accepted, or will be once the thread listens."""
+        return self._thread.is_alive()
 
 
 class _ServerSocket:
@@ -226,7 +238,13 @@
         self._inner.listen()
 
     def accept(self) -> TSocket.TSocket:
-        client = self._inner.accept()
+        """Return the next connection; end the server's thread once the socket is closed."""
+        try:
+            client = self._inner.accept()
+        except (OSError, AttributeError):
+            if self._inner.handle is not None:
+                raise
+            raise SystemExit from None  # the server would log any other exception, and go on
         if client is not None:
             set_tcp_options(client.handle)
         return client
