Wait for late callers for a fixed time before a stopping daemon exits

Cause: let a stopping daemon exit 1 s after its last request. A caller that chose the host up to 1.2 s after it began to leave and stalls for 0.8 s connects up to 2 s after; if the last request before came earlier than 1 s after the beginning, the daemon was gone. Whether one came is luck, the more so the fewer callers there are.

Change: the daemon stays for the 1.2 s of an older list and 1 s for late callers, and until nothing has run for 0.3 s, as before. The scenario's callers stall in 60% of their requests instead of 20%.

--- a/features/steps/drain.py
+++ b/features/steps/drain.py
@@ -10,7 +10,7 @@
 from standins.fleet import STANDIN_IP, request_json
 
 POLL_INTERVAL_S = 0.2
-STALL_PROBABILITY = 0.2  # of a request, when callers stall
+STALL_PROBABILITY = 0.6  # of a request, when callers stall
 
 
 class LoadBalancer:
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -47,7 +47,8 @@
 OPERATOR_THREADS = 8
 LEAVE_PROPAGATION_S = 1.2
 # A caller on a busy machine connects this long after it chose the host from an older list.
-IDLE_BEFORE_EXIT_S = 1.0
+LATE_CALLER_S = 1.0
+IDLE_BEFORE_EXIT_S = 0.3
 EXIT_INVALID_SETTINGS = 2
 THREAD_SWITCH_INTERVAL_S = 0.005
 
@@ -226,10 +227,10 @@
     def _wait_until_idle(self, deadline: float) -> None:
         """Wait until this host may exit, but no longer than the deadline.
 
-        It may exit once the other hosts know that it is leaving and nothing has run here for
-        IDLE_BEFORE_EXIT_S.
+        It may exit once the other hosts and late callers know that it is leaving, and nothing has
+        run here for IDLE_BEFORE_EXIT_S.
         """
-        propagated_at = time.monotonic() + LEAVE_PROPAGATION_S
+        propagated_at = time.monotonic() + LEAVE_PROPAGATION_S + LATE_CALLER_S
         idle_since = time.monotonic()
         while time.monotonic() < deadline:
             if self.caller_handler.active or self.group_services.active_count():
