Let queued statements of open transactions run when a member is paused

Cause: only arriving statements were let pass. Change: those that are queued run when the pause begins. Evidence: the new scenario in `robustness` failed before, with no statement admitted in 0.5 s.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -142,3 +142,8 @@
     Given a host that answers calls with another request's response
     When it stops serving
     Then its server's thread ends within 1 s, with one error logged at most
+
+  Scenario: A member is paused while statements of open transactions wait for its slots
+    Given a member all of whose slots are in use, and for which statements wait
+    When the member is paused
+    Then the statement of an open transaction runs at once, and the other one waits
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -58,6 +58,7 @@
 )
 from wagtailloft.fleet.store_era import StoreEra
 from wagtailloft.fleet.topic_cache import MAX_REMOVALS, TopicCache
+from wagtailloft.gate import Gate, SlotRequest
 from wagtailloft.gen.peer import ttypes
 from wagtailloft.groups import failover, promotion_lease
 from wagtailloft.groups.failover import FailoverCoordinator
@@ -972,6 +973,45 @@
     assert len(context.errors) <= 1, len(context.errors)
 
 
+# The slots of a member.
+
+
+def wait_for_slot(gate, admitted, in_transaction):
+    """Wait for a slot for 2 s; add whether it was granted for a transaction's statement."""
+    request = SlotRequest(
+        team="t",
+        weight=1.0,
+        deadline=time.monotonic() + 2.0,
+        queue_limit=10,
+        in_transaction=in_transaction,
+    )
+    with gate.slot(request) as result:
+        if result.is_ok():
+            admitted.append(in_transaction)
+
+
+@given("a member all of whose slots are in use, and for which statements wait")
+def step_statements_wait(context):
+    context.gate, context.admitted = Gate(slots=1), []
+    executor = context.stack.enter_context(ThreadPoolExecutor(2))
+    request = SlotRequest(team="t", weight=1.0, deadline=time.monotonic() + 5.0, queue_limit=10)
+    context.stack.enter_context(context.gate.slot(request))
+    for in_transaction in (False, True):
+        executor.submit(wait_for_slot, context.gate, context.admitted, in_transaction)
+    wait_until(lambda: context.gate.queued == 2, 2.0, "the statements don't wait")
+
+
+@when("the member is paused")
+def step_pause_member(context):
+    context.gate.set_paused(True)
+    time.sleep(0.5)
+
+
+@then("the statement of an open transaction runs at once, and the other one waits")
+def step_only_transaction_runs(context):
+    assert context.admitted == [True], context.admitted
+
+
 # Elections.
 
 
--- a/src/wagtailloft/gate.py
+++ b/src/wagtailloft/gate.py
@@ -35,7 +35,8 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._queue = FairQueue(slots=slots)
-        self._granted: dict[int, threading.Event] = {}
+        self._granted: dict[int, threading.Event] = {}  # by the number of a queued ticket
+        self._in_transactions: dict[int, Ticket] = {}  # queued ones of open transactions
         self._busy = 0
         self._paused = False
 
@@ -57,11 +58,15 @@
     def set_paused(self, paused: bool) -> None:
         """Stop or resume granting slots.
 
-        While paused, newly arriving statements of open transactions run at once, beyond the slot
-        limit.
+        While paused, statements of open transactions run at once, beyond the slot limit, also those
+        that are queued already.
         """
         with self._lock:
             self._paused = paused
+            if paused:
+                for ticket in list(self._in_transactions.values()):
+                    self._queue.remove(ticket)
+                    self._grant(ticket)
             self._admit()
 
     @contextmanager
@@ -97,6 +102,8 @@
                 self._busy += 1
                 return Ok(ticket)
             self._granted[ticket.number] = granted
+            if request.in_transaction:
+                self._in_transactions[ticket.number] = ticket
             self._admit()
         if granted.wait(max(0.0, request.deadline - now)):
             return Ok(ticket)
@@ -108,6 +115,7 @@
             if granted.is_set():
                 return Ok(ticket)
             self._granted.pop(ticket.number)
+            self._in_transactions.pop(ticket.number, None)
             self._queue.remove(ticket)
         return Err(Refusal(kind=Kind.DEADLINE, detail="no slot became free before the deadline"))
 
@@ -122,5 +130,9 @@
             ticket = self._queue.pop()
             if ticket is None:
                 return
-            self._busy += 1
-            self._granted.pop(ticket.number).set()
+            self._grant(ticket)
+
+    def _grant(self, ticket: Ticket) -> None:
+        self._busy += 1
+        self._in_transactions.pop(ticket.number, None)
+        self._granted.pop(ticket.number).set()
