Don't confirm a write whose response was lost if the store is in another era by then

On our own interface an operator could be told that a change was done which the fleet then undid: the write got no response, the store came back from an older copy, and the write was done in the new era.

Class: a number of one era used in another. Change: in another era than that of the write, the outcome is unknown. Evidence: found by reading the change once more. The new scenario in `robustness` failed before: the put returned the change as done.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -147,3 +147,8 @@
     Given a member all of whose slots are in use, and for which statements wait
     When the member is paused
     Then the statement of an open transaction runs at once, and the other one waits
+
+  Scenario: A write to the platform gets no response, and is done after a restore
+    Given a platform that comes back from an older copy before it does a write without a response
+    When a daemon changes an object there
+    Then the outcome is reported as unknown, and one that was never sent as not done
--- a/features/steps/daemon_inputs.py
+++ b/features/steps/daemon_inputs.py
@@ -60,7 +60,7 @@
     def __init__(self, *, follow_up=None):
         """Do each write at once if another value follows it, else do it too late to be seen."""
         self.platform, self.follow_up = FakePlatform(host_lag_s=0.0), follow_up
-        self.refuses = False
+        self.refuses, self.before_silence = False, lambda call: None
 
     def request(self, method, url, body=None, timeout=None):
         """Return the response to a read, and none to a write of a key."""
@@ -74,6 +74,7 @@
                 _, written = self.platform.handle(*call)
                 query = {"version": written["revision"]}
                 self.platform.handle(None, method, parts.path, query, {"value": self.follow_up})
+            self.before_silence(call)
             raise urllib3.exceptions.ReadTimeoutError(None, url, "no response")
         status, value = self.platform.handle(*call)
         headers = {k: str(v) for k, v in self.platform.reply_headers().items()}
@@ -90,6 +91,18 @@
     context.transport = SilentTransport(follow_up={"digest": "k", "team": "other"})
 
 
+@given("a platform that comes back from an older copy before it does a write without a response")
+def step_restored_platform(context):
+    context.transport = transport = SilentTransport()
+    transport.platform._save()
+
+    def restore_and_write(call):
+        transport.platform._restore()
+        assert transport.platform.handle(*call)[0] == 200
+
+    transport.before_silence = restore_and_write
+
+
 @when("a daemon changes an object there")
 def step_change_object(context):
     api = HttpObjectApi(address="platform", source=LOOPBACK)
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -105,7 +105,7 @@
         if isinstance(response, Err):
             if response.err_value.kind is not Kind.OUTCOME_UNKNOWN:
                 return response
-            return self._resolve_unknown_write(kind, name, sent, version, timeout)
+            return self._resolve_unknown_write(kind, name, sent, version, era, timeout)
         if response.ok_value.status == 409:
             return _decode_conflict(response.ok_value)
         written = _decode_change(response.ok_value)
@@ -204,15 +204,18 @@
         return Err(WriteConflict(revision=change.revision, value=change.value))
 
     def _resolve_unknown_write(
-        self, kind: str, name: str, value: Any, version: int, timeout: float
+        self, kind: str, name: str, value: Any, version: int, era: int, timeout: float
     ) -> Result[Change, Refusal]:
         """Return the change if the store has it, else that the outcome is unknown.
 
-        The write may still be done later, or another one may have replaced it.
+        The write may still be done later, or another one may have replaced it. In another era than
+        the one it was sent for, other hosts may undo it.
         """
         found = self.get(kind, name, timeout)
         if isinstance(found, Err):
             return _unknown("no response, and the object can't be read back")
+        if self._era != era:
+            return _unknown("no response, and the store came back from an older copy")
         change = found.ok_value
         if change is None:
             if value is None and number_of(version):
