Log which hosts a fence heard from, and uses of aged assignments

A host that uses a primary under an assignment older than a connected host's logs its age and limit. Decisions are unchanged.

--- a/src/wagtailloft/groups/fencing.py
+++ b/src/wagtailloft/groups/fencing.py
@@ -38,12 +38,38 @@
         self._started_at = started_at
         self._confirmed = 1
         self._last_confirmed_at = started_at
+        self._skipped: list[str] = []
+        self._expired: list[str] = []
 
     def confirm(self) -> None:
         """Record that one more host stopped using the primary."""
         self._confirmed += 1
         self._last_confirmed_at = now()
 
+    def skip(self, host: str, why: str) -> None:
+        """Record that a host is counted as confirmed without its own word."""
+        logs.event("fence_skipped", host=host, why=why)
+        self._skipped.append(host)
+        self.confirm()
+
+    def expire(self, host: str) -> None:
+        """Record that a host's cached assignment is too old to use."""
+        logs.warn("fence_unconfirmed", host=host, group=self.assignment.group)
+        self._expired.append(host)
+
+    def log_end(self) -> None:
+        """Log which hosts stopped using the primary by their own word, and which did not."""
+        logs.event(
+            "fence_done",
+            group=self.assignment.group,
+            epoch=self.assignment.epoch,
+            hosts=self._host_count,
+            confirmed=self._confirmed - len(self._skipped),
+            skipped=",".join(self._skipped),
+            expired=",".join(self._expired),
+            seconds=round(now() - self._started_at, 3),
+        )
+
     def deadline(self, max_age: float) -> float:
         """Return when a host that does not answer can no longer use the old assignment.
 
@@ -82,6 +108,7 @@
         local = self._local_executor.fence(assignment, not planned)
         calls = [self._fence_host(h, progress) for h in others]
         positions = await asyncio.gather(local, *calls)
+        progress.log_end()
         return max((p for p in positions if p), default=None)
 
     async def _fence_host(self, host: Host, progress: FenceProgress) -> Position | None:
@@ -92,14 +119,13 @@
                 response = await self._hosts.call(host.name, message, timeout)
             except (NotSent, NoResponse) as exc:
                 if self._hosts.refuses_connections(host.name):
-                    logs.event("fence_skipped", host=host.name, why=str(exc))
-                    progress.confirm()
+                    progress.skip(host.name, str(exc))
                     return None
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
             progress.confirm()
             return response.acknowledged if isinstance(response, FenceResponse) else None
-        logs.warn("fence_unconfirmed", host=host.name, group=progress.assignment.group)
+        progress.expire(host.name)
         return None
 
     async def _handle_fence_request(self, conn: PeerConnection, message: Message) -> Message:
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -4,11 +4,13 @@
 import itertools
 from collections.abc import Callable
 
+from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.controllers.fairness import Ticket
 from wagtailloft.errors import Kind, NoResponse, NotSent
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
 from wagtailloft.fleet.records import PrimaryAssignment, Target
+from wagtailloft.fleet.store_cache import OLD_CACHE_AGE_S
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.link_pool import LinkPool
 from wagtailloft.groups.ports import Link, LinkFactory
@@ -160,6 +162,7 @@
                         Kind.NO_PRIMARY, "this host may not use the target as primary"
                     )
                 )
+            self._log_aged_assignment(request)
         remaining = request.budget - (now() - started_at)
         if request.bound.statement.writes and remaining < MIN_WRITE_BUDGET_S:
             pool.release(link, ticket, 0.0)
@@ -202,6 +205,8 @@
             return StatementResponse(
                 outcome=not_executed(Kind.TRANSACTION_LOST, "the primary is being replaced")
             )
+        if require_primary:
+            self._log_aged_assignment(request)
         transaction.busy = True
         try:
             outcome = await self._send(transaction, request, request.budget)
@@ -254,6 +259,24 @@
                 self._acknowledged_positions[request.group] = outcome.position
         return outcome
 
+    def _log_aged_assignment(self, request: StatementRequest) -> None:
+        """Log the use of a primary whose assignment may have changed without this host knowing.
+
+        Without a cut or an outage, the cache is younger than OLD_CACHE_AGE_S.
+        """
+        cache = self._directory.cache
+        age = cache.assignments_age()
+        if age > OLD_CACHE_AGE_S:
+            logs.event(
+                "aged_assignment_used",
+                request=request.bound.request_id,
+                group=request.group,
+                target=request.target,
+                epoch=self._directory.assignment_or_initial(request.group).epoch,
+                age=round(age, 3),
+                limit=cache.assignment_max_age,
+            )
+
     def _report_if_unresponsive(self, pool: LinkPool, link: Link, sent_at: float) -> None:
         """Report a target that has sent nothing on any link since a statement was sent."""
         last_heard = max(
