Add failing tests for live hosts whose connections are refused

On a model of hosts with the real caches, leases and fences, in virtual time, a host that runs but refuses connections uses a replaced primary, and two hosts hold the promotion lease at once. Over real sockets a fence skips a host at whose address nothing listens.

--- /dev/null
+++ b/features/ends.feature
@@ -0,0 +1,16 @@
+Feature: A process counts as ended only once another process of its host has answered
+
+  Scenario: A live host whose connections are refused does not use a primary after its replacement
+    Given a model of hosts
+    When the connections of host 3 are refused and host 0 replaces the primary
+    Then no host uses a replaced primary in the next 8 s
+
+  Scenario: A live holder of the promotion lease whose connections are refused stays the only holder
+    Given a model of hosts
+    When host 0 takes the promotion lease, its connections are refused, and host 1 takes the lease
+    Then no two hosts held the lease at once
+
+  Scenario: A fence waits for a live host that refuses connections until its assignment has expired
+    Given a coordinator, a host that answers, and one at whose address no socket listens
+    When the coordinator fences a primary whose assignment expires after 0.3 s
+    Then the fence took at least 0.6 s
--- a/features/restored_store.py
+++ b/features/restored_store.py
@@ -15,6 +15,7 @@
 from wagtailloft import clock
 from wagtailloft.errors import NotSent
 from wagtailloft.fleet.hosts import Hosts
+from wagtailloft.fleet.mesh import ConnectionRefused
 from wagtailloft.fleet.ports import Conflict, EraChanged, StoreDown
 from wagtailloft.fleet.records import (
     Changes,
@@ -148,7 +149,7 @@
 
 
 class ModelMesh(InProcessMesh):
-    """A mesh whose host may be cut off from all others, or frozen."""
+    """A mesh whose host may be cut off from all others, with or without resets, or frozen."""
 
     def __init__(self, meshes, host):
         """Connect a host to the others."""
@@ -164,6 +165,8 @@
         await asyncio.sleep(CALL_S)
         await self.host.thawed.wait()
         other = self.meshes[address[0]].host
+        if self.host.resets or other.resets:
+            raise ConnectionRefused("[Errno 111] Connect call failed")
         if self.host.cut or other.cut or not other.thawed.is_set():
             await asyncio.sleep(limit)
             raise NotSent("no connection")
@@ -176,7 +179,7 @@
     def __init__(self, *, fleet, number):
         """Start the host's first process."""
         self.fleet, self.number = fleet, number
-        self.cut = self.refused = False
+        self.cut = self.refused = self.resets = False
         self.thawed = asyncio.Event()
         self.thawed.set()
         self.incarnation, self.tasks = 0, []
@@ -363,6 +366,12 @@
         self.hosts[host].cut = True
         self._loop.call_later(seconds, setattr, self.hosts[host], "cut", False)
 
+    def reset(self, host, seconds):
+        """Cut a host that goes on running off from the others and the store, with resets."""
+        self.refuse(host, seconds)
+        self.hosts[host].resets = True
+        self._loop.call_later(seconds, setattr, self.hosts[host], "resets", False)
+
     def pause(self, host, seconds):
         """Freeze a host for a time."""
         self.hosts[host].thawed.clear()
@@ -384,7 +393,7 @@
         """End all faults; return what the hosts and the store disagree on after a while."""
         self.lost_answers = self.late_writes = 0
         for host in self.hosts:
-            host.cut = host.refused = False
+            host.cut = host.refused = host.resets = False
             host.thawed.set()
         self.advance(CONVERGE_S)
         wrong = []
