Take only another process's answer as proof that a process has ended

Cause: a refused connection counted as proof that a host's process had ended. A failover's fence took such a host as confirmed, also towards the majority, and did not wait until its cached assignment had expired; the promotion lease was taken 0.6 s after it was first seen, while its holder could still order promotions. But the hosts ran, and reached their callers and the old primary. The wall clock's order of two processes was taken for the order of their starts as well.

Change: hosts no longer learn in which way a connection failed. A fence is confirmed by the host's own answer, which now names the host, or waited out. A coordinator that wants the lease asks the holder's host which process runs there; another one that answers proves the end, since only one can listen at the address, and 0.6 s from then cover what the ended one had sent. Claims on failovers may still be taken from a host that can't be reached: the lease and the check of the claim keep that safe.

The test of has_ended asked for the order of incarnations and now asks for the answer of another process, in more cases than before.

--- a/features/restored_store.py
+++ b/features/restored_store.py
@@ -15,7 +15,6 @@
 from wagtailloft import clock
 from wagtailloft.errors import NotSent
 from wagtailloft.fleet.hosts import Hosts
-from wagtailloft.fleet.mesh import ConnectionRefused
 from wagtailloft.fleet.ports import Conflict, EraChanged, StoreDown
 from wagtailloft.fleet.records import (
     Changes,
@@ -166,7 +165,7 @@
         await self.host.thawed.wait()
         other = self.meshes[address[0]].host
         if self.host.resets or other.resets:
-            raise ConnectionRefused("[Errno 111] Connect call failed")
+            raise NotSent("[Errno 111] Connect call failed")
         if self.host.cut or other.cut or not other.thawed.is_set():
             await asyncio.sleep(limit)
             raise NotSent("no connection")
--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -63,9 +63,10 @@
     When a hello that the earlier process sent when it stopped arrives
     Then the restarted host stays known with its own process and state
 
-  Scenario: A process counts as ended only if a later one is known on its host
+  Scenario: A process counts as ended only once another one has answered on its host
     Given a host that knows a restarted host
-    Then the earlier process has ended, and a later one that it has not heard of has not
+    Then the earlier process has ended, also if its clock was ahead, and the one that answers has not
+    And a process of a host that does not answer, or of an unknown host, has not
 
   Scenario: The store names this host with an earlier address
     Then a host keeps its own entry
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -93,13 +93,18 @@
         return self.entry
 
 
+async def never_ends(process_name):
+    """Return False: no process is known to have ended."""
+    return False
+
+
 def make_leases(store, *names):
     """Return the leases of hosts; each tells who holds the lease and with which token."""
     return [
         promotion_lease.PromotionLease(
             own=Host(name=n, ip="", caller_port=1, peer_port=1, operator_port=1, incarnation=1),
             cache=store,
-            has_ended=lambda name, incarnation: False,
+            has_ended=never_ends,
         )
         for n in names
     ]
@@ -614,11 +619,26 @@
     assert known == context.restarted, known
 
 
-@then("the earlier process has ended, and a later one that it has not heard of has not")
+@then(
+    "the earlier process has ended, also if its clock was ahead, and the one that answers has not"
+)
 def step_has_ended(context):
-    name = context.restarted.name
-    assert context.hosts.has_ended(name, 10) and not context.hosts.has_ended(name, 30)
-    assert not context.hosts.has_ended(name, 20)
+    def has_ended(incarnation):
+        return asyncio.run(context.hosts.has_ended(f"{context.restarted.name}/{incarnation}"))
+
+    assert has_ended(10) and has_ended(30) and not has_ended(20)
+
+
+@then("a process of a host that does not answer, or of an unknown host, has not")
+def step_not_ended(context):
+    meshes = context.hosts._mesh.meshes
+
+    async def fail(conn, message):
+        raise NotSent("[Errno 111] Connect call failed")
+
+    meshes[context.restarted.ip].register_handler(Hello, fail)
+    assert not asyncio.run(context.hosts.has_ended(f"{context.restarted.name}/10"))
+    assert not asyncio.run(context.hosts.has_ended("unknown/10"))
 
 
 @then("a host keeps its own entry")
--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -595,13 +595,16 @@
 
 @then("another host waits to take the lease, and the fencing token increases")
 def step_promotion_lease(context):
+    async def has_ended(process_name):
+        return process_name == "b/1"
+
     async def check():
         store = FakeStore()
         first, second = (
             promotion_lease.PromotionLease(
                 own=Host(name=n, ip="", caller_port=1, peer_port=1, operator_port=1, incarnation=1),
                 cache=FakeStoreCache(store),
-                has_ended=lambda name, incarnation: name == "b",
+                has_ended=has_ended,
             )
             for n in ("a", "b")
         )
--- a/src/wagtailloft/fleet/hosts.py
+++ b/src/wagtailloft/fleet/hosts.py
@@ -9,7 +9,7 @@
 from wagtailloft.clock import now
 from wagtailloft.controllers import ownership
 from wagtailloft.errors import NoResponse, NotSent, WagtailError
-from wagtailloft.fleet.mesh import ConnectionRefused, Mesh, PeerConnection
+from wagtailloft.fleet.mesh import Mesh, PeerConnection
 from wagtailloft.fleet.messages import Hello, HelloReply, Message
 from wagtailloft.models import Host, HostState
 
@@ -26,7 +26,6 @@
         self._mesh = mesh
         self._hosts: dict[str, Host] = {own.name: own}
         self._rankings: dict[tuple[str, str], tuple[Host, ...]] = {}
-        self._refusing: set[str] = set()
         self._hello_tasks: dict[str, asyncio.Task[None]] = {}
         self._suspected_since: dict[str, float] = {}
         self._removed: dict[str, tuple[Host, float]] = {}
@@ -45,16 +44,23 @@
         """Return the hosts that are not suspected and not stopping."""
         return tuple(h for h in self._hosts.values() if h.state is HostState.ALIVE)
 
-    def refuses_connections(self, name: str) -> bool:
-        """Tell whether a host refused the last connection attempt: no process listens there."""
-        return name in self._refusing
+    async def has_ended(self, process_name: str) -> bool:
+        """Ask a process's host which process runs there; tell whether that proves an end.
 
-    def has_ended(self, name: str, incarnation: int) -> bool:
-        """Tell whether a process is known to have ended: a later one runs there, or none does."""
-        if self.refuses_connections(name):
-            return True
+        The process must have acted before the call. It has ended if another one answers at its
+        address, where only one can listen. A refused or reset connection, silence, or a host that
+        is not known proves nothing.
+        """
+        name = process_name.rpartition("/")[0]
         host = self._hosts.get(name)
-        return host is not None and host.incarnation > incarnation
+        if host is None:
+            return False
+        if name != self.own.name:
+            reply = await self._exchange_hello((host.ip, host.peer_port), name)
+            if reply is None or reply.host.name != name:
+                return False
+            host = reply.host
+        return host.process_name != process_name
 
     def rank_owners(self, key: str, zone: str = "") -> tuple[Host, ...]:
         """Return the live hosts in order of preference as owner of a key, a zone's hosts first."""
@@ -156,7 +162,6 @@
             logs.event("host_unverified", host=host.name, incarnation=host.incarnation)
             self._schedule_hello(host)
             return HelloReply(host=self.own, known_hosts=self.all() if message.is_joining else ())
-        self._refusing.discard(host.name)
         if known != host:
             logs.event("host_seen", host=host.name, state=host.state.value, ip=host.ip)
             self._put(host)
@@ -174,6 +179,12 @@
     async def _send_hello(
         self, address: tuple[str, int], name: str = "", is_joining: bool = False
     ) -> None:
+        await self._exchange_hello(address, name, is_joining)
+
+    async def _exchange_hello(
+        self, address: tuple[str, int], name: str = "", is_joining: bool = False
+    ) -> HelloReply | None:
+        """Say hello to an address and learn who answers; return None if nobody does."""
         message = Hello(host=self.own, is_joining=is_joining)
         try:
             response = await self._mesh.call(address, message, HELLO_TIMEOUT_S)
@@ -181,22 +192,18 @@
             host = self._hosts.get(name)
             if host:
                 self._record_failure(host, exc, certain=True)
-            return
+            return None
         if not isinstance(response, HelloReply):
-            return
-        self._refusing.discard(response.host.name)
+            return None
         if self._hosts.get(response.host.name) != response.host:
             self._put(response.host)
         for host in response.known_hosts:
             if host.name not in self._hosts:
                 self.add(host)
+        return response
 
     def _record_failure(self, host: Host, exc: WagtailError, certain: bool = False) -> None:
         """Suspect a host after a failed call; if not certain, only without an open connection."""
-        if isinstance(exc, ConnectionRefused):
-            self._refusing.add(host.name)
-        elif isinstance(exc, NotSent):
-            self._refusing.discard(host.name)
         known = self._hosts.get(host.name)
         if known is None or known.state is HostState.SUSPECT:
             return
@@ -206,7 +213,6 @@
             self._put(msgspec.structs.replace(known, state=HostState.SUSPECT))
 
     def _record_success(self, name: str) -> None:
-        self._refusing.discard(name)
         host = self._hosts.get(name)
         if host and host.state is HostState.SUSPECT:
             logs.event("host_recovered", host=name)
--- a/src/wagtailloft/fleet/mesh.py
+++ b/src/wagtailloft/fleet/mesh.py
@@ -242,10 +242,7 @@
                 await loop.sock_connect(sock, address)
         except (OSError, TimeoutError) as exc:
             sock.close()
-            refused = isinstance(exc, ConnectionRefusedError)
-            raise (
-                ConnectionRefused(str(exc)) if refused else NotSent(str(exc) or "connect timed out")
-            ) from exc
+            raise NotSent(str(exc) or "connect timed out") from exc
         _, conn = await loop.create_connection(
             lambda: PeerConnection(handler=self._dispatch, on_lost=lambda _: None), sock=sock
         )
@@ -261,10 +258,6 @@
         return await self._handlers[type(message)](conn, message)
 
 
-class ConnectionRefused(NotSent):
-    """Raised when a host refuses the connection: no process listens on its peer port."""
-
-
 async def ignore_failure(awaitable: Awaitable) -> None:
     """Await a call whose failure needs no action, as the caller learns of it in another way."""
     with suppress(NotSent, NoResponse):
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -139,6 +139,7 @@
     """Confirm a fence with the last log position that the sender saw acknowledged."""
 
     acknowledged: Position | None = None
+    host: str = ""
 
 
 class PrimaryAnnouncement(Record, tag="settled", array_like=True):
--- a/src/wagtailloft/groups/claims.py
+++ b/src/wagtailloft/groups/claims.py
@@ -1,4 +1,8 @@
-"""Decide when a claim on a failover is abandoned."""
+"""Decide when a claim on a failover is abandoned.
+
+A claim may be taken over from a process that still runs. What keeps two processes from ordering
+promotions is the promotion lease, and the check of the claim before each order.
+"""
 
 from wagtailloft.digits import is_decimal
 from wagtailloft.fleet.hosts import Hosts
@@ -24,6 +28,6 @@
     host = hosts.get(name)
     if host is None or host.state is not HostState.ALIVE:
         return True
-    if is_decimal(incarnation) and hosts.has_ended(name, int(incarnation)):
+    if is_decimal(incarnation) and host.incarnation > int(incarnation):
         return True
     return claim_age > CLAIM_TIMEOUT_S
--- a/src/wagtailloft/groups/fencing.py
+++ b/src/wagtailloft/groups/fencing.py
@@ -1,7 +1,8 @@
 """Fence a primary that is being replaced.
 
-Every host is told to stop using it. For a host that does not answer, the fence waits until the
-assignment in that host's cache is too old to use.
+Every host is told to stop using it. For a host that does not answer, whatever the reason, the fence
+waits until the assignment in that host's cache is too old to use: a host that refuses connections
+to this one may still serve callers.
 """
 
 import asyncio
@@ -38,7 +39,6 @@
         self._started_at = started_at
         self._confirmed = 1
         self._last_confirmed_at = started_at
-        self._skipped: list[str] = []
         self._expired: list[str] = []
 
     def confirm(self) -> None:
@@ -46,12 +46,6 @@
         self._confirmed += 1
         self._last_confirmed_at = now()
 
-    def skip(self, host: str, why: str) -> None:
-        """Record that a host is counted as confirmed without its own word."""
-        logs.event("fence_skipped", host=host, why=why)
-        self._skipped.append(host)
-        self.confirm()
-
     def expire(self, host: str) -> None:
         """Record that a host's cached assignment is too old to use."""
         logs.warn("fence_unconfirmed", host=host, group=self.assignment.group)
@@ -64,8 +58,7 @@
             group=self.assignment.group,
             epoch=self.assignment.epoch,
             hosts=self._host_count,
-            confirmed=self._confirmed - len(self._skipped),
-            skipped=",".join(self._skipped),
+            confirmed=self._confirmed,
             expired=",".join(self._expired),
             seconds=round(now() - self._started_at, 3),
         )
@@ -117,14 +110,14 @@
         while now() < progress.deadline(self._cache.assignment_max_age):
             try:
                 response = await self._hosts.call(host.name, message, timeout)
-            except (NotSent, NoResponse) as exc:
-                if self._hosts.refuses_connections(host.name):
-                    progress.skip(host.name, str(exc))
-                    return None
+            except (NotSent, NoResponse):
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
-            progress.confirm()
-            return response.acknowledged if isinstance(response, FenceResponse) else None
+            if isinstance(response, FenceResponse) and response.host == host.name:
+                progress.confirm()
+                return response.acknowledged
+            # Another host answers at the address of one that was removed.
+            await asyncio.sleep(RETRY_INTERVAL_S)
         progress.expire(host.name)
         return None
 
@@ -132,5 +125,6 @@
         assert isinstance(message, FenceRequest)
         self._cache.accept_assignment(message.assignment)
         return FenceResponse(
-            acknowledged=await self._local_executor.fence(message.assignment, message.immediate)
+            acknowledged=await self._local_executor.fence(message.assignment, message.immediate),
+            host=self._hosts.own.name,
         )
--- a/src/wagtailloft/groups/promotion_lease.py
+++ b/src/wagtailloft/groups/promotion_lease.py
@@ -10,11 +10,10 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from wagtailloft import logs
 from wagtailloft.clock import now
-from wagtailloft.digits import is_decimal
 from wagtailloft.fleet.records import Entry, PromotionLeaseRecord, Topic
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.fleet.store_era import LEASE_EXPIRY_S
@@ -23,8 +22,9 @@
 
 LEASE_OBJECT = "duty"
 LEASE_S = 1.5  # covers the conditional write and the promotion order, even at a slow store
-# For this long, requests of an ended process may still arrive, also when retransmitted.
+# For this long after a process has ended, its requests may still arrive, also when retransmitted.
 ENDED_HOLDER_WAIT_S = 0.6
+ASK_INTERVAL_S = 0.1  # between two questions which process runs on a holder's host
 TAKEOVER_WAIT_S = LEASE_EXPIRY_S
 MIN_WAIT_S = 0.01  # between two looks at a condition that is nearly met
 
@@ -37,7 +37,7 @@
         *,
         own: Host,
         cache: StoreCache,
-        has_ended: Callable[[str, int], bool],
+        has_ended: Callable[[str], Awaitable[bool]],
     ) -> None:
         self.host_name = own.name
         self._process_name = own.process_name
@@ -106,18 +106,25 @@
         if revision != entry.revision:
             seen_at = now()
             self._observed = (entry.revision, seen_at)
-        host, _, incarnation = entry.value.holder.rpartition("/")
-        ended = (
-            entry.value.era == era_of(entry.revision)
-            and is_decimal(incarnation)
-            and self._has_ended(host, int(incarnation))
-        )
-        remaining = seen_at + (ENDED_HOLDER_WAIT_S if ended else TAKEOVER_WAIT_S) - now()
-        if remaining > 0:
-            logs.event(
-                "promotion_lease_wait", holder=entry.value.holder, seconds=round(remaining, 3)
-            )
-            await asyncio.sleep(remaining)
+        until = seen_at + TAKEOVER_WAIT_S
+        if until <= now():
+            return
+        holder = entry.value.holder
+        logs.event("promotion_lease_wait", holder=holder, seconds=round(until - now(), 3))
+        if entry.value.era == era_of(entry.revision) and await self._ends_before(holder, until):
+            until = min(until, now() + ENDED_HOLDER_WAIT_S)
+            logs.event("promotion_lease_holder_ended", holder=holder)
+        await asyncio.sleep(max(0.0, until - now()))
+
+    async def _ends_before(self, process_name: str, until: float) -> bool:
+        """Wait until a process is known to have ended; return False if it is not by a time."""
+        try:
+            async with asyncio.timeout(until - now()):
+                while not await self._has_ended(process_name):
+                    await asyncio.sleep(ASK_INTERVAL_S)
+        except TimeoutError:
+            return False
+        return True
 
     def observe(self, entry: Entry) -> None:
         """Record when the current revision of the lease was first seen."""
