Write the record of an era again after a late write replaced it

What could be seen: a host that started later did not know that the era was settled, and the record stayed wrong for good. Callers were served.

Cause: a record of the earlier era, written before a restore and done seconds after it, replaced the present era's record if that had the number which the write required. The coordinator looked at whether it had ever seen the era recorded, not at what the store has now.

--- a/features/eras.feature
+++ b/features/eras.feature
@@ -4,6 +4,11 @@
     Given a coordinator that knows assignments which the store has lost
     Then the store gets the record of the era after all of them
 
+  Scenario: The record of an era is written again after a late write of an earlier era's record
+    Given a coordinator that has recorded the era
+    When a write of the earlier era's record is done late
+    Then the store gets the record of the era again
+
   Scenario: Beliefs of earlier eras last as long as the deployment lets assignments be used
     Given deployments that allow assignments to be used for 1, 2.4 and 6 s
     Then an era's assignments count as complete, and the lease may be taken, only after that time
--- a/features/steps/eras.py
+++ b/features/steps/eras.py
@@ -96,6 +96,30 @@
     assert context.names[-1] == "era", context.names
 
 
+@given("a coordinator that has recorded the era")
+def step_recorded_era(context):
+    context.store = RecordingStore(era=2)
+    context.cache = make_cache(store=context.store)
+    apply_snapshot(context.cache, Topic.FLEET, make_revision(2, 90))
+    record = Entry(name=ERA_OBJECT, revision=make_revision(2, 95), value=EraRecord(era=2))
+    apply_snapshot(context.cache, Topic.FLEET, make_revision(2, 95), record)
+    assert context.cache.era.is_recorded
+
+
+@when("a write of the earlier era's record is done late")
+def step_late_era_record(context):
+    record = Entry(name=ERA_OBJECT, revision=make_revision(2, 96), value=EraRecord(era=1))
+    apply_snapshot(context.cache, Topic.FLEET, make_revision(2, 96), record)
+
+
+@then("the store gets the record of the era again")
+def step_record_again(context):
+    asyncio.run(RecordRepair(cache=context.cache).run_once())
+    assert context.store.names == [ERA_OBJECT], context.store.names
+    stored = context.cache.get(Topic.FLEET, ERA_OBJECT)
+    assert stored.value == EraRecord(era=2), stored
+
+
 @given("deployments that allow assignments to be used for 1, 2.4 and 6 s")
 def step_deployments(context):
     context.max_ages = (1.0, 2.4, 6.0)
--- a/src/wagtailloft/groups/record_repair.py
+++ b/src/wagtailloft/groups/record_repair.py
@@ -6,6 +6,7 @@
 from wagtailloft.fleet.records import EraRecord, PrimaryAssignment, Topic
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.fleet.store_era import ERA_OBJECT
+from wagtailloft.revisions import NO_ERA, era_of
 
 ASSIGNMENT_PREFIX = "lead-"
 # The host that stored an assignment usually completes it itself within this time.
@@ -59,6 +60,12 @@
 
     async def _write_era(self) -> None:
         era = self._cache.era
-        if era.is_recorded or not era.earlier_beliefs_expired():
+        if era.era == NO_ERA or self._is_era_stored() or not era.earlier_beliefs_expired():
             return
         await self._cache.write(Topic.FLEET, ERA_OBJECT, EraRecord(era=era.era))
+
+    def _is_era_stored(self) -> bool:
+        """Tell whether the store has the record of its era; a late write may replace it."""
+        entry = self._cache.get(Topic.FLEET, ERA_OBJECT)
+        record = EraRecord(era=self._cache.era.era)
+        return entry is not None and entry.value == record and era_of(entry.revision) == record.era
