Read the claim again after the promotion lease was taken back

What callers could have got: acknowledgements of a primary that a second coordinator replaces again, since two promotions are ordered for one failover.

Cause: a fence may outlast the promotion lease. A coordinator that takes the lease back before it orders compared its claim with its cache, which need not know yet that another held the lease meanwhile and replaced the claim.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -19,6 +19,11 @@
     When another host replaces the primary in the meantime
     Then this host does not start a failover
 
+  Scenario: Another host replaces the claim while this one does not hold the promotion lease
+    Given a coordinator whose promotion lease expires while it fences
+    When another host claims the failover, and this one takes the lease back before it hears of that
+    Then this host orders no promotion
+
   Scenario: The store refuses the first two promoters and serves the third
     Given 3 hosts, of which the store serves only the last in the order of coordinators
     When the first coordinator receives a report that a primary does not respond
--- a/features/steps/claims.py
+++ b/features/steps/claims.py
@@ -16,7 +16,9 @@
 from wagtailloft.fleet.records import PrimaryAssignment, Target
 from wagtailloft.groups.claims import CLAIM_TIMEOUT_S, is_claim_abandoned
 from wagtailloft.groups.failover import COORDINATOR_KEY, FailoverCoordinator
-from wagtailloft.models import HostState, Role
+from wagtailloft.groups.member_promotion import MemberPromotion
+from wagtailloft.groups.ports import TargetStatus
+from wagtailloft.models import HostState, Position, Role
 
 
 def may_take_over(context, claim_age=0.0, running_here=False):
@@ -197,3 +199,56 @@
 @then("the host may take it over unless it is already running it")
 def step_take_over_unless_running(context):
     assert may_take_over(context) and not may_take_over(context, running_here=True)
+
+
+class ExpiredPromotionLease:
+    """A promotion lease that has expired and can be taken again."""
+
+    host_name, fencing_token = "h00", 7
+    held = False
+
+    def is_held(self):
+        """Return whether the lease was taken again."""
+        return self.held
+
+    async def acquire(self):
+        """Return True: no other host holds the lease now."""
+        self.held = True
+        return True
+
+
+@given("a coordinator whose promotion lease expires while it fences")
+def step_lease_expires(context):
+    claim = PrimaryAssignment(
+        group="g", epoch=1, settled=False, primary="", replaced="m", claimant="h00/1"
+    )
+    context.cached = context.claim = claim
+    context.orders = []
+
+    async def read_now(topic):
+        context.cached = context.stored
+
+    async def promote(**order):
+        context.orders.append(order)
+        return False
+
+    cache = SimpleNamespace(assignment=lambda group: context.cached, read_now=read_now)
+    target = Target(name="n", group="g", address="1.1.1.1:1", role=Role.REPLICA)
+    context.promotion = MemberPromotion(
+        directory=SimpleNamespace(target=lambda group, name: target, cache=cache),
+        queries=None,
+        promotion_api=SimpleNamespace(promote=promote),
+        lease=ExpiredPromotionLease(),
+    )
+
+
+@when("another host claims the failover, and this one takes the lease back before it hears of that")
+def step_claim_replaced(context):
+    context.stored = msgspec.structs.replace(context.claim, epoch=2, claimant="h01/1")
+    candidate = TargetStatus(target="n", role=Role.REPLICA, term=1, received=Position())
+    asyncio.run(context.promotion.promote_and_wait(context.claim, candidate))
+
+
+@then("this host orders no promotion")
+def step_no_order(context):
+    assert context.orders == [], context.orders
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -4,7 +4,7 @@
 
 from wagtailloft import logs
 from wagtailloft.clock import now
-from wagtailloft.fleet.records import PrimaryAssignment, Target
+from wagtailloft.fleet.records import PrimaryAssignment, Target, Topic
 from wagtailloft.groups.candidates import best_candidate, covers_all_commits, is_newer_primary
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.ports import Link, PromotionApi, TargetStatus
@@ -130,10 +130,16 @@
         return None
 
     async def _may_order(self, assignment: PrimaryAssignment) -> bool:
-        """Tell whether this process holds the lease, and no other has replaced its claim."""
-        if not self._lease.is_held() and not await self._lease.acquire():
-            return False
-        return self._directory.cache.assignment(assignment.group) == assignment
+        """Tell whether this process holds the lease, and no other has replaced its claim.
+
+        While it did not hold the lease, another may have taken it and replaced the claim.
+        """
+        cache = self._directory.cache
+        if not self._lease.is_held():
+            if not await self._lease.acquire():
+                return False
+            await cache.read_now(Topic.FLEET)
+        return self._lease.is_held() and cache.assignment(assignment.group) == assignment
 
     async def demote_old_primary(self, group: str, name: str, term: int) -> None:
         """Turn the old primary into a replica as soon as it can be reached."""
