Don't let a restarted host vouch for what its earlier process was told

What callers could have got: acknowledgements and reads of a replaced primary, through a host that was restarted during an outage of the store.

Cause: during an outage an assignment is used while a majority of hosts vouches for it, and a failover informs a majority first. A process counted itself towards that majority from its start, although the earlier process of its host may have confirmed a fence that it knows nothing of. It could then use an assignment that it pulled from hosts which the fence did not reach. It now counts itself once its cache was current after its start, as other hosts have always required of it.

--- a/features/ends.feature
+++ b/features/ends.feature
@@ -14,3 +14,8 @@
     Given a coordinator, a host that answers, and one at whose address no socket listens
     When the coordinator fences a primary whose assignment expires after 0.3 s
     Then the fence took at least 0.6 s
+
+  Scenario: A restarted host does not vouch for assignments that its earlier process was told to drop
+    Given a host of a fleet of 5 that has just started, and hears an assignment 3 s old from 2 others
+    Then it may not use the assignment, because only 2 of 5 hosts vouch for it
+    And it may use the assignment once a third host vouches for it
--- a/features/steps/ends.py
+++ b/features/steps/ends.py
@@ -7,10 +7,13 @@
 
 from behave import given, then, when
 
+from features.fake_mesh import FakeMesh, make_host
 from features.restored_store import MEMBERS, ModelFleet
+from wagtailloft import clock
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh
-from wagtailloft.fleet.records import PrimaryAssignment
+from wagtailloft.fleet.records import Changes, PrimaryAssignment, Topic
+from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.groups.fencing import FenceService
 from wagtailloft.models import Host
 
@@ -105,3 +108,31 @@
 @then("the fence took at least {seconds:g} s")
 def step_fence_took(context, seconds):
     assert context.seconds >= seconds, context.seconds
+
+
+@given(
+    "a host of a fleet of 5 that has just started, and hears an assignment 3 s old from 2 others"
+)
+def step_just_started(context):
+    hosts = Hosts(own=make_host(0, 1), mesh=FakeMesh())
+    for number in range(1, 5):
+        hosts._put(make_host(number, 1))
+    context.cache = StoreCache(
+        store=None, hosts=hosts, mesh=FakeMesh(), max_age=3.3, assignment_max_age=2.4
+    )
+    for topic in Topic:
+        changes = Changes(topic=topic, revision=1, is_snapshot=True)
+        context.cache.apply(changes, clock.now() - 3.0)
+    for name in ("h01", "h02"):
+        context.cache._reports.add_host(name, clock.now())
+
+
+@then("it may not use the assignment, because only 2 of 5 hosts vouch for it")
+def step_no_majority(context):
+    assert not context.cache.assignments_valid()
+
+
+@then("it may use the assignment once a third host vouches for it")
+def step_majority(context):
+    context.cache._reports.add_host("h03", clock.now())
+    assert context.cache.assignments_valid()
--- a/src/wagtailloft/fleet/host_reports.py
+++ b/src/wagtailloft/fleet/host_reports.py
@@ -50,15 +50,21 @@
             zone=own.zone, ages=bytes(u for u in units if u <= MAX_AGE_UNITS), reader=reader
         )
 
-    def from_majority(self, max_age: float) -> bool:
-        """Tell whether a majority of hosts, this one included, reported within max_age seconds."""
+    def from_majority(self, max_age: float, *, own_is_current: bool) -> bool:
+        """Tell whether a majority of hosts reported within max_age seconds.
+
+        This host counts if own_is_current: a process does not know what an earlier one of its host
+        was told.
+        """
         since = now() - max_age
         known: dict[str, int] = {}
         heard: dict[str, int] = {}
         for host in self._hosts.all():
             known[host.zone] = known.get(host.zone, 0) + 1
             reported = self._heard_at.get(host.name, 0.0) >= since
-            if reported or host.name == self._hosts.own.name:
+            if host.name == self._hosts.own.name:
+                reported = own_is_current
+            if reported:
                 heard[host.zone] = heard.get(host.zone, 0) + 1
         for zone, times in self._zone_heard_at.items():
             count = sum(t >= since for t in times)
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -156,9 +156,11 @@
     def heard_from_majority(self) -> bool:
         """Tell whether a majority of hosts, this one included, has reported its assignments.
 
-        Reports older than assignment_max_age don't count.
+        Reports older than assignment_max_age don't count, nor does this host before it is verified.
         """
-        return self._reports.from_majority(self.assignment_max_age)
+        return self._reports.from_majority(
+            self.assignment_max_age, own_is_current=self.is_verified()
+        )
 
     def is_registered(self) -> bool:
         """Tell whether this host's registration is cached, so that coordinators count it."""
