Drop a primary's answer if another may have replaced it meanwhile

What callers could have got: an acknowledgement of a write that is lost, because the primary that answered had been replaced.

Cause: a host checked its primary assignment before it sent a statement, but not when the answer arrived. A statement that waits at a slow primary of a cut-off host outlives the assignment, and with it the time that a failover waits for that host. One that is answered in the same turn of the loop as a fence was acknowledged after the fence had reported an older position.

Change: an answer is passed on if the host may still use the primary, or if a planned replacement waits for this statement. Otherwise a write's outcome is unknown, a read counts as unanswered and is repeated.

--- /dev/null
+++ b/features/late_answers.feature
@@ -0,0 +1,16 @@
+Feature: An answer of a primary is passed on only while no other may have replaced it
+
+  Scenario: A write answered after the primary assignment has expired is not reported as done
+    Given a host with a primary that answers a write after 0.2 s
+    When the host's primary assignment expires in the meantime
+    Then the outcome of the write is unknown
+
+  Scenario: A read answered after the primary was replaced is repeated
+    Given a host with a primary that answers a read after 0.2 s
+    When the host learns of another primary in the meantime
+    Then the read counts as unanswered
+
+  Scenario: A write that ends while a planned replacement waits for it is answered
+    Given a host with a primary that answers a write after 0.2 s
+    When a planned replacement of the primary begins in the meantime
+    Then the write is done, and the fence reports its position
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -66,6 +66,7 @@
         self._transactions: dict[int, _LinkUse] = {}
         self._transaction_ids = itertools.count(1)
         self._acknowledged_positions: dict[str, Position] = {}
+        self._draining: dict[str, PrimaryAssignment] = {}  # by the target that is replaced
 
     @property
     def active(self) -> int:
@@ -94,10 +95,9 @@
         Return the last acknowledged position. Unless immediate, running work gets DRAIN_LIMIT_S to
         end before its links are closed.
         """
-        deadline = now() + (0.0 if immediate else DRAIN_LIMIT_S)
         pools = [p for p in self._pools.values() if p.target.name == assignment.replaced]
-        while now() < deadline and any(p.primary_links for p in pools):
-            await asyncio.sleep(0.005)
+        if not immediate:
+            await self._drain(assignment, pools)
         for pool in pools:
             pool.abort(pool.primary_links)
         for transaction_id, transaction in list(self._transactions.items()):
@@ -105,6 +105,17 @@
                 self.rollback(transaction_id)
         return self._acknowledged_positions.get(assignment.group)
 
+    async def _drain(self, assignment: PrimaryAssignment, pools: list[LinkPool]) -> None:
+        """Wait until no work uses the replaced target as primary, for DRAIN_LIMIT_S at most."""
+        deadline = now() + DRAIN_LIMIT_S
+        self._draining[assignment.replaced] = assignment
+        try:
+            while now() < deadline and any(p.primary_links for p in pools):
+                await asyncio.sleep(0.005)
+        finally:
+            if self._draining.get(assignment.replaced) is assignment:
+                del self._draining[assignment.replaced]
+
     def close_stale(self) -> None:
         """Close links to targets that were removed or restarted, and surplus idle links."""
         for key, pool in list(self._pools.items()):
@@ -251,6 +262,19 @@
             timer.cancel()
             if at_primary:
                 samples.statement_returned()
+        if at_primary and outcome.ok and not self._may_pass_on(request):
+            link.close()
+            detail = "the primary may have been replaced before it answered"
+            logs.event(
+                "late_answer_dropped",
+                request=request.bound.request_id,
+                group=request.group,
+                target=request.target,
+                ms=round((now() - sent_at) * 1000, 1),
+            )
+            return StatementResult(
+                kind=kind_without_response(request), detail=detail, state=TransactionState.FAILED
+            )
         if at_primary and outcome.ok and outcome.position:
             samples.add(sent_at, outcome.position)
         if outcome.ok and outcome.position and _confirms_commit(request):
@@ -259,6 +283,21 @@
                 self._acknowledged_positions[request.group] = outcome.position
         return outcome
 
+    def _may_pass_on(self, request: StatementRequest) -> bool:
+        """Tell whether no other member can have been promoted before the primary answered.
+
+        A planned replacement waits for statements that run when it begins.
+        """
+        if self._directory.may_use_as_primary(request.group, request.target):
+            return True
+        fence = self._draining.get(request.target)
+        cache = self._directory.cache
+        return (
+            fence is not None
+            and cache.assignment(request.group) == fence
+            and cache.assignments_valid()
+        )
+
     def _log_aged_assignment(self, request: StatementRequest) -> None:
         """Log the use of a primary whose assignment may have changed without this host knowing.
 
