Add failing scenarios for hosts and members that a failover does not count

Each plays one order of events against the real caches, fences and leases in virtual time, or against the real choice of a candidate. All six fail on:

- a restarted host uses an assignment that was current only before its start, although its earlier process confirmed the fence: 0.63 s after the promotion
- hosts that left the register 17 s before vouch for a host cut off later, which uses the replaced primary for 5.8 s
- hosts cut off while the register was small are a majority of what they know, and the coordinator has a majority of the larger register: 5.7 s
- a host whose registration is stored after the fence read the register uses an assignment read before it: 1.8 s
- a restarted coordinator has forgotten whom it removed: 1.2 s
- a replica whose entry was just removed is not among those that have to reply, so that one without the last commit is promoted (LOST)

The times are those of the model, whose promotions take effect at once.

--- /dev/null
+++ b/features/steps/review.py
@@ -0,0 +1,301 @@
+"""Steps for hosts that a coordinator does not ask, and for members that are not listed."""
+
+import asyncio
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from behave import given, then, when
+
+from features import restored_store
+from features.fake_mesh import FakeMesh, make_host
+from features.restored_store import GROUP, MEMBERS, ZONES, ModelFleet, ModelHost, ModelMesh
+from features.virtual_time import run_virtual
+from wagtailloft import clock
+from wagtailloft.errors import NotSent
+from wagtailloft.fleet.hosts import Hosts
+from wagtailloft.fleet.records import (
+    Changes,
+    Configuration,
+    Entry,
+    GroupRule,
+    HostRecord,
+    PrimaryAssignment,
+    Target,
+    Topic,
+    host_record_name,
+)
+from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.groups.directory import GroupDirectory
+from wagtailloft.groups.failover import HOST_REMOVAL_S
+from wagtailloft.groups.member_promotion import MemberPromotion
+from wagtailloft.groups.ports import TargetStatus
+from wagtailloft.host_process import HostProcess
+from wagtailloft.models import Position, Role
+
+
+class PartlyCutMesh(ModelMesh):
+    """A mesh whose hosts may be cut off from each other pair by pair."""
+
+    async def call(self, address, message, limit):
+        """Call another host; raise NotSent if the pair is cut off."""
+        pair = frozenset((self.host.number, self.meshes[address[0]].host.number))
+        if pair in self.host.fleet.cut_pairs:
+            raise NotSent("[Errno 111] Connect call failed")
+        return await super().call(address, message, limit)
+
+
+class RegisteredHost(ModelHost):
+    """A host that drops others from its view when the register does, as HostProcess does."""
+
+    def restart(self):
+        """Replace the host's process."""
+        super().restart()
+        view = SimpleNamespace(hosts=self.hosts)
+        self.cache.on_change(Topic.FLEET, lambda e: HostProcess._fleet_changed(view, e))
+
+    def uses(self, target):
+        """Tell whether this host would send statements to a target as primary."""
+        return self.directory.may_use_as_primary(GROUP, target)
+
+
+class RegisteredFleet(ModelFleet):
+    """A fleet whose hosts are registered in the store, with cuts between pairs of hosts."""
+
+    def __init__(self, *, seed):
+        """Start the fleet, and register its hosts."""
+        self.cut_pairs = set()
+        super().__init__(seed=seed)
+        for host in self.hosts:
+            self.register(host)
+        self.advance(3.0)
+        assert all(h.uses(MEMBERS[0]) for h in self.hosts)
+
+    def register(self, host):
+        """Store a host's registration."""
+        record = HostRecord(host=make_host(host.number, ZONES, incarnation=0))
+        self.store.write(Topic.FLEET, host_record_name(host.hosts.own.name), record)
+
+    def unregister(self, number):
+        """Remove a host's registration, as a coordinator does for a host long unreachable."""
+        key = (Topic.FLEET, host_record_name(self.hosts[number].hosts.own.name))
+        self.store.objects = {k: e for k, e in self.store.objects.items() if k != key}
+        # The model's store tells of a change only if the newest object's number grows.
+        live = next(h for h in self.hosts if h.number != number and not h.refused)
+        self.register(live)
+
+    def part(self, first, second, *, cut):
+        """Cut two hosts off from each other, or connect them again."""
+        pair = frozenset((first, second))
+        self.cut_pairs = self.cut_pairs | {pair} if cut else self.cut_pairs - {pair}
+
+    def isolate(self, number, *, cut, but=()):
+        """Cut a host off from the store and from all others but some, or end that."""
+        self.hosts[number].refused = cut
+        for other in self.hosts:
+            if other.number != number and other.number not in but:
+                self.part(number, other.number, cut=cut)
+
+    def _check(self, host):
+        super()._check(host)
+        name = host.hosts.own.process_name
+        self.violations = [v for v in self.violations if " uses " not in v or "may use" in v]
+        for member in MEMBERS:
+            if member != self.primary and host.uses(member):
+                at = round(clock.now() - self.promoted_at, 3)
+                self.violations.append(f"{name} may use {member} {at} s after its replacement")
+
+    def promote(self, host):
+        """Take a promotion order."""
+        self.promoted_at = clock.now()
+        return super().promote(host)
+
+
+@given("a model of {number:d} hosts that may be cut off from each other in part")
+def step_model(context, number):
+    context.stack.enter_context(patch.object(restored_store, "HOSTS", number))
+    context.stack.enter_context(patch.object(restored_store, "ModelMesh", PartlyCutMesh))
+    context.stack.enter_context(patch.object(restored_store, "ModelHost", RegisteredHost))
+    context.fleet = RegisteredFleet(seed=1)
+    context.stack.callback(context.fleet.close)
+
+
+@when("host 3 is cut off and host 0 replaces the primary, which hosts 1 and 2 confirm")
+def step_cut_and_replace(context):
+    fleet = context.fleet
+    fleet.isolate(3, cut=True)
+    fleet.advance(0.05)
+    fleet.fail_over(0)
+    fleet.advance(0.3)
+    epochs = [h.cache.assignment(GROUP) for h in fleet.hosts]
+    assert epochs[1] == epochs[2] == epochs[0] is not None and epochs[3] is None, epochs
+
+
+@when("host 1 restarts, hears host 3 alone for a while, and host 3 confirms the fence then")
+def step_restart_and_hear(context):
+    fleet = context.fleet
+    fleet.isolate(1, cut=True, but=(3,))
+    fleet.part(1, 3, cut=False)
+    fleet.restart(1)
+    fleet.advance(0.5)
+    fleet.isolate(1, cut=True)
+    fleet.isolate(3, cut=False)
+    fleet.part(1, 3, cut=True)
+    fleet.advance(0.3)
+    assert fleet.primary != MEMBERS[0], "the primary was not replaced"
+
+
+@when("hosts 0 and 1 are cut off for {seconds:g} s, and the register no longer has them")
+def step_unregistered(context, seconds):
+    fleet = context.fleet
+    for number, other in ((0, 1), (1, 0)):
+        fleet.isolate(number, cut=True, but=(other,))
+    fleet.advance(7.0)
+    for number in (0, 1):
+        fleet.unregister(number)
+        fleet.advance(0.5)
+    fleet.advance(seconds - 8.0)
+    for number in (2, 3, 4):
+        known = {h.name for h in fleet.hosts[number].hosts.all()}
+        assert known == {"h02", "h03", "h04"}, known
+
+
+@when("host 2 is cut off from all but them, and host 3 replaces the primary")
+def step_cut_second(context):
+    fleet = context.fleet
+    fleet.isolate(2, cut=True)
+    for number in (0, 1):
+        fleet.part(2, number, cut=False)
+    fleet.advance(0.6)  # the hosts that were cut off first say hello to the second
+    fleet.fail_over(3)
+
+
+@when("they return as hosts 2 and 3 are cut off, and host 4 replaces the primary")
+def step_return(context):
+    fleet = context.fleet
+    for number, other in ((2, 3), (3, 2)):
+        fleet.isolate(number, cut=True, but=(other,))
+    for number in (0, 1):
+        fleet.hosts[number].refused = False
+        for other in (0, 1, 4):
+            fleet.part(number, other, cut=False)
+        fleet.register(fleet.hosts[number])
+    fleet.advance(0.6)
+    fleet.fail_over(4)
+
+
+@when("host 3 is not registered, and is cut off from the other hosts")
+def step_not_registered(context):
+    fleet = context.fleet
+    fleet.isolate(3, cut=True)
+    fleet.unregister(3)
+    fleet.advance(4.0)
+    fleet.hosts[3].refused = False  # it reaches the store again
+    fleet.advance(2.0)
+    own = fleet.hosts[3]
+    assert own.cache.assignments_valid() and not own.cache.is_registered()
+    assert "h03" not in {h.name for h in fleet.hosts[0].hosts.all()}
+
+
+@when("host 0 replaces the primary, and host 3's registration is stored before it reads that")
+def step_register_late(context):
+    fleet, late = context.fleet, context.fleet.hosts[3]
+    for task in late.tasks[:4]:  # its next reads of the store are answered late
+        task.cancel()
+    fleet.fail_over(0)
+    fleet.advance(0.1)
+    record = HostRecord(host=make_host(3, ZONES, incarnation=0))
+    name = host_record_name(late.hosts.own.name)
+    assert fleet.run(late.cache.write(Topic.FLEET, name, record))
+    assert fleet.primary != MEMBERS[0], "the primary was not replaced"
+
+
+@when("host 0 can't reach host 3 and removes it, and the others lose it at that moment")
+def step_removed(context):
+    fleet = context.fleet
+    fleet.part(0, 3, cut=True)
+    own = fleet.hosts[3].hosts.own
+    fleet.run(fleet.hosts[0].hosts._send_hello((own.ip, own.peer_port), own.name))
+    fleet.advance(7.0)
+    assert fleet.hosts[3].uses(MEMBERS[0])
+    assert fleet.hosts[0].hosts.suspected_for(HOST_REMOVAL_S)[0].name == "h03"
+    fleet.isolate(3, cut=True)
+    fleet.unregister(3)
+    fleet.advance(0.2)
+
+
+@when("host 0 restarts and replaces the primary")
+def step_restart_coordinator(context):
+    fleet = context.fleet
+    fleet.restart(0)
+    own = fleet.hosts[0]
+    own.hosts._hosts.pop("h03")  # the model names it to a new process, the register does not
+    fleet.advance(0.4)
+    assert "h03" not in {h.name for h in own.hosts.all()}
+    fleet.fail_over(0)
+
+
+@then("no host may use a replaced primary in the next {seconds:g} s")
+def step_none_uses(context, seconds):
+    context.fleet.advance(seconds)
+    assert context.fleet.primary != MEMBERS[0], "the primary was not replaced"
+    violations = context.fleet.violations
+    assert not violations, (violations[:2], violations[-1], len(violations))
+
+
+@given("a group of a primary and 2 replicas in which a commit waits for 1 replica")
+def step_group(context):
+    hosts = Hosts(own=make_host(0, 1), mesh=FakeMesh())
+    context.cache = StoreCache(
+        store=None, hosts=hosts, mesh=FakeMesh(), max_age=3.3, assignment_max_age=2.4
+    )
+    context.directory = GroupDirectory(cache=context.cache)
+    value = Configuration(version=1, groups=(GroupRule(name=GROUP, sync_replicas=1),))
+    settings = Entry(name="main", revision=1, value=value)
+    context.cache.apply(
+        Changes(topic=Topic.SETTINGS, revision=1, is_snapshot=True, entries=(settings,)), 1.0
+    )
+    members = tuple(
+        Entry(
+            name=name,
+            revision=2,
+            value=Target(name="", group=GROUP, address="1.1.1.1:1", role=role),
+        )
+        for name, role in zip(MEMBERS, (Role.PRIMARY, Role.REPLICA, Role.REPLICA), strict=True)
+    )
+    context.cache.apply(
+        Changes(topic=Topic.TARGETS, revision=2, is_snapshot=True, entries=members), 1.0
+    )
+
+
+@when("the entry of the replica that has the last commit is removed, and its link's host is lost")
+def step_entry_removed(context):
+    gone = Entry(name=MEMBERS[1], revision=3, value=None)
+    context.cache.apply(
+        Changes(topic=Topic.TARGETS, revision=3, is_snapshot=False, entries=(gone,)), 2.0
+    )
+    assert context.directory.target(GROUP, MEMBERS[1]) is None
+
+
+@then("the other replica is not promoted")
+def step_not_promoted(context):
+    behind = TargetStatus(
+        target=MEMBERS[2], role=Role.REPLICA, term=1, received=Position(term=1, index=7)
+    )
+
+    async def query(target, action):
+        return behind if target.name == MEMBERS[2] else None
+
+    promotion = MemberPromotion(
+        directory=context.directory,
+        queries=SimpleNamespace(query=query),
+        promotion_api=None,
+        lease=None,
+    )
+    claim = PrimaryAssignment(group=GROUP, epoch=1, settled=False, primary="", replaced=MEMBERS[0])
+
+    async def choose():
+        await asyncio.sleep(0)
+        return await promotion.wait_for_candidate(claim, None, planned=False)
+
+    candidate = run_virtual(choose())
+    assert candidate is None, f"{candidate.target} at {candidate.received} would be promoted"
