--- a/features/review.feature
+++ b/features/review.feature
@@ -4,31 +4,31 @@
     Given a model of 4 hosts that may be cut off from each other in part
     When host 3 is cut off and host 0 replaces the primary, which hosts 1 and 2 confirm
     And host 1 restarts, hears host 3 alone for a while, and host 3 confirms the fence then
-    Then no host may use a replaced primary in the next 3 s
+    Then no host may use a replaced primary in the next 16 s
 
   Scenario: Hosts removed from the register long ago vouch for the assignment of a host cut off later
     Given a model of 5 hosts that may be cut off from each other in part
     When hosts 0 and 1 are cut off for 25 s, and the register no longer has them
     And host 2 is cut off from all but them, and host 3 replaces the primary
-    Then no host may use a replaced primary in the next 12 s
+    Then no host may use a replaced primary in the next 16 s
 
   Scenario: Hosts cut off while the register was small are a majority of what they know of it
     Given a model of 5 hosts that may be cut off from each other in part
     When hosts 0 and 1 are cut off for 8 s, and the register no longer has them
     And they return as hosts 2 and 3 are cut off, and host 4 replaces the primary
-    Then no host may use a replaced primary in the next 12 s
+    Then no host may use a replaced primary in the next 16 s
 
   Scenario: A host registers itself after a fence has read the register
     Given a model of 4 hosts that may be cut off from each other in part
     When host 3 is not registered, and is cut off from the other hosts
     And host 0 replaces the primary, and host 3's registration is stored before it reads that
-    Then no host may use a replaced primary in the next 3 s
+    Then no host may use a replaced primary in the next 16 s
 
   Scenario: A coordinator that restarted after it removed a live host replaces the primary
     Given a model of 4 hosts that may be cut off from each other in part
     When host 0 can't reach host 3 and removes it, and the others lose it at that moment
     And host 0 restarts and replaces the primary
-    Then no host may use a replaced primary in the next 3 s
+    Then no host may use a replaced primary in the next 16 s
 
   Scenario: The entry of the only replica that has a commit expires before the primary is replaced
     Given a group of a primary and 2 replicas in which a commit waits for 1 replica
