Withdraw the registration of a silent host before deleting it

What callers could have got: acknowledgements and reads of a replaced primary through a host that a coordinator had removed from the register.

Cause: a coordinator deleted the registration of a host that it could not reach for 6 s. A missing entry was then taken for a host that has stopped: fences did not ask it, did not wait for it (after 2.4 s, or at once if the coordinator's process was new), and it no longer counted towards the majority. But a host that hears from a majority may use an assignment for 12.7 s without the store, and a registration may also vanish with a store that came back from an older copy.

Change: the registration is withdrawn in the store first. The host learns of that wherever it learns of assignments, and uses no primary then. It is deleted 12.7 s later, when it can't act on anything that it knew before; until then every coordinator, also one that has just started, fences it. A registration that vanishes keeps its host among the fenced ones for the same time.

The model of the review withdraws and deletes as coordinators do now; its cut before hosts are forgotten is 25 s instead of 8 s for that reason. Cost: a failover waits 2.7 s for a host that never returns until 18.7 s after its loss, 8.4 s before.

--- a/features/ends.feature
+++ b/features/ends.feature
@@ -19,3 +19,17 @@
     Given a host of a fleet of 5 that has just started, and hears an assignment 3 s old from 2 others
     Then it may not use the assignment, because only 2 of 5 hosts vouch for it
     And it may use the assignment once a third host vouches for it
+
+  Scenario: A host that does not answer is deleted only once it can't use any primary assignment
+    Given a coordinator whose register has a host that has been suspected for 6 s
+    When it looks after its register for 12 s
+    Then the host's registration is withdrawn, but a failover still fences the host
+    When it looks after its register for 2 s
+    Then the registration is deleted
+
+  Scenario: A registration that vanishes does not end the wait for its host
+    Given a coordinator whose register has a host that has been suspected for 6 s
+    When the registration vanishes and 12 s pass
+    Then a failover still fences the host
+    When it looks after its register for 2 s
+    Then a failover does not fence the host any more
--- a/features/review.feature
+++ b/features/review.feature
@@ -14,7 +14,7 @@
 
   Scenario: Hosts cut off while the register was small are a majority of what they know of it
     Given a model of 5 hosts that may be cut off from each other in part
-    When hosts 0 and 1 are cut off for 8 s, and the register no longer has them
+    When hosts 0 and 1 are cut off for 25 s, and the register no longer has them
     And they return as hosts 2 and 3 are cut off, and host 4 replaces the primary
     Then no host may use a replaced primary in the next 16 s
 
--- a/features/steps/ends.py
+++ b/features/steps/ends.py
@@ -9,13 +9,24 @@
 
 from features.fake_mesh import FakeMesh, make_host
 from features.restored_store import MEMBERS, ModelFleet
+from features.virtual_time import VirtualTimeLoop
 from wagtailloft import clock
+from wagtailloft.errors import NotSent
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh
-from wagtailloft.fleet.records import Changes, PrimaryAssignment, Topic
+from wagtailloft.fleet.records import (
+    Changes,
+    Entry,
+    HostRecord,
+    PrimaryAssignment,
+    Topic,
+    host_record_name,
+)
 from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.groups.failover import FailoverCoordinator
 from wagtailloft.groups.fencing import FenceService
 from wagtailloft.models import Host
+from wagtailloft.revisions import make_revision
 
 LOOPBACK = "127.0.0.{}"
 
@@ -99,7 +110,10 @@
     for member in members:
         hosts._put(member)
     cache = SimpleNamespace(
-        assignment_max_age=max_age, read_now=return_at_once, accept_assignment=lambda _: True
+        assignment_max_age=max_age,
+        assignment_use_limit=max_age,
+        read_now=return_at_once,
+        accept_assignment=lambda _: True,
     )
     executor = SimpleNamespace(fence=return_at_once)
     return FenceService(hosts=hosts, mesh=mesh, cache=cache, local_executor=executor), mesh
@@ -136,3 +150,125 @@
 def step_majority(context):
     context.cache._reports.add_host("h03", clock.now())
     assert context.cache.assignments_valid()
+
+
+class Register:
+    """A store that has the registrations of hosts."""
+
+    def __init__(self, *hosts):
+        """Register hosts."""
+        self.number, self.records = 0, {}
+        for host in hosts:
+            self._store(host_record_name(host.name), HostRecord(host=host))
+
+    def _store(self, name, value):
+        self.number += 1
+        self.records[name] = Entry(name=name, revision=make_revision(1, self.number), value=value)
+        return self.records[name]
+
+    def snapshot(self):
+        """Return all registrations."""
+        return Changes(
+            topic=Topic.FLEET,
+            revision=make_revision(1, self.number),
+            is_snapshot=True,
+            entries=tuple(self.records.values()),
+        )
+
+    async def put(self, topic, name, value, revision):
+        """Write a registration."""
+        return self._store(name, value)
+
+    async def remove(self, topic, name, revision):
+        """Delete a registration."""
+        self.number += 1
+        del self.records[name]
+
+
+@given("a coordinator whose register has a host that has been suspected for {seconds:g} s")
+def step_suspected_host(context, seconds):
+    own, context.lost, third = (make_host(n, 1) for n in range(3))
+    context.loop = VirtualTimeLoop()
+    real_time = clock.time
+    context.stack.callback(setattr, clock, "time", real_time)
+    context.stack.callback(context.loop.close)
+    clock.time = SimpleNamespace(clock_gettime=lambda _: context.loop.time(), CLOCK_BOOTTIME=None)
+    context.register = Register(own, context.lost, third)
+    context.hosts = Hosts(own=own, mesh=FakeMesh())
+    for host in (context.lost, third):
+        context.hosts._put(host)
+    context.cache = StoreCache(
+        store=context.register,
+        hosts=context.hosts,
+        mesh=FakeMesh(),
+        max_age=3.3,
+        assignment_max_age=2.4,
+    )
+    context.cache.on_change(Topic.FLEET, context.hosts.follow_register)
+    context.cache.apply(context.register.snapshot(), clock.now())
+    context.coordinator = FailoverCoordinator(
+        hosts=context.hosts,
+        mesh=FakeMesh(),
+        cache=context.cache,
+        directory=None,
+        local_executor=SimpleNamespace(),
+        store=context.register,
+        link_factory=None,
+        promotion_api=None,
+        lease=SimpleNamespace(observe=lambda entry: None),
+        count_failover=None,
+    )
+    context.hosts._record_failure(context.lost, NotSent("connect timed out"), certain=True)
+    pass_time(context, seconds)
+
+
+def pass_time(context, seconds, work=None):
+    """Let virtual time pass, and do some work every 0.2 s."""
+
+    async def run():
+        until = clock.now() + seconds
+        while clock.now() < until:
+            await asyncio.sleep(0.2)
+            if work:
+                await work()
+                context.cache.apply(context.register.snapshot(), clock.now())
+
+    context.loop.run_until_complete(run())
+
+
+@when("it looks after its register for {seconds:g} s")
+def step_look_after(context, seconds):
+    pass_time(context, seconds, context.coordinator._unregister_lost_host)
+
+
+@when("the registration vanishes and {seconds:g} s pass")
+def step_vanishes(context, seconds):
+    context.register.number += 1
+    del context.register.records[host_record_name(context.lost.name)]
+    context.cache.apply(context.register.snapshot(), clock.now())
+    pass_time(context, seconds)
+
+
+@then("the host's registration is withdrawn, but a failover still fences the host")
+def step_withdrawn(context):
+    entry = context.register.records[host_record_name(context.lost.name)]
+    assert entry.value.withdrawn, entry
+    step_still_fenced(context)
+
+
+@then("a failover still fences the host")
+def step_still_fenced(context):
+    fenced = context.coordinator._fence_service.hosts_to_fence()
+    assert context.lost.name in {h.name for h in fenced}, fenced
+
+
+@then("a failover does not fence the host any more")
+def step_not_fenced(context):
+    fenced = context.coordinator._fence_service.hosts_to_fence()
+    assert context.lost.name not in {h.name for h in fenced}, fenced
+
+
+@then("the registration is deleted")
+def step_deleted(context):
+    assert host_record_name(context.lost.name) not in context.register.records
+    step_not_fenced(context)
--- a/src/wagtailloft/fleet/hosts.py
+++ b/src/wagtailloft/fleet/hosts.py
@@ -11,6 +11,7 @@
 from wagtailloft.errors import NoResponse, NotSent, WagtailError
 from wagtailloft.fleet.mesh import Mesh, PeerConnection
 from wagtailloft.fleet.messages import Hello, HelloReply, Message
+from wagtailloft.fleet.records import HOST_RECORD_PREFIX, Entry, HostRecord
 from wagtailloft.models import Host, HostState
 
 HELLO_TIMEOUT_S = 0.6  # covers a connect and a round trip across zones
@@ -28,6 +29,7 @@
         self._rankings: dict[tuple[str, str], tuple[Host, ...]] = {}
         self._hello_tasks: dict[str, asyncio.Task[None]] = {}
         self._suspected_since: dict[str, float] = {}
+        self._withdrawn_since: dict[str, float] = {}
         self._removed: dict[str, tuple[Host, float]] = {}
         self.on_change: list[Callable[[], None]] = []
         mesh.register_handler(Hello, self._handle_hello)
@@ -92,20 +94,44 @@
             self._put(host)
             self._schedule_hello(host)
 
+    def follow_register(self, entry: Entry) -> None:
+        """Follow a change of a host's registration: withdrawn, renewed or deleted."""
+        if not entry.name.startswith(HOST_RECORD_PREFIX):
+            return
+        name = entry.name.removeprefix(HOST_RECORD_PREFIX)
+        if entry.value is None:
+            self.remove(name)
+        elif isinstance(entry.value, HostRecord) and entry.value.withdrawn:
+            self._withdrawn_since.setdefault(name, now())
+        else:
+            self._withdrawn_since.pop(name, None)
+
+    def withdrawn_for(self, name: str) -> float:
+        """Return for how many seconds a host's registration has been known to be withdrawn."""
+        return now() - self._withdrawn_since.get(name, now())
+
     def remove(self, name: str) -> None:
         """Remove a host that has left the fleet."""
         host = self._hosts.get(name)
         if host is None or name == self.own.name:
             return
         del self._hosts[name]
-        self._removed[name] = (host, now())
+        self._removed[name] = (host, self._withdrawn_since.pop(name, now()))
         self._notify_change()
 
     def recently_removed(self, seconds: float) -> tuple[Host, ...]:
-        """Return the hosts that were removed within so many seconds and did not come back."""
+        """Return the removed hosts that were still registered within so many seconds.
+
+        A registration may also vanish without its host's doing, with a store that came back from an
+        older copy.
+        """
         since = now() - seconds
-        removed = [h for h, at in self._removed.values() if at >= since]
-        return tuple(h for h in removed if h.name not in self._hosts)
+        self._removed = {
+            n: (h, at)
+            for n, (h, at) in self._removed.items()
+            if at >= since and n not in self._hosts
+        }
+        return tuple(h for h, _ in self._removed.values())
 
     def suspected_for(self, seconds: float) -> tuple[Host, ...]:
         """Return the hosts that have been suspected for so many seconds."""
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -127,9 +127,13 @@
 
 
 class HostRecord(Record, tag="host"):
-    """The registration of one host in the fleet."""
+    """The registration of one host in the fleet.
+
+    A host whose registration is withdrawn may not use primaries, and is deleted once it can't.
+    """
 
     host: Host
+    withdrawn: bool = False
 
 
 def host_record_name(host: str) -> str:
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -164,7 +164,18 @@
 
     def is_registered(self) -> bool:
         """Tell whether this host's registration is cached, so that coordinators count it."""
-        return self.get(Topic.FLEET, host_record_name(self._hosts.own.name)) is not None
+        entry = self.get(Topic.FLEET, host_record_name(self._hosts.own.name))
+        return (
+            entry is not None and isinstance(entry.value, HostRecord) and not entry.value.withdrawn
+        )
+
+    @property
+    def assignment_use_limit(self) -> float:
+        """Return the seconds for which a host may use an assignment that it knows, at most.
+
+        They count from when the assignment changed, or the host's registration was withdrawn.
+        """
+        return OUTAGE_ASSIGNMENT_MAX_AGE_S + self.assignment_max_age + EXPIRY_MARGIN_S
 
     def assignments(self) -> tuple[PrimaryAssignment, ...]:
         """Return every known primary assignment."""
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -13,7 +13,13 @@
 from wagtailloft.fleet.mesh import Mesh, PeerConnection, ignore_failure
 from wagtailloft.fleet.messages import Ack, Message, PrimaryAnnouncement, SuspectReport
 from wagtailloft.fleet.ports import Conflict, Store, StoreDown
-from wagtailloft.fleet.records import PrimaryAssignment, Topic, host_record_name
+from wagtailloft.fleet.records import (
+    Entry,
+    HostRecord,
+    PrimaryAssignment,
+    Topic,
+    host_record_name,
+)
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.groups.claims import is_claim_abandoned
 from wagtailloft.groups.directory import GroupDirectory
@@ -146,20 +152,42 @@
             self._start_failover(group, primary.name, "the primary is leaving", planned=True)
 
     async def _unregister_lost_host(self) -> None:
-        """Delete the registration of a host long unreachable, if most hosts are live."""
-        suspected = self._hosts.suspected_for(HOST_REMOVAL_S)
-        if not suspected or 2 * len(self._hosts.live()) <= len(self._hosts.all()):
-            return
-        name = host_record_name(suspected[0].name)
-        entry = self._cache.get(Topic.FLEET, name)
-        if entry is None:
-            self._hosts.remove(suspected[0].name)
+        """Unregister one host that has long been unreachable, if most hosts are live.
+
+        It may be alive and reach callers and targets. Its registration is withdrawn first, which
+        it learns of wherever it learns of assignments, and deleted once it can't use an assignment
+        that it knew before.
+        """
+        if 2 * len(self._hosts.live()) <= len(self._hosts.all()):
             return
+        for host in self._hosts.suspected_for(HOST_REMOVAL_S):
+            entry = self._cache.get(Topic.FLEET, host_record_name(host.name))
+            if entry is None or not isinstance(entry.value, HostRecord):
+                self._hosts.remove(host.name)
+                return
+            if not entry.value.withdrawn:
+                await self._withdraw_registration(entry)
+                return
+            if self._hosts.withdrawn_for(host.name) > self._cache.assignment_use_limit:
+                await self._delete_registration(entry)
+                return
+
+    async def _withdraw_registration(self, entry: Entry) -> None:
+        host = entry.value.host
+        try:
+            record = HostRecord(host=host, withdrawn=True)
+            if await self._cache.write(Topic.FLEET, entry.name, record) is not None:
+                logs.warn("host_withdrawn", host=host.name)
+        except StoreDown as exc:
+            logs.event("unlisting_failed", host=host.name, why=str(exc))
+
+    async def _delete_registration(self, entry: Entry) -> None:
+        host = entry.value.host
         try:
-            await self._store.remove(Topic.FLEET, name, entry.revision)
-            logs.warn("host_unlisted", host=suspected[0].name)
+            await self._store.remove(Topic.FLEET, entry.name, entry.revision)
+            logs.warn("host_unlisted", host=host.name)
         except (Conflict, StoreDown) as exc:
-            logs.event("unlisting_failed", host=suspected[0].name, why=str(exc))
+            logs.event("unlisting_failed", host=host.name, why=str(exc))
 
     def _is_claim_abandoned(self, assignment: PrimaryAssignment) -> bool:
         """Tell whether no process is working on an unsettled assignment any more."""
--- a/src/wagtailloft/groups/fencing.py
+++ b/src/wagtailloft/groups/fencing.py
@@ -96,8 +96,7 @@
         Raise StoreDown.
         """
         await self._cache.read_now(Topic.FLEET)
-        hosts = (*self._hosts.all(), *self._hosts.recently_removed(self._cache.assignment_max_age))
-        others = [h for h in hosts if h.name != self._hosts.own.name]
+        others = self.hosts_to_fence()
         progress = FenceProgress(
             assignment=assignment, planned=planned, host_count=len(others) + 1, started_at=now()
         )
@@ -107,6 +106,11 @@
         progress.log_end()
         return max((p for p in positions if p), default=None)
 
+    def hosts_to_fence(self) -> tuple[Host, ...]:
+        """Return the other hosts that may use a primary under an assignment that they know."""
+        removed = self._hosts.recently_removed(self._cache.assignment_use_limit)
+        return tuple(h for h in (*self._hosts.all(), *removed) if h.name != self._hosts.own.name)
+
     async def _fence_host(self, host: Host, progress: FenceProgress) -> Position | None:
         message = FenceRequest(assignment=progress.assignment, immediate=not progress.planned)
         timeout = PLANNED_FENCE_TIMEOUT_S if progress.planned else PEER_CALL_TIMEOUT_S
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -16,13 +16,7 @@
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh
 from wagtailloft.fleet.ports import Store, StoreDown
-from wagtailloft.fleet.records import (
-    HOST_RECORD_PREFIX,
-    Entry,
-    HostRecord,
-    Topic,
-    host_record_name,
-)
+from wagtailloft.fleet.records import HostRecord, Topic, host_record_name
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.dispatch import Dispatcher
@@ -205,7 +199,7 @@
         self._metrics_server.start()
         own = self.hosts.own
         logs.event("started", host=own.name, zone=own.zone, ip=own.ip, process=own.incarnation)
-        self.cache.on_change(Topic.FLEET, self._fleet_changed)
+        self.cache.on_change(Topic.FLEET, self.hosts.follow_register)
         self.hosts.on_change.append(self._close_unowned_links)
         for topic in Topic:
             self._start_task(self.cache.watch_store(topic))
@@ -277,10 +271,6 @@
             return
         logs.event("reloaded", host=self.hosts.own.name)
 
-    def _fleet_changed(self, entry: Entry) -> None:
-        if entry.value is None and entry.name.startswith(HOST_RECORD_PREFIX):
-            self.hosts.remove(entry.name.removeprefix(HOST_RECORD_PREFIX))
-
     async def _keep_registered(self) -> None:
         """Keep this host's registration in the store current, so that other hosts find it."""
         own = self.hosts.own
@@ -291,7 +281,7 @@
             if not self.cache.revision(Topic.FLEET):
                 continue
             entry = self.cache.get(Topic.FLEET, name)
-            if entry and isinstance(entry.value, HostRecord) and entry.value.host == own_record:
+            if entry and entry.value == HostRecord(host=own_record):
                 await asyncio.sleep(MAINTENANCE_INTERVAL_S)
                 continue
             try:
--- a/src/wagtailloft/operations/logbook.py
+++ b/src/wagtailloft/operations/logbook.py
@@ -17,6 +17,7 @@
         "host_seen",
         "host_suspected",
         "host_unlisted",
+        "host_withdrawn",
         "assignment_changed",
         "primary_suspected",
         "promotion_began",
