Use no assignment that was last current before the process started

What callers could have got: a replaced primary for up to 2.4 s, through a host that was restarted during a failover.

Cause: a fence ends early once every host has confirmed it. A host that confirmed, and whose process was then replaced, could pull the earlier assignment from a host that had not confirmed yet, with that cache's age, and go on using it after that host had confirmed as well.

Change: an assignment counts as recent only if the cache was current since the process started, which includes every fence that earlier processes of the host confirmed. A host that starts reads the store at once, so this costs nothing while the store answers.

--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -147,7 +147,10 @@
         majority and then waits until earlier reports have expired.
         """
         age = self.assignments_age()
-        if age <= self.assignment_max_age:
+        # Without that, the earlier process of this host may have confirmed a fence that ended the
+        # wait for whoever this one has its cache from.
+        was_current = self._known_complete_at[Topic.FLEET] >= self._started
+        if was_current and age <= self.assignment_max_age:
             return True
         if age > OUTAGE_ASSIGNMENT_MAX_AGE_S:
             return False
