Create the fleets of a spread scenario in the time in which they run

Traced to the test: all 20 fleets were created before the first ran, in real time, so the caches of a later one were as old at its start as the earlier runs had taken (h00 to h07 at 2.449 to 2.448 s, in the order of creation). Each is created in virtual time now, right before it runs.

--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+from collections import Counter
 
 from behave import given, then, when
 
@@ -117,28 +118,30 @@
 )
 def step_stalling_fleets(context, count, size, zones, stall):
     context.zones, context.stall = zones, stall
-    context.fleets = [
-        (RunningFleet(count=size, zones=zones, age=0.0, seed=seed), random.Random(seed))
-        for seed in range(count)
-    ]
+    context.fleet_sizes = dict.fromkeys(range(count), size)  # by seed
 
 
 @when("the store refuses the first host of each zone")
 def step_store_refuses_first_hosts(context):
     context.oldest, context.readers = [], []
-    for fleet, rng in context.fleets:
-        refused = [h.name for h in fleet.members[: context.zones]]
-        context.oldest.append((observe_refusal(fleet, refused, rng, context.stall), refused))
-        zones = {h.zone for h in fleet.members}
-        context.readers.append({c._pulls._reader(z) for c in fleet.caches.values() for z in zones})
+    for seed, size in context.fleet_sizes.items():
+        refused = [f"h{n:02}" for n in range(context.zones)]
+        oldest, readers = observe_refusal(seed, size, refused, context.stall)
+        context.oldest.append((oldest, refused))
+        context.readers.append(readers)
 
 
-def observe_refusal(fleet, refused, rng, longest_stall):
-    """Let the store refuse some hosts after a while; return the oldest that each cache became."""
-    oldest = dict.fromkeys(fleet.caches, 0.0)
-    fleet.refused.clear()
+def observe_refusal(seed, size, refused, longest_stall):
+    """Let the store refuse the first host of each zone of a fleet after a while.
+
+    Return the oldest that each cache became, and which hosts are thought to read the store.
+    """
+    rng, zones, oldest, readers = random.Random(seed), len(refused), Counter(), set()
 
     async def run():
+        # Created here, so that the caches are as old in virtual time as they were made.
+        fleet = RunningFleet(count=size, zones=zones, age=0.0, seed=seed)
+        fleet.refused.clear()
         refused_at = now() + rng.uniform(1.0, 2.5)  # at any time within a long poll
 
         def observe():
@@ -150,9 +153,11 @@
                 stall(rng.uniform(0, longest_stall))
 
         await fleet.run(9.5, observe, interval=0.02)
+        zone_names = {h.zone for h in fleet.members}
+        readers.update(c._pulls._reader(z) for c in fleet.caches.values() for z in zone_names)
 
     run_virtual(run())
-    return oldest
+    return oldest, readers
 
 
 @then("the next hosts of the zones read the store")
