Count a host's report only while coordinators count the host

What callers could have got: a replaced primary for up to 6 s, during a cut within a cut.

Cause: hosts that had been cut off for so long that the register had no place for them any more still vouched for their assignments: a report counted if the reporter's cache had been current at any time since its start. A host that was cut off later, together with them, took them for a majority, which the coordinator's majority did not overlap.

Change: a host's assignments count while it is registered, and for 10 s after its cache was current. A deleted registration was withdrawn 12.7 s before, so its host either knows that or counts no more.

The fleets of spread and of the model check register their hosts now, as hosts do; else no report would count there.

--- a/features/restored_store.py
+++ b/features/restored_store.py
@@ -20,10 +20,12 @@
     Changes,
     Configuration,
     Entry,
+    HostRecord,
     PrimaryAssignment,
     Target,
     TeamRule,
     Topic,
+    host_record_name,
 )
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.groups.directory import GroupDirectory
@@ -294,6 +296,7 @@
         self.operator_busy = False
         self._write_settings()
         self._write_members()
+        self._register_hosts()
         self.store.copies.clear()
         self.hosts = []
         self.run(self._start())
@@ -341,6 +344,7 @@
             await asyncio.sleep(self.rng.uniform(0.0, MAX_REWRITE_S))
             self._write_settings()
             self._write_members()
+            self._register_hosts()
             self.operator_busy = False
 
         if not self.operator_busy:
@@ -433,6 +437,11 @@
             )
             self.store.write(Topic.TARGETS, name, report)
 
+    def _register_hosts(self):
+        for number in range(HOSTS):
+            host = make_host(number, ZONES, incarnation=0)
+            self.store.write(Topic.FLEET, host_record_name(host.name), HostRecord(host=host))
+
     async def _observe(self):
         while True:
             running = [h for h in self.hosts if h.thawed.is_set()]
--- a/features/steps/review.py
+++ b/features/steps/review.py
@@ -57,15 +57,12 @@
 
 
 class RegisteredFleet(ModelFleet):
-    """A fleet whose hosts are registered in the store, with cuts between pairs of hosts."""
+    """A fleet whose register changes, with cuts between pairs of hosts."""
 
     def __init__(self, *, seed):
-        """Start the fleet, and register its hosts."""
+        """Start the fleet."""
         self.cut_pairs = set()
         super().__init__(seed=seed)
-        for host in self.hosts:
-            self.register(host)
-        self.advance(3.0)
         assert all(h.uses(MEMBERS[0]) for h in self.hosts)
 
     def register(self, host):
--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -15,7 +15,14 @@
 from wagtailloft.fleet.messages import HelloReply
 from wagtailloft.fleet.peer_pulls import WIDE_PULL_INTERVAL_S
 from wagtailloft.fleet.ports import StoreDown
-from wagtailloft.fleet.records import Changes, PrimaryAssignment, Topic
+from wagtailloft.fleet.records import (
+    Changes,
+    Entry,
+    HostRecord,
+    PrimaryAssignment,
+    Topic,
+    host_record_name,
+)
 from wagtailloft.fleet.store_cache import StoreCache
 
 PULL_TIME_S = 1.2
@@ -225,9 +232,14 @@
             self.confirm(own.name, age)
 
     def confirm(self, name, age):
-        """Make a host's cache `age` seconds old."""
+        """Make a host's cache, in which all hosts are registered, `age` seconds old."""
+        records = tuple(
+            Entry(name=host_record_name(h.name), revision=1, value=HostRecord(host=h))
+            for h in self.members
+        )
         for topic in Topic:
-            changes = Changes(topic=topic, revision=1, is_snapshot=True)
+            entries = records if topic is Topic.FLEET else ()
+            changes = Changes(topic=topic, revision=1, is_snapshot=True, entries=entries)
             self.caches[name].apply(changes, now() - age)
 
     async def run(self, seconds, observe=lambda: None, interval=OBSERVE_INTERVAL_S):
--- a/src/wagtailloft/fleet/host_reports.py
+++ b/src/wagtailloft/fleet/host_reports.py
@@ -38,11 +38,11 @@
         name, at = self._readers.get(zone, ("", 0.0))
         return name if at >= now() - READER_TTL_S and self._hosts.get(name) else ""
 
-    def zone_report(self, *, reader: str, own_is_current: bool) -> ZoneReport:
+    def zone_report(self, *, reader: str, own_counts: bool) -> ZoneReport:
         """Return the report of this host's zone, with the name of the zone's store reader."""
         at, own = now(), self._hosts.own
         times = [self._heard_at.get(h.name, 0.0) for h in self._hosts.all() if h.zone == own.zone]
-        if own_is_current:
+        if own_counts:
             times.append(at)
         # Rounded up, so that a report never appears younger than it is.
         units = (math.ceil((at - t) / AGE_UNIT_S) for t in times)
@@ -50,11 +50,10 @@
             zone=own.zone, ages=bytes(u for u in units if u <= MAX_AGE_UNITS), reader=reader
         )
 
-    def from_majority(self, max_age: float, *, own_is_current: bool) -> bool:
+    def from_majority(self, max_age: float, *, own_counts: bool) -> bool:
         """Tell whether a majority of hosts reported within max_age seconds.
 
-        This host counts if own_is_current: a process does not know what an earlier one of its host
-        was told.
+        own_counts tells whether this host's own assignments count.
         """
         since = now() - max_age
         known: dict[str, int] = {}
@@ -63,7 +62,7 @@
             known[host.zone] = known.get(host.zone, 0) + 1
             reported = self._heard_at.get(host.name, 0.0) >= since
             if host.name == self._hosts.own.name:
-                reported = own_is_current
+                reported = own_counts
             if reported:
                 heard[host.zone] = heard.get(host.zone, 0) + 1
         for zone, times in self._zone_heard_at.items():
--- a/src/wagtailloft/fleet/peer_pulls.py
+++ b/src/wagtailloft/fleet/peer_pulls.py
@@ -76,8 +76,8 @@
     def accept_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration from another host in force if it is later; return whether it was."""
 
-    def is_verified(self) -> bool:
-        """Tell whether the cache was current at some time since this process started."""
+    def may_report(self) -> bool:
+        """Tell whether this host's assignments count towards a majority of the hosts."""
 
 
 class PeerPulls:
@@ -284,14 +284,14 @@
                 changes = self._cache.changes_since(topic, known.revision)
                 topic_changes.append(AgedChanges(changes=changes, age=age))
         same = message.assignments_digest == self._cache.assignments_digest
-        verified = self._cache.is_verified()
+        counts = self._cache.may_report()
         return PullResponse(
             topic_changes=tuple(topic_changes),
             assignments=() if same else self._cache.assignments(),
-            verified=verified,
+            verified=counts,
             store_unreachable=self._cache.store_unreachable,
             newer=tuple(newer),
-            zone_report=self._zone_report(verified) if self._collects() else None,
+            zone_report=self._zone_report(counts) if self._collects() else None,
             configuration_version=self._configuration_version(),
             configuration=self._later_configuration(message, topic_changes),
         )
@@ -317,11 +317,11 @@
             else configuration
         )
 
-    def _zone_report(self, own_is_current: bool) -> ZoneReport:
+    def _zone_report(self, own_counts: bool) -> ZoneReport:
         reader = self._reader(self._hosts.own.zone)
         if self._unreachable_until.get(reader, 0.0) > now():
             reader = ""
-        return self._reports.zone_report(reader=reader, own_is_current=own_is_current)
+        return self._reports.zone_report(reader=reader, own_counts=own_counts)
 
 
 def _newest_sources(
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -159,11 +159,9 @@
     def heard_from_majority(self) -> bool:
         """Tell whether a majority of hosts, this one included, has reported its assignments.
 
-        Reports older than assignment_max_age don't count, nor does this host before it is verified.
+        Reports older than assignment_max_age don't count.
         """
-        return self._reports.from_majority(
-            self.assignment_max_age, own_is_current=self.is_verified()
-        )
+        return self._reports.from_majority(self.assignment_max_age, own_counts=self.may_report())
 
     def is_registered(self) -> bool:
         """Tell whether this host's registration is cached, so that coordinators count it."""
@@ -264,9 +262,16 @@
         poll = LONG_POLL_S[topic] if topic in FRESHNESS_TOPICS else 0.0
         return self.topic_age(topic) + poll > OLD_CACHE_AGE_S
 
-    def is_verified(self) -> bool:
-        """Tell whether the cache was current at some time since this process started."""
-        return all(at >= self._started for at in self._known_complete_at.values())
+    def may_report(self) -> bool:
+        """Tell whether this host's assignments count towards a majority of the hosts.
+
+        Its cache was current since this process started, so that it knows what earlier processes
+        confirmed; and it is registered, as far as it can tell for as long as a deleted registration
+        may be unknown to it, so that coordinators count it too.
+        """
+        was_current = all(at >= self._started for at in self._known_complete_at.values())
+        is_recent = self.assignments_age() <= OUTAGE_ASSIGNMENT_MAX_AGE_S
+        return was_current and is_recent and self.is_registered()
 
     async def join_through_seeds(self, ips: tuple[str, ...]) -> None:
         """Learn the fleet's hosts from the first seed that answers, unless the store lists them."""
