Use primaries only with a cache as new as the host's registration

What callers could have got: a replaced primary for up to 2.4 s, through a host that has just registered itself.

Cause: a fence asks the hosts that are registered once its claim is stored. A host whose registration is stored later counts as registered at once, but its cache may be older than both.

Change: a host counts as registered once its cache of the register is at least as new as its registration, so that it knows every earlier claim.

--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -80,7 +80,8 @@
     """Answer a pull request.
 
     verified tells that the assignments count towards a majority, store_unreachable that the sender
-    can't reach the store. newer names the topics whose changes were left out. configuration_version is that of the sender's configuration in force.
+    can't reach the store. newer names the topics whose changes were left out. configuration_version
+    is that of the sender's configuration in force.
     """
 
     topic_changes: tuple[AgedChanges, ...]
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -164,11 +164,15 @@
         return self._reports.from_majority(self.assignment_max_age, own_counts=self.may_report())
 
     def is_registered(self) -> bool:
-        """Tell whether this host's registration is cached, so that coordinators count it."""
+        """Tell whether coordinators count this host, in every failover that it does not know of.
+
+        A coordinator counts the hosts that are registered once it has stored its claim. All claims
+        before this host's registration are known once the cache is as new as that.
+        """
         entry = self.get(Topic.FLEET, host_record_name(self._hosts.own.name))
-        return (
-            entry is not None and isinstance(entry.value, HostRecord) and not entry.value.withdrawn
-        )
+        if entry is None or not isinstance(entry.value, HostRecord) or entry.value.withdrawn:
+            return False
+        return self.revision(Topic.FLEET) >= entry.revision
 
     @property
     def assignment_use_limit(self) -> float:
