Count confirmations of a fence only from hosts that have long been registered

What callers could have got: a replaced primary for up to 6 s, when the fleet has grown shortly before a cut.

Cause: a host that can't reach the store takes a majority of the hosts that it knows for a majority, and the coordinator a majority of those that are registered. If the register grew in between, the two need not overlap.

Then a majority of all, made of long registered hosts alone, overlaps any majority of a register that a host may still know.

--- a/features/restored_store.py
+++ b/features/restored_store.py
@@ -211,6 +211,7 @@
         self.cache._rng = self.cache._pulls._rng = random.Random(record.process_name)
         self.lease = PromotionLease(own=record, cache=self.cache, has_ended=self.hosts.has_ended)
         self.cache.on_change(Topic.FLEET, self.lease.observe)
+        self.cache.on_change(Topic.FLEET, self.hosts.follow_register)
         self.directory = GroupDirectory(cache=self.cache)
         self.fence = FenceService(
             hosts=self.hosts,
--- a/features/steps/ends.py
+++ b/features/steps/ends.py
@@ -109,6 +109,8 @@
     hosts = Hosts(own=own, mesh=mesh)
     for member in members:
         hosts._put(member)
+        record = HostRecord(host=member)
+        hosts.follow_register(Entry(name=host_record_name(member.name), revision=1, value=record))
     cache = SimpleNamespace(
         assignment_max_age=max_age,
         assignment_use_limit=max_age,
--- a/features/steps/review.py
+++ b/features/steps/review.py
@@ -44,12 +44,7 @@
 
 
 class RegisteredHost(ModelHost):
-    """A host that drops others from its view when the register does, as HostProcess does."""
-
-    def restart(self):
-        """Replace the host's process."""
-        super().restart()
-        self.cache.on_change(Topic.FLEET, self.hosts.follow_register)
+    """A host that tells whether it would use a target."""
 
     def uses(self, target):
         """Tell whether this host would send statements to a target as primary."""
--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -343,14 +343,16 @@
     progress = FenceProgress(assignment=assignment, planned=False, host_count=5, started_at=100.0)
     unconfirmed_deadline = progress.deadline(3.3)
     assert unconfirmed_deadline >= 100.0 + OUTAGE_ASSIGNMENT_MAX_AGE_S + 3.3
-    progress.confirm()
+    for _ in range(2):
+        progress.confirm(counts=True)
+    progress.confirm(counts=False)
     assert progress.deadline(3.3) == unconfirmed_deadline, "2 of 5 are no majority"
     before = clock.now()
-    progress.confirm()
+    progress.confirm(counts=True)
     deadline = progress.deadline(3.3)
     assert before + 3.3 + EXPIRY_MARGIN_S <= deadline <= clock.now() + 3.3 + EXPIRY_MARGIN_S
     time.sleep(0.01)
-    progress.confirm()
+    progress.confirm(counts=True)
     assert progress.deadline(3.3) == deadline, "a host that confirms later prolongs the wait"
 
 
--- a/src/wagtailloft/fleet/hosts.py
+++ b/src/wagtailloft/fleet/hosts.py
@@ -17,6 +17,7 @@
 HELLO_TIMEOUT_S = 0.6  # covers a connect and a round trip across zones
 # Finds hosts reachable again after a network partition; a restarted process says hello itself.
 HELLO_RETRY_S = 0.5
+NEVER = float("-inf")
 
 
 class Hosts:
@@ -29,6 +30,8 @@
         self._rankings: dict[tuple[str, str], tuple[Host, ...]] = {}
         self._hello_tasks: dict[str, asyncio.Task[None]] = {}
         self._suspected_since: dict[str, float] = {}
+        self._register_read = False
+        self._registered_since: dict[str, float] = {}
         self._withdrawn_since: dict[str, float] = {}
         self._removed: dict[str, tuple[Host, float]] = {}
         self.on_change: list[Callable[[], None]] = []
@@ -99,12 +102,23 @@
         if not entry.name.startswith(HOST_RECORD_PREFIX):
             return
         name = entry.name.removeprefix(HOST_RECORD_PREFIX)
+        if isinstance(entry.value, HostRecord) and not entry.value.withdrawn:
+            self._withdrawn_since.pop(name, None)
+            self._registered_since.setdefault(name, now() if self._register_read else NEVER)
+            return
+        self._registered_since.pop(name, None)
         if entry.value is None:
             self.remove(name)
-        elif isinstance(entry.value, HostRecord) and entry.value.withdrawn:
-            self._withdrawn_since.setdefault(name, now())
         else:
-            self._withdrawn_since.pop(name, None)
+            self._withdrawn_since.setdefault(name, now())
+
+    def observe_register_read(self) -> None:
+        """Record that the register was read: hosts registered from now on are new."""
+        self._register_read = True
+
+    def registered_for(self, name: str) -> float:
+        """Return for how many seconds a host has been registered, infinite if that is unknown."""
+        return now() - self._registered_since.get(name, now())
 
     def withdrawn_for(self, name: str) -> float:
         """Return for how many seconds a host's registration has been known to be withdrawn."""
--- a/src/wagtailloft/groups/fencing.py
+++ b/src/wagtailloft/groups/fencing.py
@@ -39,13 +39,18 @@
         self._started_at = started_at
         self._confirmed = 0
         self._majority_at: float | None = None
+        self._counted = 0
         self._expired: list[str] = []
-        self.confirm()  # this host
 
-    def confirm(self) -> None:
-        """Record that one more host stopped using the primary."""
+    def confirm(self, *, counts: bool) -> None:
+        """Record that one more host stopped using the primary.
+
+        A host counts towards the majority if it has been registered for so long that every host
+        which may use an assignment knows of it.
+        """
         self._confirmed += 1
-        if self._majority_at is None and 2 * self._confirmed > self._host_count:
+        self._counted += counts
+        if self._majority_at is None and 2 * self._counted > self._host_count:
             self._majority_at = now()
 
     def expire(self, host: str) -> None:
@@ -100,6 +105,7 @@
         progress = FenceProgress(
             assignment=assignment, planned=planned, host_count=len(others) + 1, started_at=now()
         )
+        progress.confirm(counts=self._counts(self._hosts.own.name))
         local = self._local_executor.fence(assignment, not planned)
         calls = [self._fence_host(h, progress) for h in others]
         positions = await asyncio.gather(local, *calls)
@@ -121,13 +127,16 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
             if isinstance(response, FenceResponse) and response.host == host.name:
-                progress.confirm()
+                progress.confirm(counts=self._counts(host.name))
                 return response.acknowledged
             # Another host answers at the address of one that was removed.
             await asyncio.sleep(RETRY_INTERVAL_S)
         progress.expire(host.name)
         return None
 
+    def _counts(self, host: str) -> bool:
+        return self._hosts.registered_for(host) > self._cache.assignment_use_limit
+
     async def _handle_fence_request(self, conn: PeerConnection, message: Message) -> Message:
         assert isinstance(message, FenceRequest)
         self._cache.accept_assignment(message.assignment)
