--- a/features/review.feature
+++ b/features/review.feature
@@ -30,6 +30,12 @@
     And host 0 restarts and replaces the primary
     Then no host may use a replaced primary in the next 16 s
 
+  Scenario: The store loses the claim of a failover that waits for a host which reaches the store
+    Given a model of 4 hosts that may be cut off from each other in part
+    When hosts 2 and 3 reach no other host, and host 1 begins to replace the primary
+    And the store comes back 0.75 s later from a copy that is older than the claim
+    Then no host may use a replaced primary in the next 20 s
+
   Scenario: The entry of the only replica that has a commit expires before the primary is replaced
     Given a group of a primary and 2 replicas in which a commit waits for 1 replica
     When the entry of the replica that has the last commit is removed, and its link's host is lost
--- a/features/steps/review.py
+++ b/features/steps/review.py
@@ -106,7 +106,10 @@
 
     def promote(self, host):
         """Take a promotion order."""
-        self.promoted_at = clock.now()
+        self.promoted_at, old = clock.now(), self.primary
+        users = [h.hosts.own.process_name for h in self.hosts if h.uses(old)]
+        if users:
+            self.violations.append(f"{users} may use {old} as it is replaced")
         return super().promote(host)
 
 
@@ -231,6 +234,24 @@
     fleet.fail_over(0)
 
 
+@when("hosts 2 and 3 reach no other host, and host 1 begins to replace the primary")
+def step_begin(context):
+    fleet = context.fleet
+    fleet.advance(2.0)
+    for number in (2, 3):
+        for other in range(4):
+            fleet.part(number, other, cut=True)
+    fleet.advance(0.2)
+    fleet.fail_over(1)
+    fleet.advance(0.02)
+    assert fleet.hosts[1].cache.assignment(GROUP) is not None
+
+
+@when("the store comes back {outage:g} s later from a copy that is older than the claim")
+def step_lose_claim(context, outage):
+    context.fleet.restore(age=1.0, outage=outage, restarted=())
+
+
 @then("no host may use a replaced primary in the next {seconds:g} s")
 def step_none_uses(context, seconds):
     context.fleet.advance(seconds)
