Add failing scenarios for a restarted owner, a leaving replica and a shared address

- transaction ids start from 1 in each process, and a host that restarts is called under the same name: a statement of a transaction that ended with the earlier process runs inside another session's (PINNED, MIXED)
- with synchronous replicas, one that stays goes before one that is leaving and has a longer log, if both have the position that hosts report; that is a lower bound, so an acknowledged commit can be missing (LOST)
- a pull counts for the host that was called, whoever answers, so one process counts twice towards a majority if two hosts are known at its address

--- a/features/review.feature
+++ b/features/review.feature
@@ -40,3 +40,18 @@
     Given a group of a primary and 2 replicas in which a commit waits for 1 replica
     When the entry of the replica that has the last commit is removed, and its link's host is lost
     Then the other replica is not promoted
+
+  Scenario: A leaving replica has a commit that no host reports, because the one that saw it is lost
+    Given a group of a primary and 2 replicas in which a commit waits for 1 replica
+    When the replica that has the last commit is leaving, and hosts report an earlier position
+    Then the leaving replica is promoted
+
+  Scenario: The owner of a transaction restarts, and its new process has opened as many transactions
+    Given a host with a primary that answers a read after 0.2 s
+    When a transaction is opened through the host, and another through its next process
+    Then the next process runs no statement of the first transaction
+
+  Scenario: A host answers at the address at which two hosts are known
+    Given a host of a fleet of 3, of which another two are known at one address
+    When it pulls from both while one process answers
+    Then it has not heard from a majority
--- a/features/steps/review.py
+++ b/features/steps/review.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 from unittest.mock import patch
 
+import msgspec
 from behave import given, then, when
 
 from features import restored_store
@@ -11,7 +12,7 @@
 from features.restored_store import GROUP, MEMBERS, ZONES, ModelFleet, ModelHost, ModelMesh
 from features.virtual_time import run_virtual
 from wagtailloft import clock
-from wagtailloft.errors import NotSent
+from wagtailloft.errors import Kind, NotSent
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.records import (
     Changes,
@@ -27,10 +28,12 @@
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.failover import HOST_REMOVAL_S
+from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.groups.member_promotion import MemberPromotion
-from wagtailloft.groups.ports import TargetStatus
+from wagtailloft.groups.ports import BoundStatement, TargetStatus
 from wagtailloft.host_process import HostProcess
 from wagtailloft.models import Position, Role
+from wagtailloft.sessions.statements import Statement, Verb
 
 
 class PartlyCutMesh(ModelMesh):
@@ -296,12 +299,38 @@
 
 @then("the other replica is not promoted")
 def step_not_promoted(context):
-    behind = TargetStatus(
-        target=MEMBERS[2], role=Role.REPLICA, term=1, received=Position(term=1, index=7)
+    candidate = choose_candidate(context, {MEMBERS[2]: 7}, None)
+    assert candidate is None, f"{candidate.target} at {candidate.received} would be promoted"
+
+
+@when("the replica that has the last commit is leaving, and hosts report an earlier position")
+def step_leaving(context):
+    member = context.directory.target(GROUP, MEMBERS[1])
+    leaving = Entry(
+        name=MEMBERS[1], revision=3, value=msgspec.structs.replace(member, leaving=True)
     )
+    context.cache.apply(
+        Changes(topic=Topic.TARGETS, revision=3, is_snapshot=False, entries=(leaving,)), 2.0
+    )
+
+
+@then("the leaving replica is promoted")
+def step_leaving_promoted(context):
+    candidate = choose_candidate(context, {MEMBERS[1]: 9, MEMBERS[2]: 8}, Position(term=1, index=8))
+    assert candidate.target == MEMBERS[1], f"{candidate.target} at {candidate.received}"
+
+
+def choose_candidate(context, positions, last_acknowledged):
+    """Return the member that would be promoted, of replicas at positions of term 1."""
+    statuses = {
+        name: TargetStatus(
+            target=name, role=Role.REPLICA, term=1, received=Position(term=1, index=index)
+        )
+        for name, index in positions.items()
+    }
 
     async def query(target, action):
-        return behind if target.name == MEMBERS[2] else None
+        return statuses.get(target.name)
 
     promotion = MemberPromotion(
         directory=context.directory,
@@ -312,8 +341,61 @@
     claim = PrimaryAssignment(group=GROUP, epoch=1, settled=False, primary="", replaced=MEMBERS[0])
 
     async def choose():
-        await asyncio.sleep(0)
-        return await promotion.wait_for_candidate(claim, None, planned=False)
+        return await promotion.wait_for_candidate(claim, last_acknowledged, planned=False)
 
-    candidate = run_virtual(choose())
-    assert candidate is None, f"{candidate.target} at {candidate.received} would be promoted"
+    return run_virtual(choose())
+
+
+@when("a transaction is opened through the host, and another through its next process")
+def step_two_processes(context):
+    first = context.executor
+    request = msgspec.structs.replace(
+        context.request,
+        bound=BoundStatement(
+            request_id="-", statement=Statement(verb=Verb.BEGIN_READ, text="BEGIN READ")
+        ),
+        opens_transaction=True,
+    )
+    context.request = msgspec.structs.replace(context.request, require_primary=False)
+    following = LocalExecutor(directory=context.directory, link_factory=first._link_factory)
+
+    async def run():
+        opened = await first.run(request)
+        await following.run(msgspec.structs.replace(request, team="u"))
+        return await following.run(
+            msgspec.structs.replace(context.request, transaction_id=opened.transaction_id)
+        )
+
+    context.response = run_virtual(run())
+
+
+@then("the next process runs no statement of the first transaction")
+def step_not_run(context):
+    assert context.response.outcome.kind is Kind.TRANSACTION_LOST, context.response
+
+
+@given("a host of a fleet of 3, of which another two are known at one address")
+def step_one_address(context):
+    mesh = FakeMesh()
+    hosts = Hosts(own=make_host(0, 1), mesh=mesh)
+    answering = make_host(1, 1)
+    mesh.hosts[answering.ip] = answering
+    for host in (answering, msgspec.structs.replace(make_host(2, 1), ip=answering.ip)):
+        hosts._put(host)
+    context.cache = StoreCache(
+        store=None, hosts=hosts, mesh=mesh, max_age=3.3, assignment_max_age=2.4
+    )
+
+
+@when("it pulls from both while one process answers")
+def step_pull_both(context):
+    async def pull():
+        for name in ("h01", "h02"):
+            await context.cache._pulls.pull(name, (Topic.FLEET,), names_only=True)
+
+    asyncio.run(pull())
+
+
+@then("it has not heard from a majority")
+def step_no_majority(context):
+    assert not context.cache.heard_from_majority()
