Give transactions of two processes of a host different IDs

What callers could have got: a statement of one session run inside another session's transaction, or its rows.

Cause: transaction IDs counted from 1 in each process. A host that calls an owner of links by name, after the owner's process was replaced, reached the transaction to which the new process had given the same ID.

Change: IDs count from a random number of 62 bits.

--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import secrets
 from collections.abc import Callable
 
 from wagtailloft import logs
@@ -24,6 +25,7 @@
 # to connect and one for the status query.
 UNRESPONSIVE_S = 0.18
 LINK_WAIT_LIMIT_S = 0.25  # must fit into SAMPLE_MARGIN_S, so that reads stay within their max_age
+FIRST_ID_RANGE = 1 << 62  # transaction IDs of two processes of a host differ, and fit 64 bits
 DRAIN_LIMIT_S = 1.0  # time for running statements to end in a planned change of primary
 
 
@@ -64,7 +66,8 @@
         self._link_factory = link_factory
         self._pools: dict[tuple[str, str, int], LinkPool] = {}
         self._transactions: dict[int, _LinkUse] = {}
-        self._transaction_ids = itertools.count(1)
+        # Other hosts call an earlier process's transactions at this one.
+        self._transaction_ids = itertools.count(secrets.randbelow(FIRST_ID_RANGE) + 1)
         self._acknowledged_positions: dict[str, Position] = {}
         self._draining: dict[str, PrimaryAssignment] = {}  # by the target that is replaced
 
