Count a report of assignments for the host that made it

Cause of a possible stale use of a primary: a pull counted for the host that was called, whoever answered at its address. One process then counted twice towards a majority if the address of a removed host is used again.

--- a/features/fake_mesh.py
+++ b/features/fake_mesh.py
@@ -77,4 +77,9 @@
             self.sent[known.topic] += known.revision < self.revision
             changes = Changes(topic=known.topic, revision=self.revision, is_snapshot=False)
             topic_changes.append(AgedChanges(changes=changes, age=self.ages[other.name]))
-        return PullResponse(topic_changes=tuple(topic_changes), verified=True, newer=tuple(newer))
+        return PullResponse(
+            topic_changes=tuple(topic_changes),
+            verified=True,
+            newer=tuple(newer),
+            host=other.name,
+        )
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -81,7 +81,7 @@
 
     verified tells that the assignments count towards a majority, store_unreachable that the sender
     can't reach the store. newer names the topics whose changes were left out. configuration_version
-    is that of the sender's configuration in force.
+    is that of the sender's configuration in force, host the sender's name.
     """
 
     topic_changes: tuple[AgedChanges, ...]
@@ -92,6 +92,7 @@
     zone_report: ZoneReport | None = None
     configuration_version: int = 0
     configuration: Configuration | None = None
+    host: str = ""
 
 
 class StatementRequest(Record, tag="work", array_like=True):
--- a/src/wagtailloft/fleet/peer_pulls.py
+++ b/src/wagtailloft/fleet/peer_pulls.py
@@ -204,7 +204,8 @@
         for topic, age in ages.items():
             if topic is OUTAGE_PROBE_TOPIC or len(topics) == 1:
                 self._update_freshest_source(name, sent_at - age)
-        if response.verified:
+        # Another host may answer at the address of one that was removed.
+        if response.verified and response.host == name:
             self._reports.add_host(name, sent_at)
         if response.zone_report:
             self._reports.add_zone(response.zone_report, sent_at)
@@ -294,6 +295,7 @@
             zone_report=self._zone_report(counts) if self._collects() else None,
             configuration_version=self._configuration_version(),
             configuration=self._later_configuration(message, topic_changes),
+            host=self._hosts.own.name,
         )
 
     def _configuration_version(self) -> int:
