Begin a failover again if the store has lost its claim

What callers could have got: a primary that is being replaced, through hosts that reach the store and no other host.

Cause: a claim is written in one era of the store. If the store comes back from an older copy while the failover waits for hosts that it can't reach, those hosts read the new era without the claim, and may use the earlier primary again once the era's records count as complete. The coordinator waited on and ordered the promotion.

Change: a fence ends and no promotion is ordered once the era is another than the claim's; the coordinator resumes the failover with a claim of the new era, after the time in which earlier beliefs expire. The model's coordinator does the same.

--- a/features/restored_store.py
+++ b/features/restored_store.py
@@ -265,10 +265,15 @@
         if await self.cache.write(Topic.FLEET, name, claim) is None:
             return
         await self.fence.fence(claim, planned=False)
-        if not self.lease.is_held() and not await self.lease.acquire():
-            return
+        if not self.lease.is_held():
+            if not await self.lease.acquire():
+                return
+            await self.cache.read_now(Topic.FLEET)
         if self.cache.assignment(GROUP) != claim or not self.lease.is_held():
             return
+        if claim.era != self.cache.era.era:
+            await self._try_failover()
+            return
         await self.thawed.wait()
         if not self.lease.is_held():
             return
--- a/features/steps/claims.py
+++ b/features/steps/claims.py
@@ -232,7 +232,9 @@
         context.orders.append(order)
         return False
 
-    cache = SimpleNamespace(assignment=lambda group: context.cached, read_now=read_now)
+    cache = SimpleNamespace(
+        assignment=lambda group: context.cached, read_now=read_now, era=SimpleNamespace(era=0)
+    )
     target = Target(name="n", group="g", address="1.1.1.1:1", role=Role.REPLICA)
     context.promotion = MemberPromotion(
         directory=SimpleNamespace(target=lambda group, name: target, cache=cache),
--- a/features/steps/ends.py
+++ b/features/steps/ends.py
@@ -26,7 +26,7 @@
 from wagtailloft.groups.failover import FailoverCoordinator
 from wagtailloft.groups.fencing import FenceService
 from wagtailloft.models import Host
-from wagtailloft.revisions import make_revision
+from wagtailloft.revisions import NO_ERA, make_revision
 
 LOOPBACK = "127.0.0.{}"
 
@@ -114,6 +114,7 @@
     cache = SimpleNamespace(
         assignment_max_age=max_age,
         assignment_use_limit=max_age,
+        era=SimpleNamespace(era=NO_ERA),
         read_now=return_at_once,
         accept_assignment=lambda _: True,
     )
--- a/features/steps/guards.py
+++ b/features/steps/guards.py
@@ -14,7 +14,7 @@
 from wagtailloft.fleet.records import Entry, PrimaryAssignment, PromotionLeaseRecord
 from wagtailloft.groups.fencing import FenceService
 from wagtailloft.groups.promotion_lease import PromotionLease
-from wagtailloft.revisions import make_revision
+from wagtailloft.revisions import NO_ERA, make_revision
 
 MAX_AGE_S = 2.4
 
@@ -41,7 +41,10 @@
 def make_fence(hosts, mesh, read_now):
     """Return the fence service of a host that reads the register by read_now."""
     cache = SimpleNamespace(
-        assignment_max_age=MAX_AGE_S, assignment_use_limit=12.7, read_now=read_now
+        assignment_max_age=MAX_AGE_S,
+        assignment_use_limit=12.7,
+        read_now=read_now,
+        era=SimpleNamespace(era=NO_ERA),
     )
     executor = SimpleNamespace(fence=no_position)
     return FenceService(hosts=hosts, mesh=mesh, cache=cache, local_executor=executor)
--- a/src/wagtailloft/groups/fencing.py
+++ b/src/wagtailloft/groups/fencing.py
@@ -121,6 +121,8 @@
         message = FenceRequest(assignment=progress.assignment, immediate=not progress.planned)
         timeout = PLANNED_FENCE_TIMEOUT_S if progress.planned else PEER_CALL_TIMEOUT_S
         while now() < progress.deadline(self._cache.assignment_max_age):
+            if progress.assignment.era != self._cache.era.era:
+                return None  # the claim may be lost with what the store lost
             try:
                 response = await self._hosts.call(host.name, message, timeout)
             except (NotSent, NoResponse):
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -130,15 +130,20 @@
         return None
 
     async def _may_order(self, assignment: PrimaryAssignment) -> bool:
-        """Tell whether this process holds the lease, and no other has replaced its claim.
+        """Tell whether this process holds the lease, and its claim is still in force everywhere.
 
-        While it did not hold the lease, another may have taken it and replaced the claim.
+        While it did not hold the lease, another may have taken it and replaced the claim. A store
+        that came back from an older copy may have lost the claim, and hosts that did not hear of it
+        go on with the earlier assignment in the new era.
         """
         cache = self._directory.cache
         if not self._lease.is_held():
             if not await self._lease.acquire():
                 return False
             await cache.read_now(Topic.FLEET)
+        if assignment.era != cache.era.era:
+            logs.warn("claim_outdated", group=assignment.group, era=assignment.era)
+            return False
         return self._lease.is_held() and cache.assignment(assignment.group) == assignment
 
     async def demote_old_primary(self, group: str, name: str, term: int) -> None:
