Test that a late answer leaves nothing behind, also while a replacement drains

Four mutations of survived late_answers and sessions: the link of a dropped answer stays open, its position is sampled, and an answer is passed on during a drain under a later claim or with an old cache. The scenarios pass on.

--- a/features/steps/guards.py
+++ b/features/steps/guards.py
@@ -133,3 +133,61 @@
 @then("the other host holds the lease {seconds:g} s after it was taken, and not before")
 def step_held_after(context, seconds):
     assert seconds - 1e-6 <= context.held_after < seconds + 0.2, context.held_after
+
+
+@given("the links and position samples of the host are recorded")
+def step_record(context):
+    context.links, context.samples = [], []
+    factory = context.executor._link_factory
+    open_link = factory.open
+
+    async def open_and_record(spec):
+        context.links.append(await open_link(spec))
+        return context.links[-1]
+
+    factory.open = open_and_record
+    log = SimpleNamespace(
+        statement_sent=lambda: None,
+        statement_returned=lambda: None,
+        add=lambda *sample: context.samples.append(sample),
+    )
+    context.directory.samples = lambda group: log
+
+
+@then("the link is closed, and no position was sampled")
+def step_nothing_left(context):
+    assert [link.closed for link in context.links] == [True], context.links
+    assert context.samples == [], context.samples
+
+
+def run_beside_planned(context, change):
+    """Run the statement, begin a planned replacement, and change something before it answers."""
+
+    async def run():
+        running = asyncio.create_task(context.executor.run(context.request))
+        await asyncio.sleep(0.05)
+        claim = PrimaryAssignment(group="g", epoch=2, settled=False, primary="", replaced="m")
+        context.directory.current = claim
+        fencing = asyncio.create_task(context.executor.fence(claim, False))
+        await asyncio.sleep(0.05)
+        change(claim)
+        context.outcome = (await running).outcome
+        await fencing
+
+    run_virtual(run())
+
+
+@when("a planned replacement begins, and another failover replaces it in the meantime")
+def step_taken_over(context):
+    def take_over(claim):
+        context.directory.current = msgspec.structs.replace(claim, epoch=3, claimant="h01/1")
+
+    run_beside_planned(context, take_over)
+
+
+@when("a planned replacement begins, and the cache gets old in the meantime")
+def step_cache_old(context):
+    def expire(claim):
+        context.directory.valid = False
+
+    run_beside_planned(context, expire)
