--- a/features/steps/review.py
+++ b/features/steps/review.py
@@ -173,8 +173,13 @@
     fleet.fail_over(3)
 
 
+@when("they return as hosts 2 and 3 are cut off, and host 4 restarts and replaces the primary")
+def step_return_and_restart(context):
+    step_return(context, restarts=True)
+
+
 @when("they return as hosts 2 and 3 are cut off, and host 4 replaces the primary")
-def step_return(context):
+def step_return(context, restarts=False):
     fleet = context.fleet
     for number, other in ((2, 3), (3, 2)):
         fleet.isolate(number, cut=True, but=(other,))
@@ -183,7 +188,10 @@
         for other in (0, 1, 4):
             fleet.part(number, other, cut=False)
         fleet.register(fleet.hosts[number])
-    fleet.advance(0.6)
+    fleet.advance(0.2)
+    if restarts:
+        fleet.restart(4)
+    fleet.advance(0.4)
     fleet.fail_over(4)
 
 
