Keep the list of hosts that count towards a fence's majority in the store

Cause: a coordinator that had just started took every host of the register for long registered, since it could not know better. Hosts that had just returned then made a majority that did not overlap the one which a cut-off host knows (a replaced primary is used for 5.9 s).

Change: the coordinator lists a host in the store once it has seen it registered for 10.3 s, after which every cache that assignments are used from knows the host, and drops it before its registration is deleted. Only listed hosts count towards the majority. One write per change of the list.

--- a/features/ends.feature
+++ b/features/ends.feature
@@ -33,3 +33,13 @@
     Then a failover still fences the host
     When it looks after its register for 2 s
     Then a failover does not fence the host any more
+
+  Scenario: A host's confirmation counts once every cache in use knows the host, until it is withdrawn
+    Given a coordinator whose register has a host that has been suspected for 6 s
+    When it updates the counted hosts for 4 s
+    Then no host counts
+    When it updates the counted hosts for 1 s
+    Then 3 hosts count
+    When it looks after its register for 1 s
+    And it updates the counted hosts for 1 s
+    Then 2 hosts count
--- a/features/fake_mesh.py
+++ b/features/fake_mesh.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 
 from wagtailloft.fleet.messages import AgedChanges, AgedRevision, Hello, HelloReply, PullResponse
-from wagtailloft.fleet.records import Changes
+from wagtailloft.fleet.records import Changes, CountedHostsRecord, Entry
 from wagtailloft.models import Host
 
 
@@ -20,6 +20,12 @@
     )
 
 
+def counted_hosts(*names):
+    """Return a getter of store entries that lists hosts whose confirmations count."""
+    record = CountedHostsRecord(hosts=names)
+    return lambda topic, name: Entry(name=name, revision=1, value=record)
+
+
 class InProcessMesh:
     """A mesh that calls the handlers of other hosts in the same process directly."""
 
--- a/features/restored_store.py
+++ b/features/restored_store.py
@@ -28,6 +28,7 @@
     host_record_name,
 )
 from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.groups.counted_hosts import CountedHosts
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.failover import COORDINATOR_KEY
 from wagtailloft.groups.fencing import FenceService
@@ -220,6 +221,7 @@
             local_executor=SimpleNamespace(fence=_no_position),
         )
         self.repair = RecordRepair(cache=self.cache)
+        self.counted_hosts = CountedHosts(hosts=self.hosts, cache=self.cache)
         self.version = 0
         self.tasks = [asyncio.create_task(self.cache.watch_store(t)) for t in Topic]
         self.tasks.append(asyncio.create_task(self.cache.pull_from_peers()))
@@ -236,6 +238,7 @@
             first = self.hosts.rank_owners(COORDINATOR_KEY)[0]
             if first.name == self.hosts.own.name and self.cache.age() <= self.cache.max_age:
                 await self.repair.run_once()
+                await self.counted_hosts.update()
 
     async def _fail_over(self):
         try:
--- a/features/steps/ends.py
+++ b/features/steps/ends.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from features.fake_mesh import FakeMesh, make_host
+from features.fake_mesh import FakeMesh, counted_hosts, make_host
 from features.restored_store import MEMBERS, ModelFleet
 from features.virtual_time import VirtualTimeLoop
 from wagtailloft import clock
@@ -109,12 +109,11 @@
     hosts = Hosts(own=own, mesh=mesh)
     for member in members:
         hosts._put(member)
-        record = HostRecord(host=member)
-        hosts.follow_register(Entry(name=host_record_name(member.name), revision=1, value=record))
     cache = SimpleNamespace(
         assignment_max_age=max_age,
         assignment_use_limit=max_age,
         era=SimpleNamespace(era=NO_ERA),
+        get=counted_hosts(*(m.name for m in members)),
         read_now=return_at_once,
         accept_assignment=lambda _: True,
     )
@@ -275,3 +274,19 @@
 def step_deleted(context):
     assert host_record_name(context.lost.name) not in context.register.records
     step_not_fenced(context)
+
+
+@when("it updates the counted hosts for {seconds:g} s")
+def step_update_counted(context, seconds):
+    pass_time(context, seconds, context.coordinator._counted_hosts.update)
+
+
+@then("no host counts")
+def step_none_counts(context):
+    assert not context.coordinator._counted_hosts._listed()
+
+
+@then("{count:d} hosts count")
+def step_hosts_count(context, count):
+    listed = context.coordinator._counted_hosts._listed()
+    assert len(listed) == count, listed
--- a/features/steps/guards.py
+++ b/features/steps/guards.py
@@ -6,7 +6,7 @@
 import msgspec
 from behave import given, then, when
 
-from features.fake_mesh import FakeMesh, make_host
+from features.fake_mesh import FakeMesh, counted_hosts, make_host
 from features.virtual_time import run_virtual
 from wagtailloft import clock
 from wagtailloft.fleet.hosts import Hosts
@@ -45,6 +45,7 @@
         assignment_use_limit=12.7,
         read_now=read_now,
         era=SimpleNamespace(era=NO_ERA),
+        get=counted_hosts("h00", "h01", "h02"),
     )
     executor = SimpleNamespace(fence=no_position)
     return FenceService(hosts=hosts, mesh=mesh, cache=cache, local_executor=executor)
--- a/src/wagtailloft/fleet/hosts.py
+++ b/src/wagtailloft/fleet/hosts.py
@@ -17,7 +17,6 @@
 HELLO_TIMEOUT_S = 0.6  # covers a connect and a round trip across zones
 # Finds hosts reachable again after a network partition; a restarted process says hello itself.
 HELLO_RETRY_S = 0.5
-NEVER = float("-inf")
 
 
 class Hosts:
@@ -30,7 +29,6 @@
         self._rankings: dict[tuple[str, str], tuple[Host, ...]] = {}
         self._hello_tasks: dict[str, asyncio.Task[None]] = {}
         self._suspected_since: dict[str, float] = {}
-        self._register_read = False
         self._registered_since: dict[str, float] = {}
         self._withdrawn_since: dict[str, float] = {}
         self._removed: dict[str, tuple[Host, float]] = {}
@@ -104,7 +102,7 @@
         name = entry.name.removeprefix(HOST_RECORD_PREFIX)
         if isinstance(entry.value, HostRecord) and not entry.value.withdrawn:
             self._withdrawn_since.pop(name, None)
-            self._registered_since.setdefault(name, now() if self._register_read else NEVER)
+            self._registered_since.setdefault(name, now())
             return
         self._registered_since.pop(name, None)
         if entry.value is None:
@@ -112,12 +110,12 @@
         else:
             self._withdrawn_since.setdefault(name, now())
 
-    def observe_register_read(self) -> None:
-        """Record that the register was read: hosts registered from now on are new."""
-        self._register_read = True
+    def is_registered(self, name: str) -> bool:
+        """Tell whether a host is registered, and its registration is not withdrawn."""
+        return name in self._registered_since
 
     def registered_for(self, name: str) -> float:
-        """Return for how many seconds a host has been registered, infinite if that is unknown."""
+        """Return for how many seconds this process has known a host to be registered."""
         return now() - self._registered_since.get(name, now())
 
     def withdrawn_for(self, name: str) -> float:
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -136,12 +136,26 @@
     withdrawn: bool = False
 
 
+class CountedHostsRecord(Record, tag="counted"):
+    """The hosts whose confirmations of a fence count towards a majority of all hosts."""
+
+    hosts: tuple[str, ...]
+
+
 def host_record_name(host: str) -> str:
     """Return the name of the store object that registers a host."""
     return f"{HOST_RECORD_PREFIX}{host}"
 
 
-Value = Configuration | Target | PrimaryAssignment | PromotionLeaseRecord | HostRecord | EraRecord
+Value = (
+    Configuration
+    | Target
+    | PrimaryAssignment
+    | PromotionLeaseRecord
+    | HostRecord
+    | EraRecord
+    | CountedHostsRecord
+)
 
 
 class Entry(Record, array_like=True):
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -330,7 +330,6 @@
                 self._entry_changed(changes.topic, entry)
         if changes.topic is Topic.FLEET:
             self.era.observe_fleet_read()
-            self._hosts.observe_register_read()
         self._update_known_complete()
         return True
 
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -22,6 +22,7 @@
 )
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.groups.claims import is_claim_abandoned
+from wagtailloft.groups.counted_hosts import CountedHosts
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.fencing import PEER_CALL_TIMEOUT_S, FenceService
 from wagtailloft.groups.local_executor import LocalExecutor
@@ -71,6 +72,7 @@
         )
         self._lease = lease
         self._repair = RecordRepair(cache=cache)
+        self._counted_hosts = CountedHosts(hosts=hosts, cache=cache)
         self._promotion = MemberPromotion(
             directory=directory, queries=self._queries, promotion_api=promotion_api, lease=lease
         )
@@ -113,6 +115,7 @@
                 if is_coordinator or self._has_unfinished_failover(group):
                     self._check_group(group)
             if is_coordinator:
+                await self._counted_hosts.update()
                 await self._unregister_lost_host()
 
     def _is_coordinator(self) -> bool:
@@ -168,7 +171,8 @@
             if not entry.value.withdrawn:
                 await self._withdraw_registration(entry)
                 return
-            if self._hosts.withdrawn_for(host.name) > self._cache.assignment_use_limit:
+            is_forgotten = self._hosts.withdrawn_for(host.name) > self._cache.assignment_use_limit
+            if is_forgotten and host.name not in self._counted_hosts:
                 await self._delete_registration(entry)
                 return
 
--- a/src/wagtailloft/groups/fencing.py
+++ b/src/wagtailloft/groups/fencing.py
@@ -19,6 +19,7 @@
     OUTAGE_ASSIGNMENT_MAX_AGE_S,
     StoreCache,
 )
+from wagtailloft.groups.counted_hosts import CountedHosts
 from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.models import Host, Position
 
@@ -45,8 +46,7 @@
     def confirm(self, *, counts: bool) -> None:
         """Record that one more host stopped using the primary.
 
-        A host counts towards the majority if it has been registered for so long that every host
-        which may use an assignment knows of it.
+        counts tells whether it counts towards the majority; see CountedHosts.
         """
         self._confirmed += 1
         self._counted += counts
@@ -92,6 +92,7 @@
         self._hosts = hosts
         self._cache = cache
         self._local_executor = local_executor
+        self._counted_hosts = CountedHosts(hosts=hosts, cache=cache)
         mesh.register_handler(FenceRequest, self._handle_fence_request)
 
     async def fence(self, assignment: PrimaryAssignment, planned: bool) -> Position | None:
@@ -105,7 +106,7 @@
         progress = FenceProgress(
             assignment=assignment, planned=planned, host_count=len(others) + 1, started_at=now()
         )
-        progress.confirm(counts=self._counts(self._hosts.own.name))
+        progress.confirm(counts=self._hosts.own.name in self._counted_hosts)
         local = self._local_executor.fence(assignment, not planned)
         calls = [self._fence_host(h, progress) for h in others]
         positions = await asyncio.gather(local, *calls)
@@ -129,16 +130,13 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
             if isinstance(response, FenceResponse) and response.host == host.name:
-                progress.confirm(counts=self._counts(host.name))
+                progress.confirm(counts=host.name in self._counted_hosts)
                 return response.acknowledged
             # Another host answers at the address of one that was removed.
             await asyncio.sleep(RETRY_INTERVAL_S)
         progress.expire(host.name)
         return None
 
-    def _counts(self, host: str) -> bool:
-        return self._hosts.registered_for(host) > self._cache.assignment_use_limit
-
     async def _handle_fence_request(self, conn: PeerConnection, message: Message) -> Message:
         assert isinstance(message, FenceRequest)
         self._cache.accept_assignment(message.assignment)
