Promote the longest log of a group with synchronous replicas

Cause: among replicas that have the position which hosts report as acknowledged, one that stays went before a leaving one with a longer log. But that position is only a lower bound: a host that is lost does not report its own. In such groups the longest log goes first now.

--- a/src/wagtailloft/groups/candidates.py
+++ b/src/wagtailloft/groups/candidates.py
@@ -26,18 +26,21 @@
     statuses: list[TargetStatus],
     targets: tuple[Target, ...],
     last_acknowledged: Position | None,
+    *,
+    longest_log: bool,
 ) -> TargetStatus | None:
     """Return the best replica to promote, or None if there is none.
 
     Replicas that have the last acknowledged position come first, then those that are not leaving,
-    then those with the longest log.
+    then those with the longest log. With longest_log, only the log counts: that position is a lower
+    bound, since a host that is lost does not report its own.
     """
     targets_by_name = {t.name: t for t in targets}
 
     def rank(status: TargetStatus) -> tuple[bool, bool, Position, str]:
         target = targets_by_name.get(status.target)
         caught_up = last_acknowledged is None or status.received >= last_acknowledged
-        staying = target is not None and not target.leaving
+        staying = longest_log or (target is not None and not target.leaving)
         return caught_up, staying, status.received, status.target
 
     replicas = [s for s in statuses if s.role is Role.REPLICA]
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -55,7 +55,7 @@
             newer_primaries = [s for s in statuses if is_newer_primary(s, assignment)]
             if newer_primaries:
                 return max(newer_primaries, key=lambda s: s.term)
-            candidate = best_candidate(statuses, targets, last_acknowledged)
+            candidate = best_candidate(statuses, targets, last_acknowledged, longest_log=sync > 0)
             caught_up = candidate and (
                 last_acknowledged is None or candidate.received >= last_acknowledged
             )
