Count members whose entries have just vanished among a group's replicas

What callers could have got: an acknowledged write is lost, in a group with sync_replicas (no site has one).

Cause: enough replicas have to reply before one is promoted, counted over those that are listed. If the entry of the replica with the last commit expired while the store or the replica's way to it was down, the other replicas were enough. A missing entry was taken for a member that is gone.

The stand-in of the cache in robustness answers reads of the list of counted hosts, without which one scenario failed since that list exists.

--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -375,6 +375,7 @@
         age=lambda: 0.1,
         max_age=3.3,
         assignments=tuple,
+        get=lambda topic, name: None,
     )
     arguments = dict(
         hosts=Hosts(own=make_host(0, 1), mesh=FakeMesh()),
--- a/src/wagtailloft/groups/directory.py
+++ b/src/wagtailloft/groups/directory.py
@@ -24,6 +24,7 @@
         self._targets: dict[str, dict[str, Target]] = {}
         self._samples: dict[str, PositionSamples] = {}
         self._revisions: dict[str, int] = {}
+        self._unlisted_at: dict[str, dict[str, float]] = {}  # by group and member
         cache.on_change(Topic.TARGETS, self._handle_target_change)
 
     def target(self, group: str, name: str) -> Target | None:
@@ -38,6 +39,16 @@
         """Return the listed members of a group except one."""
         return tuple(t for t in self.targets(group) if t.name != excluded)
 
+    def lately_unlisted(self, group: str, seconds: float) -> tuple[str, ...]:
+        """Return the members whose entries vanished within so many seconds, and did not return.
+
+        One that reported that it is leaving is not among them.
+        """
+        since = now() - seconds
+        recent = {n: at for n, at in self._unlisted_at.get(group, {}).items() if at >= since}
+        self._unlisted_at[group] = recent
+        return tuple(recent)
+
     def groups(self) -> tuple[str, ...]:
         """Return the groups that have members."""
         return tuple(g for g, members in self._targets.items() if members)
@@ -95,14 +106,17 @@
 
     def _handle_target_change(self, entry: Entry) -> None:
         self._revisions[entry.name] = entry.revision
-        for members in self._targets.values():
-            members.pop(entry.name, None)
+        for group, members in self._targets.items():
+            removed = members.pop(entry.name, None)
+            if removed is not None and not removed.leaving:
+                self._unlisted_at.setdefault(group, {})[entry.name] = now()
         target = entry.value
         if not isinstance(target, Target):
             logs.event("target_removed", target=entry.name, revision=entry.revision)
             return
         target = msgspec.structs.replace(target, name=entry.name)
         self._targets.setdefault(target.group, {})[entry.name] = target
+        self._unlisted_at.get(target.group, {}).pop(entry.name, None)
         logs.event(
             "target_listed",
             target=entry.name,
