Restart a task of a host process that fails, and end the process as the last resort

What callers saw or could see: after one unexpected error a host process went on without a task for good. Without watch_store it no longer followed the list of hosts or the configuration, without the token client it refused operations as limits_unavailable, without the coordinator no failover began. By reading; shown by the tests.

Cause: the process started its tasks with a callback that only logged the error of a task that had ended. A return, a cancellation of what a task awaited, and errors of tasks that nobody awaits or of callbacks left no line of their own and no metric.

Change: a supervisor runs them. A failure is logged (task_failed with the innermost calls), counted (task_failures_total) and followed by another run after 0.1 to 2 s. 20 failures in a row of a task that has worked in this process end it by a planned stop with exit code 70; a task that has failed from the start gets 300, since a new process reads the same records. The stop is bounded by the grace period, as nobody else ends a process that stops by itself. Expiring idle transactions was a task of the callers' server; it is one of the process now.

Evidence: features/supervision.feature in virtual time.

--- /dev/null
+++ b/features/supervision.feature
@@ -0,0 +1,68 @@
+Feature: Work on which a process lives goes on after an unexpected error
+
+  Scenario Outline: A task of a host process raises an unexpected error once
+    Given a host process whose "<task>" raises RecursionError once
+    When the host process has run for 5 s
+    Then "<task>" runs again, and the error is in the log and on a metric
+    And the host process stops with exit code 0
+
+    Examples:
+      | task                      |
+      | cache.watch_store         |
+      | cache.pull_from_peers     |
+      | cache.join_through_seeds  |
+      | hosts.retry_suspected     |
+      | tokens.run                |
+      | coordinator.watch         |
+      | _keep_registered          |
+      | _run_maintenance          |
+      | caller_server.expire_transactions |
+
+  Scenario: A host process goes on following the list of hosts after an unexpected error
+    Given a host process whose store raises RecursionError once, when it has a new list of hosts
+    When the host process has run for 5 s
+    Then the host process knows the hosts that the store lists later
+
+  Scenario: A task of a host process returns although it should run until the process stops
+    Given a host process whose "tokens.run" returns once
+    When the host process has run for 5 s
+    Then "tokens.run" runs again, and the error is in the log and on a metric
+    And the host process stops with exit code 0
+
+  Scenario: What a task of a host process waits for is cancelled
+    Given a host process whose "tokens.run" raises CancelledError once
+    When the host process has run for 5 s
+    Then "tokens.run" runs again, and the error is in the log and on a metric
+    And the host process stops with exit code 0
+
+  Scenario: A task that has worked fails again and again, until only a new process may help
+    Given a host process whose "tokens.run" raises ValueError always, after it has worked for 20 s
+    When the host process has run for 45 s
+    Then the host process still runs
+    When the host process has run for 70 s
+    Then the host process has drained its callers and ended with exit code 70
+
+  Scenario: A task fails from the start, so that a new process would fail too
+    Given a host process whose "tokens.run" raises ValueError always
+    When the host process has run for 500 s
+    Then the host process still runs
+    When the host process has run for 700 s
+    Then the host process has drained its callers and ended with exit code 70
+
+  Scenario: A task fails now and then, and works in between
+    Given a host process whose "tokens.run" raises ValueError after each 12 s
+    When the host process has run for 900 s
+    Then the host process still runs
+
+  Scenario: A host process ends because of a task, and the platform must not take it for a planned stop
+    Then the program of the host process exits with the exit code of the host process
+
+  Scenario: A stop hangs
+    Given a host process whose callers' server does not end
+    When the host process has run for 5 s
+    Then the host process stops with exit code 0
+
+  Scenario: A task that nobody waits for, or a callback, raises an unexpected error
+    Given a host process in which a task that nobody waits for raises KeyError
+    When the host process has run for 5 s
+    Then the errors of the task and of a callback are in the log and on a metric
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import msgspec
@@ -38,6 +39,7 @@
 from wagtailloft.rates.token_pool import Tolerance
 from wagtailloft.sessions.admission import Admission
 from wagtailloft.sessions.session import Session
+from wagtailloft.supervision import EXIT_TASK_FAILED, Supervisor
 
 # Share of the bound on withdrawn keys up to which the cached keys are accepted. The rest covers
 # watches of the store that miss changes for up to 1 s.
@@ -99,6 +101,9 @@
     async def start(self) -> None:
         """Start to accept callers."""
 
+    async def expire_transactions(self) -> None:
+        """End idle transactions as they expire, until cancelled."""
+
     async def drain(self, until: float) -> None:
         """Close sessions that are between requests, until the given time."""
 
@@ -123,9 +128,14 @@
         self._cfg = cfg
         self._reload = reload
         self._stopping = asyncio.Event()
-        self._tasks: list[asyncio.Task] = []
+        self._loop = asyncio.get_running_loop()
+        self._exit_code = 0
         own = msgspec.structs.replace(cfg.own, incarnation=new_incarnation())
         self.metrics = Metrics()
+        self._supervisor = Supervisor(
+            count_failure=lambda name: self.metrics.task_failures.labels(name).inc(),
+            end_process=self._end_after_failure,
+        )
         self.mesh = Mesh(ip=own.ip, port=own.peer_port)
         self.hosts = Hosts(own=own, mesh=self.mesh)
         max_age = cfg.bounds.key_withdrawal * MAX_AGE_SHARE
@@ -190,15 +200,15 @@
             name="metrics",
         )
 
-    async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then stop.
+    async def run(self) -> int:
+        """Serve until SIGTERM, SIGINT or a task that fails for good; return the exit code.
 
         Running requests may finish within the grace period.
         """
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
-        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        self._loop.set_exception_handler(self._supervisor.handle_loop_exception)
+        self._loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        self._loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        self._loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         await self.mesh.start()
         await self.caller_server.start()
         self._ready_server.start()
@@ -207,40 +217,54 @@
         logs.event("started", host=own.name, zone=own.zone, ip=own.ip, process=own.incarnation)
         self.cache.on_change(Topic.FLEET, self._fleet_changed)
         self.hosts.on_change.append(self._close_unowned_links)
-        for topic in Topic:
-            self._start_task(self.cache.watch_store(topic))
-        self._start_task(self.cache.pull_from_peers())
-        self._start_task(self.hosts.retry_suspected())
-        self._start_task(self.tokens.run())
-        self._start_task(self.coordinator.watch())
-        self._start_task(self._keep_registered())
-        self._start_task(self._run_maintenance())
-        self._start_task(self.cache.join_through_seeds(self._cfg.seeds))
+        self._start_tasks()
         await self._stopping.wait()
         await self._stop()
+        return self._exit_code
+
+    def _start_tasks(self) -> None:
+        start = self._supervisor.start_task
+        for topic in Topic:
+            start(f"watch_store_{topic.value}", partial(self.cache.watch_store, topic))
+        start("pull_from_peers", self.cache.pull_from_peers)
+        start("retry_suspected", self.hosts.retry_suspected)
+        start("request_tokens", self.tokens.run)
+        start("watch_groups", self.coordinator.watch)
+        start("expire_transactions", self.caller_server.expire_transactions)
+        start("keep_registered", self._keep_registered)
+        start("maintenance", self._run_maintenance)
+        join = partial(self.cache.join_through_seeds, self._cfg.seeds)
+        start("join_through_seeds", join, may_return=True)
+
+    def _end_after_failure(self) -> None:
+        self._exit_code = EXIT_TASK_FAILED
+        self._loop.call_soon_threadsafe(self._stopping.set)
 
     async def _stop(self) -> None:
         began = now()
         grace = self._cfg.bounds.stop_grace
         logs.event("stopping", host=self.hosts.own.name, grace=grace)
-        self.hosts.leave()
-        await asyncio.sleep(min(DRAIN_NOTICE_S, grace * TRANSACTION_GRACE_SHARE))
-        await self.caller_server.drain(began + grace * TRANSACTION_GRACE_SHARE)
-        await self.caller_server.stop(began + grace * REQUEST_GRACE_SHARE)
-        while self.local_executor.active and now() < began + grace * REQUEST_GRACE_SHARE:
-            await asyncio.sleep(0.02)
-        for task in self._tasks:
-            task.cancel()
+        try:
+            # Nobody else ends a process that stops by itself.
+            async with asyncio.timeout(grace):
+                await self._finish_requests(began, grace)
+        except Exception as exc:
+            self._supervisor.report("stop", exc)
+        self._supervisor.stop()
         self.local_executor.close()
         self.mesh.stop()
         self._ready_server.stop()
         self._metrics_server.stop()
         logs.event("stopped", host=self.hosts.own.name, seconds=round(now() - began, 2))
 
-    def _start_task(self, coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.append(task)
-        task.add_done_callback(_log_task_failure)
+    async def _finish_requests(self, began: float, grace: float) -> None:
+        """Let callers leave and running requests finish within the grace period."""
+        self.hosts.leave()
+        await asyncio.sleep(min(DRAIN_NOTICE_S, grace * TRANSACTION_GRACE_SHARE))
+        await self.caller_server.drain(began + grace * TRANSACTION_GRACE_SHARE)
+        await self.caller_server.stop(began + grace * REQUEST_GRACE_SHARE)
+        while self.local_executor.active and now() < began + grace * REQUEST_GRACE_SHARE:
+            await asyncio.sleep(0.02)
 
     def _open_session(self, name: str, database: str, key: str) -> Session:
         return Session(
@@ -320,11 +344,3 @@
     return int(time.time() * 1000) * INCARNATION_RANDOM_RANGE + secrets.randbelow(
         INCARNATION_RANDOM_RANGE
     )
-
-
-def _log_task_failure(task: asyncio.Task) -> None:
-    if task.cancelled():
-        return
-    exc = task.exception()
-    if exc is not None:
-        logs.warn("task_failed", task=task.get_coro().__qualname__, why=repr(exc))
--- a/src/wagtailloft/operations/logbook.py
+++ b/src/wagtailloft/operations/logbook.py
@@ -19,6 +19,7 @@
         "host_unlisted",
         "assignment_changed",
         "primary_suspected",
+        "process_failed",
         "promotion_began",
         "promotion_done",
         "promotion_failed",
@@ -33,6 +34,7 @@
         "store_lost",
         "target_removed",
         "target_listed",
+        "task_failed",
     }
 )
 
