--- a/features/steps/supervision.py
+++ b/features/steps/supervision.py
@@ -26,6 +26,7 @@
 PLATFORM = Path(__file__).resolve().parents[2] / "platform"
 sys.path.append(str(PLATFORM))
 
+import front  # noqa: E402
 
 LOOPBACK = "127.0.0.1"
 GRACE_S = 4.0
@@ -334,3 +335,52 @@
     assert reasons.keys() == {"KeyError: 'of the task'", "KeyError: 'of the callback'"}, reasons
     for task in reasons.values():
         assert metric(context, "wagtailloft_task_failures_total", task) == 1.0, task
+
+
+class FakeSession:
+    """A session whose idle transaction expires, or fails to."""
+
+    def __init__(self, error=None):
+        """Raise an error at each attempt to expire the transaction, if there is one."""
+        self.error, self.expired = error, 0
+
+    async def expire_idle_transaction(self):
+        """Count an attempt."""
+        self.expired += 1
+        if self.error:
+            raise self.error
+
+
+@given("a server of callers with two sessions, the first of which fails to expire")
+def step_failing_session(context):
+    server = front.LineProtocolServer(ip=LOOPBACK, port=0, open_session=None, max_connections=9)
+    context.connections = []
+    for name, error in (("s1", ValueError("odd")), ("s2", None)):
+        connection = front.CallerConnection(server=server, name=name)
+        connection.session = FakeSession(error)
+        connection._transport = SimpleNamespace(aborted=False)
+        connection._transport.abort = lambda t=connection._transport: setattr(t, "aborted", True)
+        context.connections.append(connection)
+    server.connections = context.connections  # in this order
+    context.caller_server = server
+
+
+@then("the transactions of the second one expire, and the connection of the first is closed")
+def step_expired(context):
+    server = context.caller_server
+
+    async def main():
+        await server.start()
+        expiring = asyncio.ensure_future(
+            server.expire_transactions()
+            if hasattr(server, "expire_transactions")
+            else asyncio.sleep(2.0)
+        )
+        await asyncio.sleep(2.0)
+        expiring.cancel()
+        server._listener.close()
+
+    run_virtual(main())
+    first, second = context.connections
+    assert second.session.expired > 1, second.session.expired
+    assert first._transport.aborted and not second._transport.aborted
--- a/features/supervision.feature
+++ b/features/supervision.feature
@@ -66,3 +66,7 @@
     Given a host process in which a task that nobody waits for raises KeyError
     When the host process has run for 5 s
     Then the errors of the task and of a callback are in the log and on a metric
+
+  Scenario: An idle transaction of one session can't be ended
+    Given a server of callers with two sessions, the first of which fails to expire
+    Then the transactions of the second one expire, and the connection of the first is closed
