Restart threads that fail, and report failed ticks and submitted functions

What callers saw or could see: a daemon or a host process whose thread met one unexpected error went on without it. Without the server thread the readiness port or the callers' port never answered again; without the timers there was no gossip, no leases and no failover; without a heartbeat the member's last report stayed in force for good, so a failed member was never missed. What a function submitted to the daemon's thread pool raised was lost. By reading; shown by the tests.

Cause: threads were started bare, and nobody looked at the futures of the pool.

Change: the supervisor starts the threads and restarts them by the rule for tasks; the daemon then ends by a planned stop with exit code 70, too. Its thread pool reports what fails. A tick that fails is reported, and done again when it is next due; it doesn't end the process. An HTTP server closes the connection that it can't handle, and a heartbeat that fails counts as missed.

Evidence: features/supervision.feature. With src as before, 12 scenarios failed: "was called 1 times" for timers, platform watcher, both HTTP servers and the peer server; no line and no metric for the periodic work and the submitted function; no exit; "timed out" for the client after the odd one. With the two changes to groups taken back, the member's view had progress=None and 0 missed heartbeats, and the maintenance no line.

Tests changed: three fixtures (steps/statements.py, steps/daemon_inputs.py, restored_objects.py) pass a Supervisor to constructors that need one now; no check changed.

--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -27,6 +27,7 @@
 from wagtailloft.errors import NoResponse
 from wagtailloft.object_repair import ObjectRepair
 from wagtailloft.revisions import era_of
+from wagtailloft.supervision import Supervisor
 
 DAEMONS, ZONES = 4, 2
 SHARDS = 2
@@ -143,6 +144,7 @@
             objects=self.objects,
             freshness=self.freshness,
             gossip=self.gossip,
+            supervisor=Supervisor(),
         )
         self.repair = ObjectRepair(
             objects=self.objects,
--- a/features/steps/daemon_inputs.py
+++ b/features/steps/daemon_inputs.py
@@ -47,6 +47,7 @@
     Team,
 )
 from wagtailloft.session_tokens import MAX_TOKENS
+from wagtailloft.supervision import Supervisor
 
 LOOPBACK = "127.0.0.1"
 
@@ -143,7 +144,7 @@
 def start_peer(context, **answers):
     """Serve an odd peer; keep its address and a client in the context."""
     port = free_port()
-    server = PeerServer(ip=LOOPBACK, port=port, handler=OddPeer(**answers))
+    server = PeerServer(ip=LOOPBACK, port=port, handler=OddPeer(**answers), supervisor=Supervisor())
     server.start()
     context.peer_server = server
     context.stack.callback(server.stop)
--- a/features/steps/statements.py
+++ b/features/steps/statements.py
@@ -29,6 +29,7 @@
 )
 from wagtailloft.options import Options
 from wagtailloft.statement_executor import CallState, StatementExecutor
+from wagtailloft.supervision import Supervisor
 from wagtailloft.transactions import Transactions
 
 MEMBER = Member(name="m0", ip="127.0.0.1", port=1, control_port=2)
@@ -91,7 +92,11 @@
     """Return an executor for a group as observed, with a link to each member by name."""
     board = Blackboard()
     monitor = GroupMonitor(
-        group=view.group, board=board, controls=None, heartbeat_interval=lambda: 1.0
+        group=view.group,
+        board=board,
+        controls=None,
+        heartbeat_interval=lambda: 1.0,
+        supervisor=Supervisor(),
     )
     board.write("g", view)
     endpoints = {
--- a/features/steps/supervision.py
+++ b/features/steps/supervision.py
@@ -4,7 +4,6 @@
 import os
 import signal
 import sys
-from contextlib import contextmanager
 from importlib.util import module_from_spec, spec_from_file_location
 from pathlib import Path
 from types import SimpleNamespace
@@ -13,6 +12,7 @@
 import msgspec
 from behave import given, then, when
 
+from features.captured_log import captured_log, failure_count
 from features.fake_mesh import make_host
 from features.virtual_time import run_virtual
 from wagtailloft import logs
@@ -34,18 +34,6 @@
 ERRORS = {e.__name__: e for e in (RecursionError, ValueError, asyncio.CancelledError)}
 
 
-@contextmanager
-def captured_log():
-    """Collect the log events as pairs of name and fields."""
-    lines = []
-    event, warn = logs.event, logs.warn
-    logs.event = logs.warn = lambda name, /, **fields: lines.append((name, fields))
-    try:
-        yield lines
-    finally:
-        logs.event, logs.warn = event, warn
-
-
 class FakeStore:
     """A store that lists the host itself, and another one from the third poll of the fleet on."""
 
@@ -189,13 +177,6 @@
     return [fields for name, fields in context.lines if name == "task_failed"]
 
 
-def metric(context, name, task):
-    """Return the value of a metric of a task; 0 if it doesn't exist."""
-    prefix = f'{name}{{task="{task}"}} '
-    values = [x.removeprefix(prefix) for x in context.metrics.splitlines() if x.startswith(prefix)]
-    return float(values[0]) if values else 0.0
-
-
 @given('a host process whose "{path}" raises {error} once')
 def step_raises_once(context, path, error):
     def prepare(process):
@@ -281,7 +262,7 @@
     assert len(failed) == 1, failed
     has_returned = "TaskReturned" in failed[0]["why"]  # so no line raised it
     assert failed[0]["why"] and (failed[0]["at"] or has_returned), failed
-    assert metric(context, "wagtailloft_task_failures_total", failed[0]["task"]) == 1.0
+    assert failure_count(context.metrics, failed[0]["task"]) == 1.0
 
 
 @then("the host process stops with exit code {code:d}")
@@ -334,7 +315,7 @@
     reasons = {fields["why"]: fields["task"] for fields in failed_tasks(context)}
     assert reasons.keys() == {"KeyError: 'of the task'", "KeyError: 'of the callback'"}, reasons
     for task in reasons.values():
-        assert metric(context, "wagtailloft_task_failures_total", task) == 1.0, task
+        assert failure_count(context.metrics, task) == 1.0, task
 
 
 class FakeSession:
--- a/features/supervision.feature
+++ b/features/supervision.feature
@@ -70,3 +70,54 @@
   Scenario: An idle transaction of one session can't be ended
     Given a server of callers with two sessions, the first of which fails to expire
     Then the transactions of the second one expire, and the connection of the first is closed
+
+  Scenario Outline: Periodic work of a daemon raises an unexpected error at each call
+    Given a daemon whose "<work>" raises an unexpected error at each call
+    When the daemon has run for 2 s
+    Then the daemon has called "<work>" again, and each error is in the log and on a metric as "<name>"
+
+    Examples:
+      | work                            | name                    |
+      | gossip.tick                     | gossip                  |
+      | leases.tick                     | leases                  |
+      | gossip.owners                   | reaper                  |
+      | platform_watcher.refresh        | refresh_settings        |
+
+  Scenario: A function that a daemon submits to its threads raises an unexpected error
+    Given a daemon that submits a function that raises an unexpected error
+    When the daemon has run for 1 s
+    Then the error of the function is in the log and on a metric
+
+  Scenario Outline: A thread of a daemon meets an unexpected error once
+    Given a daemon whose "<work>" raises an unexpected error once
+    When the daemon has run for 3 s
+    Then the daemon has called "<work>" again, and each error is in the log and on a metric as "<name>"
+
+    Examples:
+      | work                                       | name            |
+      | timers._call                               | timers          |
+      | platform_watcher.is_platform_watcher       | watch_platform  |
+      | caller_server._close_overdue               | serve_callers   |
+      | operator_server._close_overdue             | serve_operators |
+      | peer_server._server.serverTransport.listen | serve_peers     |
+
+  Scenario: A thread of a daemon fails again and again, until only a new process may help
+    Given a daemon whose "platform_watcher.is_platform_watcher" raises an unexpected error at each call
+    And a limit of 4 failures in a row
+    When the daemon has run for 5 s
+    Then the daemon has ended as planned, with exit code 70
+
+  Scenario: An HTTP server can't handle what one client sends
+    Given a daemon whose server of operators raises an unexpected error for one client
+    When the daemon has run for 1 s
+    Then that client's connection is closed, and other clients are served
+
+  Scenario: A member's heartbeat meets an unexpected error
+    Given a group whose member "m1" is heard from after an unexpected error
+    When the group's members are monitored for 1 s
+    Then "m1" was missed, is heard from again on a new connection, and the error is in the log as "heartbeats"
+
+  Scenario: The maintenance of a group meets an unexpected error
+    Given a group service whose maintenance raises an unexpected error
+    When the maintenance is due twice
+    Then both errors are in the log as "tick_group"
--- a/src/wagtailloft/adapters/peers.py
+++ b/src/wagtailloft/adapters/peers.py
@@ -24,6 +24,7 @@
 from wagtailloft.errors import Kind, NoResponse, NotSent, Refusal
 from wagtailloft.gen.peer import Peer, ttypes
 from wagtailloft.models import REMOVED, Answer, Call, Change, Host, Record
+from wagtailloft.supervision import Supervisor
 
 CONNECT_TIMEOUT_S = 0.5
 PEER_CALL_TIMEOUT_S = 0.8
@@ -200,7 +201,9 @@
 class PeerServer:
     """Thrift server for calls from other hosts."""
 
-    def __init__(self, *, ip: str, port: int, handler: object) -> None:
+    def __init__(self, *, ip: str, port: int, handler: object, supervisor: Supervisor) -> None:
+        self._supervisor = supervisor
+        self._stopped = False
         self._socket = TSocket.TServerSocket(host=ip, port=port)
         self._server = TThreadedServer(
             Peer.Processor(handler),
@@ -209,15 +212,17 @@
             TBinaryProtocolAcceleratedFactory(),
             daemon=True,
         )
-
-        self._thread = threading.Thread(target=self._server.serve, name="peers", daemon=True)
+        self._thread: threading.Thread | None = None
 
     def start(self) -> None:
         """Start to serve in a background thread."""
-        self._thread.start()
+        self._thread = self._supervisor.start_thread(
+            "serve_peers", self._server.serve, is_stopped=lambda: self._stopped
+        )
 
     def stop(self) -> None:
         """Stop accepting connections."""
+        self._stopped = True
         listener = self._socket.handle
         self._socket.handle = None
         if listener is not None:
@@ -227,7 +232,7 @@
 
     def is_serving(self) -> bool:
         """Tell whether connections are accepted, or will be once the thread listens."""
-        return self._thread.is_alive()
+        return self._thread is not None and self._thread.is_alive()
 
 
 class _ServerSocket:
--- a/src/wagtailloft/adapters/server.py
+++ b/src/wagtailloft/adapters/server.py
@@ -15,6 +15,7 @@
 
 from wagtailloft.adapters.sockets import set_tcp_options
 from wagtailloft.errors import Kind
+from wagtailloft.supervision import Supervisor
 
 MAX_HEAD_BYTES = 32 * 1024  # the URL and all headers together
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -136,15 +137,26 @@
 class HttpServer:
     """Serve a handler on a port; while closing is set, a connection closes after its response."""
 
-    def __init__(self, *, ip: str, port: int, handler: Handler, threads: int, name: str) -> None:
+    def __init__(
+        self,
+        *,
+        ip: str,
+        port: int,
+        handler: Handler,
+        threads: int,
+        name: str,
+        supervisor: Supervisor,
+    ) -> None:
         self._handler = handler
+        self._name = name
+        self._supervisor = supervisor
         self._executor = ThreadPoolExecutor(threads, thread_name_prefix=name)
         self._epoll = select.epoll()
         self._listener = socket.create_server((ip, port), backlog=LISTEN_BACKLOG)
         self._listener.setblocking(False)
         self._connections: dict[int, _Connection] = {}
         self._stopped = False
-        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thread: threading.Thread | None = None
         self.closing = False
 
     @property
@@ -155,12 +167,15 @@
     def start(self) -> None:
         """Start to serve in a background thread."""
         self._epoll.register(self._listener, select.EPOLLIN)
-        self._thread.start()
+        self._thread = self._supervisor.start_thread(
+            f"serve_{self._name}", self._run, is_stopped=lambda: self._stopped
+        )
 
     def stop(self) -> None:
         """Stop accepting connections and close the open ones."""
         self._stopped = True
-        self._thread.join()
+        if self._thread is not None:
+            self._thread.join()
         self._executor.shutdown(wait=False)
 
     def _run(self) -> None:
@@ -187,6 +202,9 @@
             self._receive(connection)
         except OSError:
             self._close(connection)
+        except Exception as exc:  # one connection must not end the service of the others
+            self._supervisor.report(f"serve_{self._name}", exc)
+            self._close(connection)
 
     def _accept(self) -> None:
         sock, _ = self._listener.accept()
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -6,7 +6,6 @@
 import threading
 import time
 import warnings
-from concurrent.futures import ThreadPoolExecutor
 
 import fire
 from result import Err
@@ -38,6 +37,7 @@
 from wagtailloft.platform_watcher import PlatformWatcher
 from wagtailloft.rate_limiter import USAGE_REPORT_INTERVAL_S, RateLimiter, TokenGranter
 from wagtailloft.session_tokens import SessionTokens
+from wagtailloft.supervision import EXIT_TASK_FAILED, ReportingExecutor, Supervisor
 from wagtailloft.timers import Timers
 
 GROUP_TICK_INTERVAL_S = 0.1
@@ -59,7 +59,7 @@
     def __init__(self, *, cfg: settings.Settings) -> None:
         self.cfg = cfg
         self._stopping = threading.Event()
-        self._stopped = threading.Event()
+        self._exit_code = 0
         incarnation = time.time_ns() // 1_000_000
         own = Host(
             name=cfg.host.name,
@@ -72,9 +72,15 @@
             incarnation=incarnation,
         )
         holder = f"{own.name}/{incarnation}"
-        self.executor = ThreadPoolExecutor(BACKGROUND_THREADS, thread_name_prefix="background")
-        self.timers = Timers(executor=self.executor)
         self.metrics = Metrics()
+        self.supervisor = Supervisor(
+            count_failure=lambda name: self.metrics.task_failures.labels(name).inc(),
+            end_process=self._end_after_failure,
+        )
+        self.executor = ReportingExecutor(
+            threads=BACKGROUND_THREADS, name="background", supervisor=self.supervisor
+        )
+        self.timers = Timers(executor=self.executor, supervisor=self.supervisor)
         self.decisions = Decisions(host=own.name)
         self.object_api = HttpObjectApi(address=cfg.platform.address, source=own.ip)
         self.objects = ObjectCache(on_new_era=self._era_changed)
@@ -94,6 +100,7 @@
             objects=self.objects,
             freshness=self.freshness,
             gossip=self.gossip,
+            supervisor=self.supervisor,
         )
         self.object_repair = ObjectRepair(
             objects=self.objects,
@@ -111,6 +118,7 @@
                 decisions=self.decisions,
                 connect=lambda member: http_link(member, own.ip),
                 heartbeat_interval=HeartbeatInterval(),
+                supervisor=self.supervisor,
                 controls=lambda member: HttpMemberControl(member=member, source=own.ip),
             )
         )
@@ -158,13 +166,16 @@
         operator_handler = OperatorHandler(
             operators=self.operators, metrics=self.metrics, drain=self.request_stop
         )
-        self.peer_server = PeerServer(ip=own.ip, port=cfg.host.peer_port, handler=handler)
+        self.peer_server = PeerServer(
+            ip=own.ip, port=cfg.host.peer_port, handler=handler, supervisor=self.supervisor
+        )
         self.operator_server = HttpServer(
             ip=own.ip,
             port=own.operator_port,
             handler=operator_handler,
             threads=OPERATOR_THREADS,
             name="operators",
+            supervisor=self.supervisor,
         )
         self.caller_server = HttpServer(
             ip=own.ip,
@@ -172,6 +183,7 @@
             handler=self.caller_handler,
             threads=cfg.process.threads,
             name="callers",
+            supervisor=self.supervisor,
         )
         self.objects.watch("key", self._key_changed)
         self.objects.watch("group", lambda c: self.group_services.reload(c.name))
@@ -199,13 +211,18 @@
         """Request a graceful stop; return at once."""
         self._stopping.set()
 
-    def wait(self) -> None:
+    def wait(self) -> int:
         """Serve until a stop is requested, then stop without interrupting requests.
 
-        Requests that still run after the drain timeout are interrupted.
+        Requests that still run after the drain timeout are interrupted. Return the exit code.
         """
         self._stopping.wait()
         self._stop()
+        return self._exit_code
+
+    def _end_after_failure(self) -> None:
+        self._exit_code = EXIT_TASK_FAILED
+        self.request_stop()
 
     def _stop(self) -> None:
         logs.event("stopping", host=self.cfg.host.name)
@@ -312,7 +329,10 @@
 
 
 def run(settings_file: str) -> None:
-    """Run the daemon until a signal or an operator stops it; exit 2 on invalid settings."""
+    """Run the daemon until a signal, an operator or a failed task stops it.
+
+    Exit with code 2 on invalid settings.
+    """
     try:
         cfg = settings.load(settings_file)
     except FixSettings as exc:
@@ -324,7 +344,10 @@
     signal.signal(signal.SIGTERM, lambda *_: daemon.request_stop())
     signal.signal(signal.SIGINT, lambda *_: daemon.request_stop())
     daemon.start()
-    daemon.wait()
+    code = daemon.wait()
+    logs.flush()
+    if code:
+        sys.exit(code)
 
 
 def main() -> None:
--- a/src/wagtailloft/group_monitor.py
+++ b/src/wagtailloft/group_monitor.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor, wait
+from functools import partial
 
 import msgspec
 
@@ -13,8 +14,10 @@
 from wagtailloft.controllers.views import NEVER, GroupView, MemberView, TimedPosition
 from wagtailloft.errors import NoResponse
 from wagtailloft.models import Group, Member, Position, Progress, Role
+from wagtailloft.supervision import Supervisor
 from wagtailloft.timers import Clock
 
+HEARTBEATS = "heartbeats"
 RETRY_DELAY_S = 0.08
 MAX_SAMPLES = 256
 INDEX_ABOVE_ANY_LOG = 1 << 62  # no log reaches it, so the member answers when the wait ends
@@ -32,12 +35,14 @@
         board: Blackboard,
         controls: ControlFactory,
         heartbeat_interval: Callable[[], float],
+        supervisor: Supervisor,
         clock: Clock = time.monotonic,
     ) -> None:
         self.group = group
         self._board = board
         self._controls = controls
         self._heartbeat_interval = heartbeat_interval
+        self._supervisor = supervisor
         self._clock = clock
         self._lock = threading.Lock()
         self._requested_at: dict[str, float] = {}
@@ -48,8 +53,9 @@
     def start(self) -> None:
         """Start one polling thread for each member."""
         for member in self.group.members:
-            name = f"heartbeat-{self.group.name}-{member.name}"
-            threading.Thread(target=self._poll, args=(member,), name=name, daemon=True).start()
+            self._supervisor.start_thread(
+                HEARTBEATS, partial(self._poll, member), is_stopped=self._stopped.is_set
+            )
 
     def stop(self) -> None:
         """Stop polling and remove the view from the board."""
@@ -156,6 +162,12 @@
                 self._record_miss(member.name)
                 self._stopped.wait(RETRY_DELAY_S)
                 continue
+            except Exception as exc:
+                self._supervisor.report(HEARTBEATS, exc, group=self.group.name, member=member.name)
+                control = self._controls(member)  # the connection may have an unread response
+                self._record_miss(member.name)
+                self._stopped.wait(RETRY_DELAY_S)
+                continue
             self._record_answer(member.name, progress, requested_at)
 
     def _request_progress(self, control: MemberControl, member: Member) -> Progress:
--- a/src/wagtailloft/group_service.py
+++ b/src/wagtailloft/group_service.py
@@ -5,7 +5,6 @@
 import time
 from dataclasses import dataclass
 
-from absl import logging
 from result import Err, Result
 
 from wagtailloft import logs
@@ -23,6 +22,7 @@
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Action, Answer, Call, Group, Member, Team
 from wagtailloft.statement_executor import CallState, StatementExecutor
+from wagtailloft.supervision import Supervisor
 from wagtailloft.transactions import Transactions
 
 SWITCHOVER_TIMEOUT_S = 3.0
@@ -61,6 +61,7 @@
     connect: MemberLinkFactory
     controls: ControlFactory
     heartbeat_interval: HeartbeatInterval
+    supervisor: Supervisor
 
 
 class GroupService:
@@ -79,6 +80,7 @@
             board=context.board,
             controls=context.controls,
             heartbeat_interval=context.heartbeat_interval,
+            supervisor=context.supervisor,
         )
         self.endpoints = {
             m.name: MemberEndpoint(
@@ -177,8 +179,8 @@
             return
         try:
             self._tick()
-        except Exception:
-            logging.exception("event=tick_failed group=%s", self.group.name)
+        except Exception as exc:
+            self._context.supervisor.report("tick_group", exc, group=self.group.name)
         finally:
             self._tick_lock.release()
 
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -191,6 +191,7 @@
             handler=self._handle_http,
             threads=HTTP_THREADS,
             name="ready",
+            supervisor=self._supervisor,
         )
         self._metrics_server = HttpServer(
             ip=own.ip,
@@ -198,6 +199,7 @@
             handler=self._handle_http,
             threads=HTTP_THREADS,
             name="metrics",
+            supervisor=self._supervisor,
         )
 
     async def run(self) -> int:
--- a/src/wagtailloft/platform_watcher.py
+++ b/src/wagtailloft/platform_watcher.py
@@ -4,13 +4,12 @@
 import threading
 import time
 
-from absl import logging
-
 from wagtailloft import logs
 from wagtailloft.adapters.object_api import ObjectApi
 from wagtailloft.controllers.freshness import FreshnessTracker
 from wagtailloft.controllers.object_cache import ObjectCache
 from wagtailloft.gossip import Gossip
+from wagtailloft.supervision import Supervisor
 
 LONG_POLL_S = 0.4
 UNCONFIRMED_LIMIT_S = 1.8  # after this time without confirmation any host asks the platform itself
@@ -28,18 +27,20 @@
         objects: ObjectCache,
         freshness: FreshnessTracker,
         gossip: Gossip,
+        supervisor: Supervisor,
     ) -> None:
         self._object_api = object_api
         self._objects = objects
         self._freshness = freshness
         self._gossip = gossip
+        self._supervisor = supervisor
         self._rng = random.Random()
         self._stopped = threading.Event()
         self._refresh_lock = threading.Lock()
 
     def start(self) -> None:
         """Start watching in a background thread."""
-        threading.Thread(target=self._loop, name="platform-watcher", daemon=True).start()
+        self._supervisor.start_thread("watch_platform", self._loop, is_stopped=self._stopped.is_set)
 
     def stop(self) -> None:
         """Stop watching; a call to the platform that has started is not interrupted."""
@@ -86,6 +87,6 @@
     def _try_refresh(self, wait: float) -> bool:
         try:
             return self.refresh(wait)
-        except Exception:
-            logging.exception("event=refresh_failed")
+        except Exception as exc:
+            self._supervisor.report("refresh_settings", exc)
             return False
--- a/src/wagtailloft/supervision.py
+++ b/src/wagtailloft/supervision.py
@@ -20,6 +20,7 @@
 # this one, and hardly one that has failed from the start.
 MAX_FAILURES = 20  # takes 30 s at least
 MAX_FAILURES_FROM_START = 300  # takes 10 min at least
+STOP_CHECK_INTERVAL_S = 0.05
 EXIT_TASK_FAILED = os.EX_SOFTWARE
 MAX_FRAMES = 3
 MAX_REASON_CHARS = 400
@@ -132,11 +133,14 @@
             began = now()
             try:
                 run()
+                if is_stopped():
+                    return
                 failure: Exception = TaskReturned("it should run until the process stops")
             except Exception as exc:
                 failure = exc
-            if not is_stopped():
-                time.sleep(self._record_failure(name, failure, series, now() - began))
+            ends_at = now() + self._record_failure(name, failure, series, now() - began)
+            while now() < ends_at and not is_stopped():
+                time.sleep(STOP_CHECK_INTERVAL_S)
 
     def _record_failure(
         self, name: str, failure: BaseException, series: FailureSeries, ran_for: float
--- a/src/wagtailloft/timers.py
+++ b/src/wagtailloft/timers.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from absl import logging
+from wagtailloft.supervision import Supervisor
 
 
 class Clock(Protocol):
@@ -32,21 +32,24 @@
 class Timers:
     """Run actions at their intervals on an executor; calls of one action never overlap.
 
-    A call that comes due while the previous one is pending is skipped.
+    A call that comes due while the previous one is pending is skipped. An action that fails is
+    reported and called again when it is next due.
     """
 
-    def __init__(self, *, executor: Executor, clock: Clock = time.monotonic) -> None:
+    def __init__(
+        self, *, executor: Executor, supervisor: Supervisor, clock: Clock = time.monotonic
+    ) -> None:
         self._executor = executor
+        self._supervisor = supervisor
         self._clock = clock
         self._wake = threading.Condition()
         self._heap: list[tuple[float, int, PeriodicAction]] = []
         self._sequence = itertools.count()
         self._stopped = False
-        self._thread = threading.Thread(target=self._loop, name="timers", daemon=True)
 
     def start(self) -> None:
         """Start the timer thread."""
-        self._thread.start()
+        self._supervisor.start_thread("timers", self._loop, is_stopped=lambda: self._stopped)
 
     def stop(self) -> None:
         """Stop the timer thread; calls already submitted still run."""
@@ -57,7 +60,7 @@
     def every(self, name: str, interval: float, action: Callable[[], None]) -> None:
         """Run an action every `interval` seconds, the first time after one interval.
 
-        `name` appears in the log.
+        `name` appears in the log and on the metric of failures.
         """
         periodic = PeriodicAction(name=name, interval=interval, action=action)
         with self._wake:
@@ -87,13 +90,13 @@
         periodic.running = True
         try:
             self._executor.submit(self._run, periodic)
-        except RuntimeError:
+        except RuntimeError:  # the executor was shut down
             periodic.running = False
 
     def _run(self, periodic: PeriodicAction) -> None:
         try:
             periodic.action()
-        except Exception:
-            logging.exception("event=timer_failed timer=%s", periodic.name)
+        except Exception as exc:
+            self._supervisor.report(periodic.name, exc)
         finally:
             periodic.running = False
