Elect and confirm terms without the member whose call raises an unexpected error

What callers could see: one member whose report raised an unexpected error ended each election of its group, and each confirmation of a term, although the others were a majority: no primary for the group. By reading; shown by the tests.

Cause: the errors of the calls' futures were raised again when their results were collected. Those of calls that came after a majority were lost.

Change: such a call is reported (order_fence, order_promote, order_follow, confirm_term) and counts as unanswered, which is safe: both need a majority of answers.

Tests changed: make_election in steps/daemon_inputs.py passes a Supervisor; no check changed.

--- a/features/steps/daemon_inputs.py
+++ b/features/steps/daemon_inputs.py
@@ -344,7 +344,12 @@
     group = Group(name="g", members=(member,))
     monitor = SimpleNamespace(group=group, view=lambda: GroupView(group=group, members=(view,)))
     return Election(
-        host="h0", monitor=monitor, controls=None, object_api=api, decisions=Decisions(host="h0")
+        host="h0",
+        monitor=monitor,
+        controls=None,
+        object_api=api,
+        decisions=Decisions(host="h0"),
+        supervisor=Supervisor(),
     )
 
 
--- a/features/steps/supervised_groups.py
+++ b/features/steps/supervised_groups.py
@@ -3,10 +3,16 @@
 import time
 from types import SimpleNamespace
 
+import msgspec
 from behave import given, then, when
+from result import Err
 
 from features.captured_log import captured_log, failures_of
 from wagtailloft.board import Blackboard
+from wagtailloft.controllers.views import MemberView
+from wagtailloft.decisions import Decisions
+from wagtailloft.election import Election
+from wagtailloft.errors import Kind, Refusal
 from wagtailloft.group_monitor import GroupMonitor
 from wagtailloft.group_service import GroupService, GroupServiceContext
 from wagtailloft.models import Group, Member, Position, Progress, Role
@@ -26,8 +32,8 @@
 
 
 def report_of(name, term=1):
-    """Return a member's report in a term."""
-    position = Position(term=term, index=1)
+    """Return a member's report in a term; m0 is primary and has the longest log."""
+    position = Position(term=1, index=2 if name == "m0" else 1)
     role = Role.PRIMARY if name == "m0" else Role.REPLICA
     return Progress(name=name, term=term, role=role, received=position, applied=position)
 
@@ -118,3 +124,45 @@
 def step_both_logged(context, task):
     failures = failures_of(context.lines, task)
     assert [f["group"] for f in failures] == ["g", "g"], context.lines
+
+
+@given('an election in which the call to member "{odd}" raises an unexpected error')
+def step_election(context, odd):
+    context.lines = context.stack.enter_context(captured_log())
+    group = make_group()
+    views = tuple(MemberView(member=m, progress=report_of(m.name)) for m in group.members)
+    monitor = GroupMonitor(
+        group=group,
+        board=Blackboard(),
+        controls=None,
+        heartbeat_interval=lambda: HEARTBEAT_S,
+        supervisor=Supervisor(),
+    )
+    monitor._update(lambda view: msgspec.structs.replace(view, members=views))
+    errors = {odd: [LookupError("odd report") for _ in range(9)]}
+    context.election = Election(
+        host="h0",
+        monitor=monitor,
+        controls=lambda member: FakeControl(member.name, errors.get(member.name, [])),
+        object_api=SimpleNamespace(get=lambda *_: Err(Refusal(kind=Kind.PLATFORM_DOWN))),
+        decisions=Decisions(host="h0"),
+        supervisor=Supervisor(),
+    )
+
+
+@then(
+    'the election promotes "{name}" with the reports of "{first}" and "{second}",'
+    " and the error is in the log"
+)
+def step_election_promotes(context, name, first, second):
+    assert sorted(r.name for r in context.election._fence(2)) == [first, second]
+    assert context.election.run("test", without_platform=True)
+    promoted = [f["why"] for e, f in context.lines if f.get("what") == "promoted"]
+    assert len(promoted) == 1 and promoted[0].startswith(f"{name} is primary"), context.lines
+    assert [f["member"] for f in failures_of(context.lines, "order_fence")] == ["m1", "m1"]
+
+
+@then('the term is confirmed by the others, and the error is in the log as "{task}"')
+def step_term_confirmed(context, task):
+    assert context.monitor.confirm_term(1, timeout=1.0)
+    assert [f["member"] for f in failures_of(context.lines, task)] == ["m1"], context.lines
--- a/features/supervision.feature
+++ b/features/supervision.feature
@@ -121,3 +121,11 @@
     Given a group service whose maintenance raises an unexpected error
     When the maintenance is due twice
     Then both errors are in the log as "tick_group"
+
+  Scenario: The call to one member raises an unexpected error during an election
+    Given an election in which the call to member "m1" raises an unexpected error
+    Then the election promotes "m0" with the reports of "m0" and "m2", and the error is in the log
+
+  Scenario: The call to one member raises an unexpected error while a term is confirmed
+    Given a group whose member "m1" is heard from after an unexpected error
+    Then the term is confirmed by the others, and the error is in the log as "confirm_term"
--- a/src/wagtailloft/election.py
+++ b/src/wagtailloft/election.py
@@ -20,6 +20,7 @@
 from wagtailloft.errors import Kind, NoResponse
 from wagtailloft.group_monitor import ControlFactory, GroupMonitor
 from wagtailloft.models import Group, Member, Progress, PublishedPrimary, Record
+from wagtailloft.supervision import Supervisor
 
 CLAIM_TIMEOUT_S = 0.4
 FENCE_TIMEOUT_S = 0.5
@@ -54,12 +55,14 @@
         controls: ControlFactory,
         object_api: ObjectApi,
         decisions: Decisions,
+        supervisor: Supervisor,
     ) -> None:
         self._host = host
         self._monitor = monitor
         self._controls = controls
         self._object_api = object_api
         self._decisions = decisions
+        self._supervisor = supervisor
         self._publish_lock = threading.Lock()
         self._claim_id = host
         self.last_published = PublishedPrimary()
@@ -204,6 +207,9 @@
         except (NoResponse, MemberRejected) as exc:
             logs.event("order_failed", member=member.name, action=action, why=exc)
             return None
+        except Exception as exc:  # one member must not keep a majority of others from an election
+            self._supervisor.report(f"order_{action}", exc, member=member.name)
+            return None
 
     def _record_decision(self, what: str, why: str) -> None:
         logs.event("failover", group=self.group.name, what=what, why=why)
--- a/src/wagtailloft/group_monitor.py
+++ b/src/wagtailloft/group_monitor.py
@@ -151,6 +151,9 @@
             return self._controls(member).current_progress().term == term
         except NoResponse:
             return False
+        except Exception as exc:  # one member must not hide the answers of the others
+            self._supervisor.report("confirm_term", exc, group=self.group.name, member=member.name)
+            return False
 
     def _poll(self, member: Member) -> None:
         control = self._controls(member)
--- a/src/wagtailloft/group_service.py
+++ b/src/wagtailloft/group_service.py
@@ -110,6 +110,7 @@
             controls=context.controls,
             object_api=context.object_api,
             decisions=context.decisions,
+            supervisor=context.supervisor,
         )
         self.last_used = time.monotonic()
         self.is_preferred_owner = False
