Write log lines later if standard output can't be written for a while

What operators could see: no line of a process any more after one failed write, such as on a full disk, although the process went on. By reading; shown by the tests.

Cause: the writer's thread ended at the first OSError, and with any other error; the writer kept the ended thread and never started another. Then the queue filled up and every line was dropped.

Change: the thread tries again each 0.5 s and keeps its lines; after another error the next line starts a new thread. The first failure in a row is logged and counted (task_failed with task=logs). It ends only when the output is closed (EPIPE, EBADF), since no later write can succeed and the descriptor's number may be used again.

Evidence: features/supervision.feature. With logs.py as before, "the writer did not try again" after ENOSPC, and nothing written (b'') after a MemoryError.

--- a/features/supervision.feature
+++ b/features/supervision.feature
@@ -129,3 +129,14 @@
   Scenario: The call to one member raises an unexpected error while a term is confirmed
     Given a group whose member "m1" is heard from after an unexpected error
     Then the term is confirmed by the others, and the error is in the log as "confirm_term"
+
+  Scenario: Standard output can't be written for a while
+    Given a log writer whose output fails with ENOSPC for a while
+    When two lines are logged while it fails, and one afterwards
+    Then all lines are written once, in order, and the failure was reported
+
+  Scenario: The log writer's thread meets an unexpected error
+    Given a log writer whose output fails with MemoryError once
+    When two lines are logged while it fails, and one afterwards
+    Then all lines are written once, in order, and the failure was reported
+
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -6,6 +6,7 @@
 import threading
 import time
 import warnings
+from functools import partial
 
 import fire
 from result import Err
@@ -77,6 +78,7 @@
             count_failure=lambda name: self.metrics.task_failures.labels(name).inc(),
             end_process=self._end_after_failure,
         )
+        logs.on_write_failure(partial(self.supervisor.report, "logs"))
         self.executor = ReportingExecutor(
             threads=BACKGROUND_THREADS, name="background", supervisor=self.supervisor
         )
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -136,6 +136,7 @@
             count_failure=lambda name: self.metrics.task_failures.labels(name).inc(),
             end_process=self._end_after_failure,
         )
+        logs.on_write_failure(partial(self._supervisor.report, "logs"))
         self.mesh = Mesh(ip=own.ip, port=own.peer_port)
         self.hosts = Hosts(own=own, mesh=self.mesh)
         max_age = cfg.bounds.key_withdrawal * MAX_AGE_SHARE
--- a/src/wagtailloft/logs.py
+++ b/src/wagtailloft/logs.py
@@ -1,10 +1,12 @@
 """Log events as lines of key=value pairs on standard output, without blocking the caller."""
 
+import errno
 import logging as stdlib_logging
 import os
 import threading
 import time
 from collections import deque
+from collections.abc import Callable
 
 from absl import flags, logging
 
@@ -18,14 +20,20 @@
 MAX_BURST_LINES = 2_000
 FAILURE_RESERVE_LINES = 500  # part of the burst and of the queue that only failures may use
 MAX_QUEUED_LINES = 4_000  # about 1 MB of memory if the reader of standard output stops
+RETRY_DELAY_S = 0.5  # after a failed write
+OUTPUT_CLOSED = frozenset({errno.EPIPE, errno.EBADF})  # no later write can succeed
 STDOUT = 1
 
 
 class Writer:
-    """Write lines from a background thread, and count the lines that were dropped."""
+    """Write lines from a background thread, and count the lines that were dropped.
+
+    on_failure is called with the first error of writes that fail in a row.
+    """
 
     def __init__(self, *, fd: int = STDOUT, rate: float = MAX_LINES_PER_S) -> None:
         self.dropped = 0
+        self.on_failure: Callable[[Exception], None] = lambda exc: None
         self._fd = fd
         self._rate = rate
         self._tokens = float(MAX_BURST_LINES)
@@ -33,6 +41,7 @@
         self._lines: deque[str] = deque()
         self._wake = threading.Condition()
         self._thread: threading.Thread | None = None
+        self._is_output_closed = False
 
     def put(self, text: str, *, failure: bool) -> bool:
         """Queue a line; return False if it was dropped."""
@@ -48,12 +57,16 @@
                 self._lines.append(format_event("lines_dropped", {"count": self.dropped}))
                 self.dropped = 0
             self._lines.append(text)
-            if self._thread is None:
-                self._thread = threading.Thread(target=self._write, name="logs", daemon=True)
-                self._thread.start()
+            self._start_thread()
             self._wake.notify()
             return True
 
+    def _start_thread(self) -> None:
+        is_running = self._thread is not None and self._thread.is_alive()
+        if not is_running and not self._is_output_closed:
+            self._thread = threading.Thread(target=self._run, name="logs", daemon=True)
+            self._thread.start()
+
     def _refill(self) -> None:
         now = time.monotonic()
         self._tokens = min(MAX_BURST_LINES, self._tokens + self._rate * (now - self._updated))
@@ -65,21 +78,33 @@
         while self._lines and time.monotonic() < deadline:
             time.sleep(0.005)
 
-    def _write(self) -> None:
-        while True:
-            with self._wake:
-                while not self._lines:
-                    self._wake.wait()
-                lines = list(self._lines)
-            data = ("\n".join(lines) + "\n").encode("utf-8", "replace")
+    def _run(self) -> None:
+        try:
+            while not self._is_output_closed:
+                with self._wake:
+                    while not self._lines:
+                        self._wake.wait()
+                    lines = list(self._lines)
+                self._write(("\n".join(lines) + "\n").encode("utf-8", "replace"))
+                with self._wake:
+                    for _ in lines:
+                        self._lines.popleft()
+        except Exception as exc:  # the next line starts another thread
+            self.on_failure(exc)
+
+    def _write(self, data: bytes) -> None:
+        """Write data, again and again if that fails, unless the output is closed."""
+        is_failing = False
+        while data and not self._is_output_closed:
             try:
-                while data:
-                    data = data[os.write(self._fd, data) :]
-            except OSError:
-                return
-            with self._wake:
-                for _ in lines:
-                    self._lines.popleft()
+                data = data[os.write(self._fd, data) :]
+                is_failing = False
+            except OSError as exc:
+                self._is_output_closed = exc.errno in OUTPUT_CLOSED
+                if not is_failing:
+                    self.on_failure(exc)
+                is_failing = True
+                time.sleep(RETRY_DELAY_S)
 
 
 class _LibraryHandler(stdlib_logging.Handler):
@@ -106,6 +131,11 @@
     root.setLevel(stdlib_logging.WARNING)
 
 
+def on_write_failure(action: Callable[[Exception], None]) -> None:
+    """Call a function when the events can't be written; they are written later if possible."""
+    _WRITER.on_failure = action
+
+
 def event(name: str, /, **fields: object) -> None:
     """Log one event."""
     if logging.level_info():
