Let the servers of two steps listen where no other test run does

"robustness: A host answers with what can't be decoded" failed once, beside features/supervision: [(False, 0), (False, 0), (False, 0), (False, 0)], so all calls were answered.

Cause: free_port() counts from 10,000 and holds only under LOOPBACK_PREFIX, which differs from one test process to the next; both steps listened at 127.0.0.1, so the calls reached the other run's server.

Change: both listen at STANDIN_IP. No check changed.

Evidence: with another process's peer servers at 127.0.0.1:10000 to 10009, the two scenarios of robustness with an odd peer failed in the same way before (38 passed, 2 failed); 40 pass now.

--- a/features/steps/daemon_inputs.py
+++ b/features/steps/daemon_inputs.py
@@ -16,7 +16,7 @@
 from behave import given, then, when
 from result import Err, Ok
 
-from standins.fleet import free_port, wait_until
+from standins.fleet import STANDIN_IP, free_port, wait_until
 from standins.platform import FakePlatform
 from wagtailloft import Session
 from wagtailloft.adapters.callers import CallerHandler, Success
@@ -144,19 +144,23 @@
 def start_peer(context, **answers):
     """Serve an odd peer; keep its address and a client in the context."""
     port = free_port()
-    server = PeerServer(ip=LOOPBACK, port=port, handler=OddPeer(**answers), supervisor=Supervisor())
+    server = PeerServer(
+        ip=STANDIN_IP, port=port, handler=OddPeer(**answers), supervisor=Supervisor()
+    )
     server.start()
     context.peer_server = server
     context.stack.callback(server.stop)
     wait_until(lambda: is_listening(port), 5.0, "the peer does not listen")
-    context.peer_host = Host(name="h1", ip=LOOPBACK, caller_port=1, peer_port=port, operator_port=2)
+    context.peer_host = Host(
+        name="h1", ip=STANDIN_IP, caller_port=1, peer_port=port, operator_port=2
+    )
     context.peers = ThriftPeers(source=LOOPBACK)
 
 
 def is_listening(port):
-    """Tell whether a loopback port accepts connections."""
+    """Tell whether a port of this test run accepts connections."""
     with socket.socket() as sock:
-        return sock.connect_ex((LOOPBACK, port)) == 0
+        return sock.connect_ex((STANDIN_IP, port)) == 0
 
 
 @given("a host that answers calls with another request's response")
--- a/features/steps/supervised_daemon.py
+++ b/features/steps/supervised_daemon.py
@@ -9,11 +9,10 @@
 from behave import given, then, when
 
 from features.captured_log import captured_log, failure_count, failures_of
-from standins.fleet import free_port
+from standins.fleet import STANDIN_IP, free_port
 from wagtailloft import daemon, settings, supervision
 from wagtailloft.adapters import server
 
-LOOPBACK = "127.0.0.1"
 DRAIN_S = 0.5
 ODD_BYTES = b"odd"
 
@@ -24,14 +23,14 @@
         cfg=settings.Settings(
             host=settings.HostSection(
                 name="h0",
-                ip=LOOPBACK,
+                ip=STANDIN_IP,
                 zone="z",
                 region="r",
                 caller_port=free_port(),
                 peer_port=free_port(),
                 operator_port=free_port(),
             ),
-            platform=settings.PlatformSection(address=f"{LOOPBACK}:{free_port()}"),
+            platform=settings.PlatformSection(address=f"{STANDIN_IP}:{free_port()}"),
             session=settings.SessionSection(secret="s" * 32),
             process=settings.ProcessSection(drain=DRAIN_S),
         )
@@ -144,10 +143,10 @@
 @then("that client's connection is closed, and other clients are served")
 def step_others_served(context):
     port = context.daemon.cfg.host.operator_port
-    with socket.create_connection((LOOPBACK, port), 2.0) as odd:
+    with socket.create_connection((STANDIN_IP, port), 2.0) as odd:
         odd.sendall(ODD_BYTES)
         assert odd.recv(1) == b""
-    response = urllib3.request("GET", f"http://{LOOPBACK}:{port}/metrics", timeout=2.0)
+    response = urllib3.request("GET", f"http://{STANDIN_IP}:{port}/metrics", timeout=2.0)
     assert response.status == 200, response.status
     assert failure_count(response.data.decode(), "serve_operators") == 1.0
     assert failures_of(list(context.lines), "serve_operators")
