Apply the other entries of the store, and keep what a part of the host could not handle

What callers could see: a part of a host that raised an error for one entry of the store kept all later entries of that answer from being applied, for good, because the cache had already moved on to their revision. A host whose reading task goes on (or that pulls from others) then counted its cache as complete: a withdrawn key could have stayed in use, and a new host or primary unknown. By reading; shown by the tests.

Cause: the cache stores all entries first and then tells the listeners in one loop without a handler. The admission noted the version of a configuration before it had applied it, so a second attempt would have done nothing.

Change: each listener is called on its own. What fails is reported (task_failed with task=apply_TOPIC) and tried again with each read; meanwhile the topic doesn't count as known complete, so keys and assignments are refused rather than used in an old state. The admission notes the version last. A failure to close links on a change of the hosts is left to the maintenance.

--- a/features/supervision.feature
+++ b/features/supervision.feature
@@ -140,3 +140,13 @@
     When two lines are logged while it fails, and one afterwards
     Then all lines are written once, in order, and the failure was reported
 
+  Scenario: A part of a host can't handle one of several entries of the store, for a while
+    Given a cache of the store whose listener fails for the entry "h01" until 10 s have passed
+    When the store lists "h01", "h02" and "h03" at once
+    Then the listener has "h02" and "h03" at once, and "h01" after 11 s
+    And the host does not know all assignments before, but does afterwards
+
+  Scenario: A configuration can't be applied at first
+    Given an admission whose token client fails once to take over the teams
+    When a configuration without the key "k" is applied twice
+    Then the key is unknown, and the token client has the teams of the configuration
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -70,6 +70,7 @@
         assignment_max_age: float,
         starts_fleet: bool = False,
         on_new_era: Callable[[], None] = lambda: None,
+        on_failure: Callable[[str, Exception], None] = lambda name, exc: None,
     ) -> None:
         self.max_age = max_age
         self.assignment_max_age = assignment_max_age
@@ -87,6 +88,9 @@
             is_stored=lambda topic, name: self.get(topic, name) is not None,
         )
         self._known_complete_at = dict.fromkeys(FRESHNESS_TOPICS, NEVER)
+        self._on_failure = on_failure
+        # Entries that a listener could not handle, by topic, the listener's number and name.
+        self._unapplied: dict[tuple[Topic, int, str], Entry] = {}
         self._listeners: dict[Topic, list[Callable[[Entry], None]]] = {t: [] for t in Topic}
         self._rng = random.Random()
         self._reports = HostReports(hosts=hosts)
@@ -313,7 +317,10 @@
             Topic.SETTINGS: self.era.settings_complete_at,
             Topic.FLEET: self.era.assignments_complete_at,
         }
+        self._retry_unapplied()
         for topic, complete_at in is_complete.items():
+            if any(failed_topic is topic for failed_topic, _, _ in self._unapplied):
+                continue
             cache = self._topics[topic]
             is_current_era = era_of(cache.revision) == self.era.era
             if is_current_era and complete_at(cache.revision, cache.confirmed_at):
@@ -337,8 +344,21 @@
         self._in_force.accept(topic, entry)
 
     def _notify(self, topic: Topic, entry: Entry) -> None:
-        for action in self._listeners[topic]:
-            action(entry)
+        for number in range(len(self._listeners[topic])):
+            self._notify_listener(topic, number, entry)
+
+    def _notify_listener(self, topic: Topic, number: int, entry: Entry) -> None:
+        """Pass an entry to a listener; keep it if that fails, so that other entries still count."""
+        self._unapplied.pop((topic, number, entry.name), None)
+        try:
+            self._listeners[topic][number](entry)
+        except Exception as exc:
+            self._unapplied[(topic, number, entry.name)] = entry
+            self._on_failure(f"apply_{topic.value}", exc)
+
+    def _retry_unapplied(self) -> None:
+        for (topic, number, _), entry in list(self._unapplied.items()):
+            self._notify_listener(topic, number, entry)
 
     def _mark_store_unreachable(self, topic: Topic, exc: StoreDown) -> None:
         self._pulls.mark_store(unreachable=True)
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -148,6 +148,7 @@
             assignment_max_age=cfg.bounds.key_withdrawal * ASSIGNMENT_MAX_AGE_SHARE,
             starts_fleet=cfg.starts_fleet,
             on_new_era=self.metrics.store_eras.inc,
+            on_failure=self._supervisor.report,
         )
         self.directory = GroupDirectory(cache=self.cache)
         self.local_executor = LocalExecutor(directory=self.directory, link_factory=link_factory)
@@ -219,7 +220,7 @@
         own = self.hosts.own
         logs.event("started", host=own.name, zone=own.zone, ip=own.ip, process=own.incarnation)
         self.cache.on_change(Topic.FLEET, self._fleet_changed)
-        self.hosts.on_change.append(self._close_unowned_links)
+        self.hosts.on_change.append(self._hosts_changed)
         self._start_tasks()
         await self._stopping.wait()
         await self._stop()
@@ -333,6 +334,12 @@
             self.local_executor.close_stale()
             self._close_unowned_links()
 
+    def _hosts_changed(self) -> None:
+        try:
+            self._close_unowned_links()
+        except Exception as exc:  # the maintenance does it again; the host must stay in the list
+            self._supervisor.report("close_unowned_links", exc)
+
     def _close_unowned_links(self) -> None:
         """Close idle links to targets whose links another host owns."""
         self.local_executor.close_unowned(self.relay.is_owned_here)
--- a/src/wagtailloft/sessions/admission.py
+++ b/src/wagtailloft/sessions/admission.py
@@ -166,12 +166,12 @@
         value = entry.value
         if not isinstance(value, Configuration) or value.version <= self._version:
             return
-        self._version = value.version
         self._routes = {r.database: r for r in value.routes}
         self._teams = {t.name: t for t in value.teams}
         self._team_by_digest = {digest: t.name for t in value.teams for digest in t.keys}
         self._transaction_idle = value.transaction_idle
         self._tokens.configure(value.teams, now())
+        self._version = value.version  # last, so that a call that failed can be repeated
         logs.event(
             "configuration",
             version=value.version,
