Test that failed failovers and hellos are reported and done again

Both run as tasks that nobody awaits. Since the handler of the event loop reports such tasks, their code needs no change: the coordinator's watch loop starts the failover of its own claim again, and suspected hosts get another hello each 0.5 s.

--- a/features/steps/supervision.py
+++ b/features/steps/supervision.py
@@ -18,8 +18,16 @@
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.fleet.ports import StoreDown
-from wagtailloft.fleet.records import Changes, Entry, HostRecord, Topic, host_record_name
+from wagtailloft.fleet.records import (
+    Changes,
+    Entry,
+    HostRecord,
+    PrimaryAssignment,
+    Topic,
+    host_record_name,
+)
 from wagtailloft.host_process import Bounds, HostProcess, HostSettings
+from wagtailloft.models import HostState
 from wagtailloft.rates.token_pool import Tolerance
 from wagtailloft.revisions import make_revision
 
@@ -365,3 +373,58 @@
     first, second = context.connections
     assert second.session.expired > 1, second.session.expired
     assert first._transport.aborted and not second._transport.aborted
+
+
+@given("a host process whose failover of a group raises KeyError once")
+def step_failover_raises(context):
+    context.runs = []
+
+    async def fail_once(group, replaced, reason, planned):
+        context.runs.append(now())
+        if len(context.runs) == 1:
+            raise KeyError("of the failover")
+        await asyncio.sleep(60.0)
+
+    def prepare(process):
+        own = process.hosts.own
+        process.coordinator._run_failover = fail_once
+        process.coordinator._is_coordinator = lambda: True
+        process.cache.accept_assignment(
+            PrimaryAssignment(
+                group="g", epoch=1, settled=False, primary="", claimant=own.process_name
+            )
+        )
+        process.directory._targets = {"g": {"m": None}}
+
+    context.prepare = prepare
+
+
+@then("the failover is started again, and the error is in the log and on a metric")
+def step_failover_again(context):
+    assert len(context.runs) == 2, context.runs
+    failed = failed_tasks(context)
+    assert [f["why"] for f in failed] == ["KeyError: 'of the failover'"], failed
+    assert failure_count(context.metrics, failed[0]["task"]) == 1.0
+
+
+@given("a host process whose hellos to other hosts raise KeyError")
+def step_hello_raises(context):
+    context.runs = []
+
+    async def fail(address, name="", is_joining=False):
+        context.runs.append(name)
+        raise KeyError("of the hello")
+
+    def prepare(process):
+        process.hosts._send_hello = fail
+        process.hosts.add(msgspec.structs.replace(make_host(3, 1), state=HostState.SUSPECT))
+
+    context.prepare = prepare
+
+
+@then("each failed hello is in the log and on a metric, and hellos go on")
+def step_hellos_go_on(context):
+    assert len(context.runs) > 5, context.runs
+    failed = [f for f in failed_tasks(context) if "of the hello" in f["why"]]
+    assert len(failed) == len(context.runs), (len(failed), len(context.runs))
+    assert failure_count(context.metrics, failed[0]["task"]) == len(failed)
--- a/features/supervision.feature
+++ b/features/supervision.feature
@@ -150,3 +150,13 @@
     Given an admission whose token client fails once to take over the teams
     When a configuration without the key "k" is applied twice
     Then the key is unknown, and the token client has the teams of the configuration
+
+  Scenario: A failover raises an unexpected error
+    Given a host process whose failover of a group raises KeyError once
+    When the host process has run for 10 s
+    Then the failover is started again, and the error is in the log and on a metric
+
+  Scenario: A hello to another host raises an unexpected error
+    Given a host process whose hellos to other hosts raise KeyError
+    When the host process has run for 10 s
+    Then each failed hello is in the log and on a metric, and hellos go on
