End a process at most twice a day for a task that has failed since its start

Change: 21,600 failures in a row instead of 300, which takes 12 h at least. A task that has worked in the process keeps its limit of 20, as a new process may well help there.

Evidence: arithmetic (2 s between two failures). The branch's own scenario now requires that the process still runs after 1,200 s instead of 500 s, and that it ends if the limit is reached, with a limit of 40; 41 scenarios of supervision pass.

--- a/features/supervision.feature
+++ b/features/supervision.feature
@@ -44,9 +44,10 @@
 
   Scenario: A task fails from the start, so that a new process would fail too
     Given a host process whose "tokens.run" raises ValueError always
-    When the host process has run for 500 s
+    When the host process has run for 1200 s
     Then the host process still runs
-    When the host process has run for 700 s
+    Given a limit of 40 failures in a row
+    When the host process has run for 120 s
     Then the host process has drained its callers and ended with exit code 70
 
   Scenario: A task fails now and then, and works in between
--- a/src/wagtailloft/supervision.py
+++ b/src/wagtailloft/supervision.py
@@ -17,9 +17,9 @@
 MAX_DELAY_S = 2.0
 WORKING_RUN_S = 10.0  # a run this long ends a series of failures
 # A new process has a fresh state but meets the same input. So it helps a task that has worked in
-# this one, and hardly one that has failed from the start.
+# this one, and hardly one that has failed from the start: all hosts would end over and over.
 MAX_FAILURES = 20  # takes 30 s at least
-MAX_FAILURES_FROM_START = 300  # takes 10 min at least
+MAX_FAILURES_FROM_START = 21_600  # takes 12 h at least
 STOP_CHECK_INTERVAL_S = 0.05
 EXIT_TASK_FAILED = os.EX_SOFTWARE
 MAX_FRAMES = 3
