End the process if the failure of a task or thread can't be recorded

What callers could see: what the supervisor mends, if recording a failure itself failed, such as for lack of memory: the task or thread was gone.

Change: then the process ends by a planned stop, since nothing else restarts that work.

Evidence: the new scenario of features/supervision.feature failed with supervision.py as before, as the process was ended for neither ([]); 42 scenarios pass now.

--- a/features/steps/supervision.py
+++ b/features/steps/supervision.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+import threading
 from importlib.util import module_from_spec, spec_from_file_location
 from pathlib import Path
 from types import SimpleNamespace
@@ -30,6 +31,7 @@
 from wagtailloft.models import HostState
 from wagtailloft.rates.token_pool import Tolerance
 from wagtailloft.revisions import make_revision
+from wagtailloft.supervision import Supervisor
 
 PLATFORM = Path(__file__).resolve().parents[2] / "platform"
 sys.path.append(str(PLATFORM))
@@ -428,3 +430,33 @@
     failed = [f for f in failed_tasks(context) if "of the hello" in f["why"]]
     assert len(failed) == len(context.runs), (len(failed), len(context.runs))
     assert failure_count(context.metrics, failed[0]["task"]) == len(failed)
+
+
+@given("a supervisor whose metric raises an unexpected error")
+def step_failing_metric(context):
+    def fail(name):
+        raise MemoryError("no memory for a metric")
+
+    context.ends = []
+    context.supervisor = Supervisor(
+        count_failure=fail, end_process=lambda: context.ends.append(threading.current_thread().name)
+    )
+
+
+@when("a task and a thread fail")
+def step_both_fail(context):
+    def fail():
+        raise LookupError("unexpected")
+
+    async def main():
+        context.supervisor.start_task("t", failing(LookupError))
+        await asyncio.sleep(1.0)
+
+    with patch.object(threading, "excepthook", lambda args: None):
+        run_virtual(main())
+        context.supervisor.start_thread("t", fail, is_stopped=lambda: False).join(2.0)
+
+
+@then("the process is ended for each")
+def step_ended_for_each(context):
+    assert context.ends == [threading.main_thread().name, "t"], context.ends
--- a/features/supervision.feature
+++ b/features/supervision.feature
@@ -161,3 +161,8 @@
     Given a host process whose hellos to other hosts raise KeyError
     When the host process has run for 10 s
     Then each failed hello is in the log and on a metric, and hellos go on
+
+  Scenario: A failure can't be recorded, so that the task or thread would be gone
+    Given a supervisor whose metric raises an unexpected error
+    When a task and a thread fail
+    Then the process is ended for each
--- a/src/wagtailloft/supervision.py
+++ b/src/wagtailloft/supervision.py
@@ -75,14 +75,16 @@
     ) -> None:
         """Run a coroutine function until stop(); a return counts as a failure if not allowed."""
         coro = self._keep_task_running(name, run, may_return)
-        self._tasks.append(asyncio.get_running_loop().create_task(coro, name=name))
+        task = asyncio.get_running_loop().create_task(coro, name=name)
+        task.add_done_callback(self._end_if_failed)
+        self._tasks.append(task)
 
     def start_thread(
         self, name: str, run: Callable[[], None], *, is_stopped: Callable[[], bool]
     ) -> threading.Thread:
         """Run a function in a thread of its own until is_stopped returns True."""
         thread = threading.Thread(
-            target=self._keep_thread_running, args=(name, run, is_stopped), name=name, daemon=True
+            target=self._run_thread, args=(name, run, is_stopped), name=name, daemon=True
         )
         thread.start()
         return thread
@@ -106,6 +108,20 @@
             exc = RuntimeError(context.get("message"))
         self.report(_source(context), exc)
 
+    def _end_if_failed(self, task: asyncio.Task[None]) -> None:
+        """End the process if a failure could not be recorded, for then the task is gone."""
+        if not task.cancelled() and task.exception() is not None:
+            self._end_process()
+
+    def _run_thread(
+        self, name: str, run: Callable[[], None], is_stopped: Callable[[], bool]
+    ) -> None:
+        try:
+            self._keep_thread_running(name, run, is_stopped)
+        except Exception:
+            self._end_process()
+            raise
+
     async def _keep_task_running(
         self, name: str, run: Callable[[], Awaitable[None]], may_return: bool
     ) -> None:
