--- a/src/wagtailloft/operations/logbook.py
+++ b/src/wagtailloft/operations/logbook.py
@@ -20,6 +20,7 @@
         "host_withdrawn",
         "assignment_changed",
         "primary_suspected",
+        "process_failed",
         "promotion_began",
         "promotion_done",
         "promotion_failed",
@@ -34,6 +35,7 @@
         "store_lost",
         "target_removed",
         "target_listed",
+        "task_failed",
     }
 )
 
