Decode each object of the store on its own, within ranges

Callers could see members that had left, or miss new ones, at all hosts: one odd entry of another writer among those of the members ended the task that follows the list, or made the whole list, page, watch or 409 unusable.

Cause: a response was decoded as one document. Text nested over about 1,000 deep raises RecursionError in msgspec also where the part is raw, and NaN, a bad escape or a lone surrogate refuse all of it. A name or revision of another type refused it too. `slots`, `seq` and `born` above 64 bits were taken for a member and could not be encoded for other hosts (OverflowError). A page that ended with an unusable entry was a list without end. Class: a range that is checked where a value is used, and a decoder that fails as a whole. Change: if a response can't be decoded as a whole, it is split at its brackets without recursion, and each object is decoded on its own; its name and revision are had apart from the rest. A name that is no text still continues a list. A revision that can't be had, or is above the store's, counts as the store's. Numbers, amounts and texts have ranges in the decoder types. What can't be decoded is logged once for each entry and revision. An entry tells whether it can't be read, so it differs from a removed one.

--- /dev/null
+++ b/features/steps/odd_entries.py
@@ -0,0 +1,361 @@
+"""Steps for odd entries and values, in everything that decodes what others send."""
+
+import asyncio
+import sys
+from pathlib import Path
+from types import SimpleNamespace
+from unittest.mock import patch
+from urllib.parse import parse_qs, urlsplit
+
+from behave import given, then, when
+
+from features.fake_mesh import InProcessMesh, make_host
+from features.virtual_time import run_virtual
+from wagtailloft import logs
+from wagtailloft.fleet.hosts import Hosts
+from wagtailloft.fleet.messages import DECODER, ENCODER, Frame
+from wagtailloft.fleet.ports import Conflict, StoreDown
+from wagtailloft.fleet.records import PromotionLeaseRecord, Target, Topic
+from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.groups.directory import GroupDirectory
+
+sys.path.append(str(Path(__file__).resolve().parents[2] / "platform"))
+
+import store as platform_store  # noqa: E402
+
+MAX_CALLS = 2000  # of one test; above it, the store is asked over and over
+DEEP_ARRAY = b"[" * 5000 + b"]" * 5000
+DEEP_OBJECT = b'{"a":' * 5000 + b"1" + b"}" * 5000
+FIELDS = {
+    b"service": b'"g"',
+    b"addr": b'"10.0.0.1:80"',
+    b"zone": b'"z"',
+    b"version": b'"v"',
+    b"slots": b"2",
+    b"state": b'"ready"',
+    b"cold_left_ms": b"0",
+    b"seq": b"1",
+    b"db_role": b'"replica"',
+    b"born": b"5",
+}
+ODD_FIELDS = [
+    *(
+        (field, number)
+        for field in (b"slots", b"seq", b"born")
+        for number in (
+            b"-1",
+            b"9223372036854775808",
+            b"18446744073709551616",
+            b"1" * 60,
+            b"9" * 6000,
+            b"1e400",
+        )
+    ),
+    (b"cold_left_ms", b"1e400"),
+    (b"cold_left_ms", b"NaN"),
+    (b"cold_left_ms", b"-Infinity"),
+    *((b"addr", b'"10.0.0.1:' + port + b'"') for port in (b"0", b"65536", b"-1", b"9" * 30, b"")),
+    (b"addr", b'"10.0.0.1 :80"'),
+    (b"service", b'"' + b"x" * (1 << 20) + b'"'),
+    (b"service", b'"g\\r\\nQUIT"'),
+    (b"service", b'"\xff\xfe"'),
+    (b"zone", b'"\\ud800"'),
+    (b"zone", b'"\\q"'),
+    (b"zone", b'"\x00\n"'),
+    (b"state", b'"resting"'),
+    (b"unknown", DEEP_ARRAY),
+    (b"unknown", b"NaN"),
+    (b"zone", DEEP_OBJECT),
+]
+
+
+def encode_spec(**changed):
+    """Return the JSON of a member's entry with some fields changed."""
+    fields = FIELDS | {k.encode(): v for k, v in changed.items()}
+    return b"{" + b",".join(b'"%s":%s' % item for item in fields.items()) + b"}"
+
+
+def encode_object(name, revision, spec=None, meta=b"", beside=b""):
+    """Return the JSON of a stored object."""
+    head = b'{"meta":{"name":%s,"revision":%s%s},' % (name, revision, meta)
+    return head + b'"spec":%s%s}' % (encode_spec() if spec is None else spec, beside)
+
+
+def named_odd_objects(revision=b"7"):
+    """Return objects called odd that can't be members, with whether their revision can be read."""
+    specs = [encode_spec(**{field.decode(): value}) for field, value in ODD_FIELDS]
+    specs += [b"null", b"7", b'"x"', b"[]", b"{}", DEEP_ARRAY, DEEP_OBJECT, b"Infinity", b"nul"]
+    specs += [b'"\xff"', b'"\\u12"', b"01", b'{"a" 1}', b"{,}"]
+    name = b'"odd"'
+    objects = [(encode_object(name, revision, spec), True) for spec in specs]
+    objects += [
+        (encode_object(name, revision, b"null", beside=b',"status":' + value), True)
+        for value in (DEEP_ARRAY, b"NaN", b'"\\ud800"')
+    ]
+    objects += [
+        (encode_object(name, revision, b"null", meta=b',"finalizers":' + value), True)
+        for value in (DEEP_OBJECT, b"Infinity")
+    ]
+    numbers = (b"-1", b"1e400", b"1" * 40, b"9" * 6000, b'"x"', b"null", DEEP_ARRAY)
+    objects += [(encode_object(name, number, b"null"), False) for number in numbers]
+    return objects
+
+
+def unnamed_odd_objects():
+    """Return objects whose name can't be read, and what stands for it in a path, if anything."""
+    names = [
+        (b'"\xff\xfe"', b"\xff\xfe"),
+        (b'"\\ud800"', b"\xed\xa0\x80"),
+        (b'"' + b"n" * 2000 + b'"', b"n" * 2000),
+        (b'"a\x01"', b"a\x01"),
+        (b"12", None),
+        (b"null", None),
+        (DEEP_ARRAY, None),
+    ]
+    objects = [(encode_object(name, b"7"), cursor) for name, cursor in names]
+    return objects + [(raw, None) for raw in (b"null", b"7", b'"x"', b"{}", b"[]", DEEP_ARRAY)]
+
+
+def all_odd_objects():
+    """Return every odd object."""
+    named = [raw for raw, _ in named_odd_objects(b"REVISION")]
+    return named + [raw for raw, _ in unnamed_odd_objects()]
+
+
+class RawStore:
+    """The HTTP calls of a store whose objects are raw JSON, kept in the order of their writes.
+
+    A list has `page_size` objects a page; the cursor of a page is the position of an object whose
+    name, as bytes, the caller gives.
+    """
+
+    def __init__(self, *, page_size=500):
+        """Start empty, at revision 1."""
+        self.objects, self.history, self.revision = [], [], 1
+        self.page_size, self.calls, self.stored = page_size, [], None
+        self.changed = None
+
+    def write(self, name, raw):
+        """Store the JSON of an object under a name, which may differ from the one in the JSON."""
+        self.revision += 1
+        raw = raw.replace(b"REVISION", b"%d" % self.revision)
+        self.objects = [o for o in self.objects if o[0] != name] + [(name, raw)]
+        self.history.append((self.revision, raw))
+        if self.changed is not None:
+            self.changed.set()
+
+    async def call(self, method, path, *, wait=0.0, **kwargs):
+        """Answer a call."""
+        self.calls.append(f"{method} {path}")
+        assert len(self.calls) < MAX_CALLS, self.calls[-3:]
+        parts = urlsplit(path)
+        query = {k: v[0] for k, v in parse_qs(parts.query, encoding="latin-1").items()}
+        if method != "GET":
+            return platform_store._Response(409, self.stored, 1)
+        if parts.path != "/objects/servers":
+            await asyncio.sleep(wait)
+            return self._respond(b"items", [], False)
+        if "watch" not in query:
+            names = [name for name, _ in self.objects]
+            start = names.index(query["after"].encode("latin-1")) + 1 if "after" in query else 0
+            page = [raw for _, raw in self.objects[start : start + self.page_size]]
+            return self._respond(b"items", page, start + self.page_size < len(names))
+        if wait and not self._events(query):
+            self.changed = asyncio.Event()
+            try:
+                async with asyncio.timeout(wait):
+                    await self.changed.wait()
+            except TimeoutError:
+                pass
+        events = [b'{"object":%s,"deleted":false}' % raw for raw in self._events(query)]
+        return self._respond(b"events", events, False)
+
+    def _events(self, query):
+        return [raw for revision, raw in self.history if revision > int(query["watch"])]
+
+    def _respond(self, field, parts, has_more):
+        flag = b"true" if has_more else b"false"
+        body = b'{"%s":[%s],"has_more":%s,"at":%d}'
+        body %= (field, b", ".join(parts), flag, self.revision)
+        return platform_store._Response(200, body, 1)
+
+
+def make_client(raw_store):
+    """Return the platform's client of a store."""
+    client = platform_store.ObjectStore(address="127.0.0.1:1", source="127.0.0.1")
+    client._http = raw_store
+    return client
+
+
+def good_object(name):
+    """Return the JSON of a good entry at the revision of its write."""
+    return encode_object(b'"%s"' % name, b"REVISION")
+
+
+def targets_of(entries):
+    """Return the names of the entries that are members."""
+    return [e.name for e in entries if isinstance(e.value, Target)]
+
+
+@then(
+    "for each odd entry, the good entries of a {kind} are decoded, and the odd one names no member"
+)
+def step_odd_among_good(context, kind):
+    failures = []
+    for raw in all_odd_objects():
+        raw_store = RawStore()
+        client = make_client(raw_store)
+        raw_store.write(b"a", good_object(b"a"))
+        raw_store.write(b"odd", raw)
+        raw_store.write(b"z", good_object(b"z"))
+        after = platform_store.make_revision(1, 1) if kind == "watch" else 0
+        try:
+            changes = asyncio.run(client.changes(Topic.TARGETS, after, 0.0))
+            assert targets_of(changes.entries) == ["a", "z"], targets_of(changes.entries)
+            assert changes.revision == platform_store.make_revision(1, 4), changes.revision
+            assert all(e.revision <= changes.revision for e in changes.entries)
+            ENCODER.encode(changes)
+        except Exception as exc:
+            failures.append((raw[:200], repr(exc)[:200]))
+    assert not failures, f"{len(failures)} of {len(all_odd_objects())}: {failures}"
+
+
+@then(
+    "for each odd entry in a 409, the write conflicts with it at its revision, or the store counts "
+    "as failing"
+)
+def step_odd_conflict(context):
+    async def write(raw):
+        raw_store = RawStore()
+        raw_store.stored = raw
+        value = PromotionLeaseRecord(holder="h")
+        try:
+            await make_client(raw_store).put(Topic.TARGETS, "odd", value, 10**12)
+        except Conflict as exc:
+            return exc.entry
+        except StoreDown:
+            return None
+        raise AssertionError("a write that conflicts succeeded")
+
+    for raw, has_revision in named_odd_objects():
+        entry = asyncio.run(write(raw))
+        if has_revision:
+            assert entry is not None and entry.value is None, raw[:200]
+            assert entry.revision == platform_store.make_revision(1, 7), raw[:200]
+    for raw, _ in unnamed_odd_objects():
+        entry = asyncio.run(write(raw))
+        assert entry is None or entry.value is None, raw[:200]
+
+
+@then("the pages after one that ends with each odd entry are read, each page once")
+def step_odd_ends_page(context):
+    for raw, name in [*((r, b"odd") for r, _ in named_odd_objects()), *unnamed_odd_objects()]:
+        raw_store = RawStore(page_size=2)
+        for good in (b"a", b"b", b"c", None, b"x", b"y"):
+            if good is None:
+                raw_store.write(b"?" if name is None else name, raw)
+            else:
+                raw_store.write(good, good_object(good))
+        changes = asyncio.run(make_client(raw_store).changes(Topic.TARGETS, 0, 0.0))
+        assert sorted(targets_of(changes.entries)) == ["a", "b", "c", "x", "y"], raw[:200]
+        assert len(raw_store.calls) == len(set(raw_store.calls)) <= 4, raw_store.calls
+
+
+@then("it is logged once for each of its revisions, however often it is read")
+def step_logged_once(context):
+    lines = []
+    raw_store = RawStore()
+    client = make_client(raw_store)
+    raw_store.write(b"odd", encode_object(b'"odd"', b"REVISION", b"null"))
+    raw_store.write(b"unnamed", encode_object(b"12", b"REVISION"))
+    with patch.object(logs, "warn", lambda name, /, **fields: lines.append((name, fields))):
+        for _ in range(5):
+            asyncio.run(client.changes(Topic.TARGETS, 0, 0.0))
+        assert len(lines) == 2, lines
+        raw_store.write(b"odd", encode_object(b'"odd"', b"REVISION", DEEP_ARRAY))
+        for _ in range(5):
+            asyncio.run(client.changes(Topic.TARGETS, 0, 0.0))
+    assert [name for name, _ in lines] == ["entry_unreadable"] * 3, lines
+    named = [fields for _, fields in lines if fields["name"] == "odd"]
+    assert len(named) == 2 and all(fields["why"] for fields in named), lines
+
+
+class EncodingMesh(InProcessMesh):
+    """A mesh in this process whose messages are encoded and decoded as between hosts."""
+
+    async def call(self, address, message, limit):
+        """Return the decoded response of the host at an address."""
+        response = await super().call(address, _through_frame(message), limit)
+        return _through_frame(response)
+
+
+def _through_frame(message):
+    return DECODER.decode(ENCODER.encode(Frame(call_id=1, is_response=False, body=message))).body
+
+
+def make_pulling_hosts(store):
+    """Return the caches of a host that reads the store and of one that pulls from it."""
+    meshes, caches = {}, []
+    first, second = make_host(0, 1), make_host(1, 1)
+    for own, other in ((first, second), (second, first)):
+        meshes[own.ip] = EncodingMesh(meshes)
+        hosts = Hosts(own=own, mesh=meshes[own.ip])
+        hosts._put(other)
+        cache = StoreCache(
+            store=store, hosts=hosts, mesh=meshes[own.ip], max_age=3.3, assignment_max_age=2.4
+        )
+        caches.append(SimpleNamespace(cache=cache, directory=GroupDirectory(cache=cache)))
+    return caches
+
+
+@given("a host that reads a store and a host that pulls from it")
+def step_reading_and_pulling(context):
+    def run(make_odd):
+        """Write odd entries between good ones; return the members known, and the store's calls."""
+
+        async def follow():
+            raw_store = RawStore()
+            reader, puller = make_pulling_hosts(make_client(raw_store))
+            tasks = [asyncio.create_task(reader.cache.watch_store(t)) for t in Topic]
+            tasks.append(asyncio.create_task(puller.cache.pull_from_peers()))
+            for number, raw in enumerate(make_odd()):
+                raw_store.write(b"odd%d" % (number % 9), raw)
+                if number % 9 == 0:
+                    raw_store.write(b"m%d" % number, good_object(b"m%d" % number))
+                await asyncio.sleep(0.3)
+            raw_store.write(b"last", good_object(b"last"))
+            await asyncio.sleep(3.0)
+            failed = [t.exception() for t in tasks if t.done()]
+            for task in tasks:
+                task.cancel()
+            assert not failed, failed
+            members = [
+                sorted(t.name for t in host.directory.targets("g")) for host in (reader, puller)
+            ]
+            return members, raw_store.calls
+
+        return run_virtual(follow())
+
+    context.run = run
+
+
+@when("each odd entry is written between good ones")
+def step_write_odd(context):
+    odd = all_odd_objects()
+    context.expected = sorted(f"m{n}" for n in range(len(odd)) if n % 9 == 0) + ["last"]
+    context.members, context.calls = context.run(all_odd_objects)
+    _, context.plain_calls = context.run(lambda: [good_object(b"n")] * len(odd))
+
+
+@then("both hosts have the good ones in force, and the last member written")
+def step_both_follow(context):
+    for members in context.members:
+        assert members == sorted(context.expected), members
+
+
+@then("the store was called as often as without odd entries")
+def step_calls_unchanged(context):
+    assert len(context.calls) <= len(context.plain_calls) * 1.1, (
+        len(context.calls),
+        len(context.plain_calls),
+    )
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -141,11 +141,17 @@
 
 
 class Entry(Record, array_like=True):
-    """A store object at one revision; the value is None if it was removed."""
+    """A store object at one revision; the value is None if it was removed or can't be read."""
 
     name: str
     revision: int
     value: Value | None = None
+    is_readable: bool = True
+
+    @property
+    def exists(self) -> bool:
+        """Tell whether the store has the object, readable or not."""
+        return self.value is not None or not self.is_readable
 
 
 class Changes(Record, array_like=True):
--- a/src/wagtailloft/fleet/topic_cache.py
+++ b/src/wagtailloft/fleet/topic_cache.py
@@ -1,7 +1,5 @@
 """A host's cache of one topic of the store: its revision never decreases, and its age is known."""
 
-import msgspec
-
 from wagtailloft.fleet.records import Changes, Entry, Topic
 from wagtailloft.revisions import era_of
 
@@ -24,10 +22,15 @@
         self._gaps: list[tuple[int, int]] = []
 
     def get(self, name: str) -> Entry | None:
-        """Return an entry, None if it does not exist or was removed."""
+        """Return an entry, None if it does not exist, was removed or can't be read."""
         entry = self._entries.get(name)
         return entry if entry and entry.value is not None else None
 
+    def stored_revision(self, name: str) -> int | None:
+        """Return the revision of an object, readable or not; None if it does not exist."""
+        entry = self._entries.get(name)
+        return entry.revision if entry and entry.exists else None
+
     def apply(self, changes: Changes, confirmed_at: float) -> list[Entry]:
         """Apply changes that were current at a time; return the entries that changed.
 
@@ -75,7 +78,7 @@
         entries = tuple(
             e
             for e in self._entries.values()
-            if (e.value is not None if is_snapshot else e.revision > revision)
+            if (e.exists if is_snapshot else e.revision > revision)
         )
         return Changes(
             topic=self.topic, revision=self.revision, is_snapshot=is_snapshot, entries=entries
@@ -91,9 +94,9 @@
         removed = [
             e
             for n, e in self._entries.items()
-            if n not in present and e.value is not None and e.revision <= changes.revision
+            if n not in present and e.exists and e.revision <= changes.revision
         ]
-        return [msgspec.structs.replace(e, revision=changes.revision, value=None) for e in removed]
+        return [Entry(name=e.name, revision=changes.revision) for e in removed]
 
     def _add_gap(self, first: int, last: int) -> None:
         self._gaps.append((first, last))
@@ -101,7 +104,7 @@
             self._removals_since = max(self._removals_since, self._gaps.pop(0)[1])
 
     def _drop_old_removals(self) -> None:
-        removals = [e for e in self._entries.values() if e.value is None]
+        removals = [e for e in self._entries.values() if not e.exists]
         if len(removals) <= MAX_REMOVALS:
             return
         removals.sort(key=lambda e: e.revision)
--- a/src/wagtailloft/revisions.py
+++ b/src/wagtailloft/revisions.py
@@ -9,6 +9,7 @@
 # Readable in decimal: 2000000000017 is number 17 of era 2. Thousands of eras fit into the 53 bits
 # that JSON numbers carry exactly.
 NUMBERS_PER_ERA = 10**12
+MAX_ERA = (2**63 - 1) // NUMBERS_PER_ERA - 1  # its revisions fit into 64 bits
 NO_ERA = 0  # of a store that names no era and never comes back from a copy
 
 
