Keep a record of the fleet in force that can't be read any more, and write it again

Callers could be refused at a host for good, and a group left without a primary: if another writer made a record of the fleet's own kind unreadable, its host could not register again, no assignment could be stored, and no failover ran.

Cause: an unreadable object counted as removed, so a write created it and met a conflict each time (ten times a second for a registration). A host was forgotten, and an unreadable promotion lease looked free, so that a second host could have taken it at once had the write succeeded. Numbers out of range were taken (ports, epochs, eras). Change: an entry that can't be read keeps its revision, which the next write requires. Hosts and assignments stay in force; a lease counts as held by an unknown holder, whose time is waited for, also at a host that starts then. Values have ranges in the records.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -22,3 +22,30 @@
     When each odd entry is written between good ones
     Then both hosts have the good ones in force, and the last member written
     And the store was called as often as without odd entries
+
+  Scenario Outline: A record of the fleet's own can't be read
+    Given a host that knows a <record> of another host
+    When another writer makes the <record> unreadable
+    Then the host acts on the <record> as before
+    And the host writes the <record> again at its present revision
+
+    Examples:
+      | record     |
+      | host       |
+      | assignment |
+      | era        |
+
+  Scenario: The record of the promotion lease can't be read
+    Given a host that knows a lease of another host
+    When another writer makes the lease unreadable
+    Then the host takes the lease only after a holder's time has passed
+    And so does a host that starts then
+
+  Scenario: An unreadable record of the fleet is removed from the store
+    Given a host that knows a host of another host
+    When another writer makes the host unreadable
+    And the host is removed from the store
+    Then the host knows the other host no more
+
+  Scenario: A record of the fleet has a number out of range
+    Then for each odd number in a record of the fleet, the record can't be read
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -1,26 +1,43 @@
 """Steps for odd entries and values, in everything that decodes what others send."""
 
 import asyncio
+import re
 import sys
 from pathlib import Path
 from types import SimpleNamespace
 from unittest.mock import patch
 from urllib.parse import parse_qs, urlsplit
 
+import msgspec
 from behave import given, then, when
 
-from features.fake_mesh import InProcessMesh, make_host
+from features.fake_mesh import FakeMesh, InProcessMesh, make_host
 from features.virtual_time import run_virtual
-from wagtailloft import logs
+from wagtailloft import clock, logs
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.messages import DECODER, ENCODER, Frame
 from wagtailloft.fleet.ports import Conflict, StoreDown
-from wagtailloft.fleet.records import PromotionLeaseRecord, Target, Topic
+from wagtailloft.fleet.records import (
+    Changes,
+    Entry,
+    EraRecord,
+    HostRecord,
+    PrimaryAssignment,
+    PromotionLeaseRecord,
+    Target,
+    Topic,
+    host_record_name,
+)
 from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.fleet.store_era import ERA_OBJECT
+from wagtailloft.groups import promotion_lease
 from wagtailloft.groups.directory import GroupDirectory
+from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX
+from wagtailloft.host_process import HostProcess
 
 sys.path.append(str(Path(__file__).resolve().parents[2] / "platform"))
 
+import records  # noqa: E402
 import store as platform_store  # noqa: E402
 
 MAX_CALLS = 2000  # of one test; above it, the store is asked over and over
@@ -359,3 +376,168 @@
         len(context.calls),
         len(context.plain_calls),
     )
+
+
+# The fleet's own records.
+
+OTHER = make_host(1, 1)
+ASSIGNMENT = PrimaryAssignment(group="g", epoch=3, settled=True, primary="m0", term=2)
+FLEET_RECORDS = {
+    "host": (host_record_name(OTHER.name), HostRecord(host=OTHER)),
+    "assignment": (ASSIGNMENT_PREFIX + "g", ASSIGNMENT),
+    "era": (ERA_OBJECT, EraRecord(era=1)),
+    "lease": (promotion_lease.LEASE_OBJECT, PromotionLeaseRecord(holder="h01/1", era=1)),
+}
+
+
+class RecordStore:
+    """A store of the fleet's records, each of which may have become unreadable."""
+
+    def __init__(self):
+        """Start in era 1, without objects."""
+        self.entries, self.number = {}, 0
+
+    def set(self, name, value, is_readable=True):
+        """Write an object unconditionally, or remove it; return its entry."""
+        self.number += 1
+        revision = platform_store.make_revision(1, self.number)
+        entry = Entry(name=name, revision=revision, value=value, is_readable=is_readable)
+        self.entries[name] = entry
+        return entry
+
+    async def changes(self, topic, after, wait):
+        """Return the changes of the fleet's topic."""
+        revision = platform_store.make_revision(1, self.number)
+        entries = self.entries.values() if topic is Topic.FLEET else ()
+        entries = tuple(e for e in entries if e.revision > after and (after or e.exists))
+        return Changes(topic=topic, revision=revision, is_snapshot=not after, entries=entries)
+
+    async def put(self, topic, name, value, revision):
+        """Write an object if it is at a revision."""
+        known = self.entries.get(name)
+        if (known.revision if known else platform_store.make_revision(1, 0)) != revision:
+            raise Conflict(known)
+        return self.set(name, value)
+
+
+def start_cache(record_store):
+    """Return a host's cache, and the host's view of the fleet, after a read of the store."""
+    mesh = FakeMesh()
+    mesh.hosts[OTHER.ip] = OTHER
+    hosts = Hosts(own=make_host(0, 1), mesh=mesh)
+    cache = StoreCache(
+        store=record_store, hosts=hosts, mesh=mesh, max_age=3.3, assignment_max_age=2.4
+    )
+    process = SimpleNamespace(hosts=hosts)
+    cache.on_change(Topic.FLEET, lambda e: HostProcess._fleet_changed(process, e))
+    return cache, hosts
+
+
+def run_fleet(context, act):
+    """Let a host read the fleet's record before and after it changed, and act then."""
+
+    async def run():
+        record_store = RecordStore()
+        record_store.set(ERA_OBJECT, EraRecord(era=1))  # so that no earlier era is waited for
+        name, value = FLEET_RECORDS[context.record]
+        record_store.set(name, value)
+        cache, hosts = start_cache(record_store)
+        await cache.read_now(Topic.FLEET)
+        for change in context.changes:
+            change(record_store, name)
+            await cache.read_now(Topic.FLEET)
+        return await act(record_store, cache, hosts)
+
+    return run_virtual(run())
+
+
+@given("a host that knows a {record} of another host")
+def step_knows_record(context, record):
+    context.record, context.changes = record, []
+
+
+@when("another writer makes the {record} unreadable")
+def step_make_unreadable(context, record):
+    context.changes.append(lambda store, name: store.set(name, None, is_readable=False))
+
+
+@when("the host is removed from the store")
+def step_remove_record(context):
+    context.changes.append(lambda store, name: store.set(name, None))
+
+
+@then("the host acts on the {record} as before")
+def step_acts_as_before(context, record):
+    async def act(record_store, cache, hosts):
+        assert record != "host" or hosts.get(OTHER.name) == OTHER
+        assert record != "assignment" or cache.assignment("g") == ASSIGNMENT
+        assert record != "era" or cache.era.is_recorded
+
+    run_fleet(context, act)
+
+
+@then("the host writes the {record} again at its present revision")
+def step_rewrites(context, record):
+    async def act(record_store, cache, hosts):
+        name, value = FLEET_RECORDS[record]
+        assert await cache.write(Topic.FLEET, name, value) is not None
+        assert record_store.entries[name].value == value
+
+    run_fleet(context, act)
+
+
+async def take_lease(cache):
+    """Take the lease at a host; return the seconds that it took."""
+    lease = promotion_lease.PromotionLease(
+        own=make_host(0, 1), cache=cache, has_ended=lambda name, incarnation: False
+    )
+    cache.on_change(Topic.FLEET, lease.observe)
+    started = clock.now()
+    assert await lease.acquire()
+    return clock.now() - started
+
+
+@then("the host takes the lease only after a holder's time has passed")
+def step_takes_lease(context):
+    async def act(record_store, cache, hosts):
+        return await take_lease(cache)
+
+    assert run_fleet(context, act) >= promotion_lease.TAKEOVER_WAIT_S
+
+
+@then("so does a host that starts then")
+def step_starting_takes_lease(context):
+    async def act(record_store, cache, hosts):
+        late, _ = start_cache(record_store)
+        await late.read_now(Topic.FLEET)
+        return await take_lease(late)
+
+    assert run_fleet(context, act) >= promotion_lease.TAKEOVER_WAIT_S
+
+
+@then("the host knows the other host no more")
+def step_knows_no_more(context):
+    async def act(record_store, cache, hosts):
+        assert hosts.get(OTHER.name) is None
+
+    run_fleet(context, act)
+
+
+@then("for each odd number in a record of the fleet, the record can't be read")
+def step_odd_fleet_numbers(context):
+    wrong = []
+    for name, value in FLEET_RECORDS.values():
+        plain = msgspec.json.encode(value)
+        for number in (b"-1", b"9223372036854775808", b"18446744073709551616", b"70000", b"1e400"):
+            for match in re.finditer(rb'"(\w+)":\d+', plain):
+                is_port = match[1].endswith(b"_port")
+                if number == b"70000" and not is_port:
+                    continue
+                odd = plain[: match.start()] + b'"%s":%s' % (match[1], number)
+                stored = records.decode_object(
+                    encode_object(b'"%s"' % name.encode(), b"7", odd + plain[match.end() :])
+                )
+                entry = records.decode_entry(Topic.FLEET, stored, 1)
+                if entry.is_readable or entry.value is not None:
+                    wrong.append((name, match[1], number))
+    assert not wrong, wrong
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -3,9 +3,12 @@
 from enum import Enum
 
 from wagtailloft.models import Host, Record, Role
+from wagtailloft.ranges import Amount, Count, Text
 from wagtailloft.revisions import NO_ERA
 
 HOST_RECORD_PREFIX = "host-"
+PROMOTION_LEASE_OBJECT = "duty"
+UNKNOWN_HOLDER = ""  # of a promotion lease whose record can't be read
 
 
 class Topic(Enum):
@@ -30,10 +33,10 @@
     database: str
     group: str
     freshness: Freshness
-    max_age: float = 0.0
-    timeout: float = 1.0
-    goal: float = 0.25
-    priority: int = 1
+    max_age: Amount = 0.0
+    timeout: Amount = 1.0
+    goal: Amount = 0.25
+    priority: Count = 1
     public: bool = False
 
 
@@ -41,28 +44,28 @@
     """The limits of a group; sync_replicas is the number of replicas that a commit waits for."""
 
     name: str
-    max_links: int = 16
-    sync_replicas: int = 0
+    max_links: Count = 16
+    sync_replicas: Count = 0
 
 
 class TeamRule(Record):
     """A team's rate in operations per second, its burst in operations, and its keys' digests."""
 
     name: str
-    rate: float
-    burst: float
+    rate: Amount
+    burst: Amount
     keys: tuple[str, ...] = ()
-    priority: int = 1
+    priority: Count = 1
 
 
 class Configuration(Record, tag="configuration"):
     """One complete version of the operators' configuration; transaction_idle is in seconds."""
 
-    version: int
+    version: Count
     routes: tuple[RouteRule, ...] = ()
     groups: tuple[GroupRule, ...] = ()
     teams: tuple[TeamRule, ...] = ()
-    transaction_idle: float = 3.0
+    transaction_idle: Amount = 3.0
 
 
 class Target(Record, tag="target"):
@@ -75,11 +78,11 @@
     group: str
     address: str
     zone: str = ""
-    slots: int = 2
+    slots: Count = 2
     leaving: bool = False
     role: Role | None = None
-    started: int = 0
-    sequence: int = 0
+    started: Count = 0
+    sequence: Count = 0
 
     @property
     def sort_key(self) -> tuple[int, int]:
@@ -94,14 +97,14 @@
     primary. claimant is the process that replaces the primary.
     """
 
-    group: str
-    epoch: int
+    group: Text
+    epoch: Count
     settled: bool
-    primary: str
-    term: int = 0
-    replaced: str = ""
-    claimant: str = ""
-    era: int = NO_ERA
+    primary: Text
+    term: Count = 0
+    replaced: Text = ""
+    claimant: Text = ""
+    era: Count = NO_ERA
 
     @property
     def sort_key(self) -> tuple[int, int, bool]:
@@ -115,15 +118,15 @@
     taken counts the times that the lease was taken or renewed.
     """
 
-    holder: str
-    era: int = NO_ERA
-    taken: int = 0
+    holder: Text
+    era: Count = NO_ERA
+    taken: Count = 0
 
 
 class EraRecord(Record, tag="era"):
     """An era of the store that lasted long enough for all beliefs from earlier ones to expire."""
 
-    era: int
+    era: Count
 
 
 class HostRecord(Record, tag="host"):
@@ -144,7 +147,7 @@
     """A store object at one revision; the value is None if it was removed or can't be read."""
 
     name: str
-    revision: int
+    revision: Count
     value: Value | None = None
     is_readable: bool = True
 
@@ -158,6 +161,6 @@
     """The changes of a topic up to a revision; a snapshot lists every object that exists."""
 
     topic: Topic
-    revision: int
+    revision: Count
     is_snapshot: bool
     entries: tuple[Entry, ...] = ()
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -9,6 +9,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.fleet.host_reports import HostReports
@@ -18,12 +20,15 @@
 from wagtailloft.fleet.peer_pulls import OUTAGE_PROBE_TOPIC, PULL_INTERVAL_S, PeerPulls
 from wagtailloft.fleet.ports import Conflict, Store, StoreDown
 from wagtailloft.fleet.records import (
+    PROMOTION_LEASE_OBJECT,
+    UNKNOWN_HOLDER,
     Changes,
     Configuration,
     Entry,
     EraRecord,
     HostRecord,
     PrimaryAssignment,
+    PromotionLeaseRecord,
     Topic,
     Value,
     host_record_name,
@@ -191,20 +196,21 @@
 
     def accept(self, topic: Topic, entry: Entry) -> None:
         """Cache a single object that the store returned for a write."""
+        entry = _with_possible_holder(topic, entry)
         if self._topics[topic].put_entry(entry):
             self._entry_changed(topic, entry)
 
     async def write(self, topic: Topic, name: str, value: Value) -> Entry | None:
         """Write an object if the store has it at the cached revision, and cache the result.
 
-        Return None if the store has another revision, which is cached instead. Raise StoreDown.
+        An object that can't be read is replaced like any other. Return None if the store has
+        another revision, which is cached instead. Raise StoreDown.
         """
-        known = self.get(topic, name)
-        none_yet = make_revision(era_of(self.revision(topic)), 0)
+        revision = self._topics[topic].stored_revision(name)
+        if revision is None:
+            revision = make_revision(era_of(self.revision(topic)), 0)
         try:
-            written = await self._store.put(
-                topic, name, value, known.revision if known else none_yet
-            )
+            written = await self._store.put(topic, name, value, revision)
         except Conflict as exc:
             if exc.entry is not None:
                 self.accept(topic, exc.entry)
@@ -298,8 +304,10 @@
             return False
         self.era.observe(era_of(changes.revision))
         is_new_era = cached > 0 and era_of(changes.revision) != era_of(cached)
+        entries = tuple(_with_possible_holder(changes.topic, e) for e in changes.entries)
+        changes = msgspec.structs.replace(changes, entries=entries)
         for entry in self._topics[changes.topic].apply(changes, confirmed_at):
-            if entry.value is None and is_new_era:
+            if not entry.exists and is_new_era:
                 self._in_force.accept_missing(changes.topic, entry)
             else:
                 self._entry_changed(changes.topic, entry)
@@ -332,8 +340,10 @@
                 topic=topic.value,
                 name=entry.name,
                 revision=entry.revision,
-                removed=value is None,
+                removed=not entry.exists,
             )
+        if value is None and entry.exists and topic is not Topic.TARGETS:
+            return  # what was known of it stays in force
         self._in_force.accept(topic, entry)
 
     def _notify(self, topic: Topic, entry: Entry) -> None:
@@ -356,3 +366,10 @@
         assert isinstance(message, PrimaryAnnouncement)
         self.accept_assignment(message.assignment)
         return PullResponse(topic_changes=())
+
+
+def _with_possible_holder(topic: Topic, entry: Entry) -> Entry:
+    """Return an entry, with an unknown holder if it is a promotion lease that can't be read."""
+    if topic is not Topic.FLEET or entry.name != PROMOTION_LEASE_OBJECT or entry.is_readable:
+        return entry
+    return msgspec.structs.replace(entry, value=PromotionLeaseRecord(holder=UNKNOWN_HOLDER))
--- a/src/wagtailloft/models.py
+++ b/src/wagtailloft/models.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from wagtailloft.ranges import Count, Name, Port, Text
+
 REMOVED = msgspec.Raw(b"null")
 
 Cell = None | bool | int | float | str
@@ -17,8 +19,8 @@
 class Position(Record, order=True):
     """A position in a group's log, ordered by term and then by index."""
 
-    term: int = 0
-    index: int = 0
+    term: Count = 0
+    index: Count = 0
 
 
 class Action(Enum):
@@ -61,14 +63,14 @@
     of it; on the platform path, it only tells the host's processes apart. It is 0 if unknown.
     """
 
-    name: str
-    ip: str
-    caller_port: int
-    peer_port: int
-    operator_port: int
-    zone: str = ""
-    region: str = ""
-    incarnation: int = 0
+    name: Name
+    ip: Text
+    caller_port: Port
+    peer_port: Port
+    operator_port: Port
+    zone: Text = ""
+    region: Text = ""
+    incarnation: Count = 0
     state: HostState = HostState.ALIVE
 
     @property
