Refuse odd frames and unsendable messages between hosts on their own connection

A host could stop following the store or its peers, and a caller could wait out its time: a message that can't be encoded raised OverflowError or UnicodeEncodeError out of calls that only promise NotSent or NoResponse, and such a response was never answered. A frame nested over about 1,000 deep raised RecursionError into the event loop. A NaN or negative age was taken, and made a cache's time of confirmation NaN.

Cause: only MsgspecError was expected while decoding, nothing while encoding, and messages had no ranges. Change: what can't be encoded counts as not sent (a call) or as a failed call (a response), with a log line; a frame that can't be decoded closes its connection. Numbers of messages have ranges in their types.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -49,3 +49,14 @@
 
   Scenario: A record of the fleet has a number out of range
     Then for each odd number in a record of the fleet, the record can't be read
+
+  Scenario: A host gets a frame that can't be decoded
+    Then each odd frame closes its connection, and nothing is raised
+
+  Scenario: A message or a response can't be encoded
+    Given two connected hosts
+    When a request and a response can't be encoded
+    Then both calls fail at once, and other calls on the connection are answered
+
+  Scenario: A message has a number out of range
+    Then no message is decoded that has an odd number in any field
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -1,6 +1,7 @@
 """Steps for odd entries and values, in everything that decodes what others send."""
 
 import asyncio
+import math
 import re
 import sys
 from pathlib import Path
@@ -12,10 +13,39 @@
 from behave import given, then, when
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
+from features.steps.fuzz import FakeTransport
+from features.steps.robustness import expect_failure
 from features.virtual_time import run_virtual
 from wagtailloft import clock, logs
+from wagtailloft.errors import NoResponse, NotSent
+from wagtailloft.fleet import mesh as mesh_module
 from wagtailloft.fleet.hosts import Hosts
-from wagtailloft.fleet.messages import DECODER, ENCODER, Frame
+from wagtailloft.fleet.messages import (
+    DECODER,
+    ENCODER,
+    Ack,
+    AgedChanges,
+    AgedPosition,
+    AgedRevision,
+    FenceRequest,
+    FenceResponse,
+    Frame,
+    Hello,
+    KnownRevision,
+    PrimaryAnnouncement,
+    PullRequest,
+    PullResponse,
+    RollbackRequest,
+    SampleRequest,
+    SampleResponse,
+    StatementRequest,
+    StatementResponse,
+    SuspectReport,
+    TeamDemand,
+    TeamGrant,
+    TokenRequest,
+    TokenResponse,
+)
 from wagtailloft.fleet.ports import Conflict, StoreDown
 from wagtailloft.fleet.records import (
     Changes,
@@ -32,8 +62,11 @@
 from wagtailloft.fleet.store_era import ERA_OBJECT
 from wagtailloft.groups import promotion_lease
 from wagtailloft.groups.directory import GroupDirectory
+from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX
 from wagtailloft.host_process import HostProcess
+from wagtailloft.models import Position
+from wagtailloft.sessions.statements import Statement, StatementResult, Verb
 
 sys.path.append(str(Path(__file__).resolve().parents[2] / "platform"))
 
@@ -541,3 +574,128 @@
                 if entry.is_readable or entry.value is not None:
                     wrong.append((name, match[1], number))
     assert not wrong, wrong
+
+
+# Messages between hosts.
+
+RAW_ACK = msgspec.msgpack.encode(Ack())
+MESSAGES = (
+    Hello(host=OTHER),
+    PullResponse(
+        topic_changes=(
+            AgedChanges(
+                changes=Changes(
+                    topic=Topic.FLEET,
+                    revision=7,
+                    is_snapshot=False,
+                    entries=(Entry(name="lead-g", revision=7, value=ASSIGNMENT),),
+                ),
+                age=0.5,
+            ),
+        ),
+        newer=(AgedRevision(topic=Topic.FLEET, revision=7, age=0.5),),
+    ),
+    PullRequest(host="h", known_revisions=(KnownRevision(topic=Topic.FLEET, revision=7),)),
+    StatementRequest(
+        group="g",
+        target="m",
+        team="t",
+        bound=BoundStatement(
+            request_id="r",
+            statement=Statement(verb=Verb.READ),
+            min_position=Position(term=7, index=7),
+        ),
+        budget=0.5,
+        transaction_id=7,
+    ),
+    StatementResponse(outcome=StatementResult(position=Position(term=7)), transaction_id=7),
+    RollbackRequest(transaction_id=7),
+    FenceRequest(assignment=ASSIGNMENT, immediate=True),
+    FenceResponse(acknowledged=Position(term=7)),
+    TokenRequest(
+        host="h",
+        incarnation=7,
+        number=7,
+        demands=(TeamDemand(team="t", held=0.5, wanted=0.5, waiting=0.5),),
+    ),
+    TokenResponse(grants=(TeamGrant(team="t", tokens=0.5, wait=0.5),)),
+    SampleRequest(group="g", max_age=0.5, newest_age=0.5),
+    SampleResponse(samples=(AgedPosition(age=0.5, position=Position(term=7)),)),
+)
+
+
+def with_odd_numbers(value, numbers):
+    """Return the variants of a plain value, each with one of its numbers replaced."""
+    if isinstance(value, dict):
+        return [{**value, k: odd} for k, v in value.items() for odd in with_odd_numbers(v, numbers)]
+    if isinstance(value, list):
+        return [
+            [*value[:i], odd, *value[i + 1 :]]
+            for i, v in enumerate(value)
+            for odd in with_odd_numbers(v, numbers)
+        ]
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return [n for n in numbers if type(n) is type(value)] if is_number else []
+
+
+@then("no message is decoded that has an odd number in any field")
+def step_odd_messages(context):
+    numbers = (-(2**63), 2**63, 2**64 - 1, math.nan, -math.inf)
+    wrong = []
+    for message in MESSAGES:
+        frame = Frame(call_id=1, is_response=False, body=message)
+        plain = msgspec.msgpack.decode(ENCODER.encode(frame))
+        assert DECODER.decode(msgspec.msgpack.encode(plain)) == frame
+        for body in with_odd_numbers(plain[2], numbers):
+            try:
+                decoded = DECODER.decode(msgspec.msgpack.encode([1, False, body]))
+            except msgspec.ValidationError:
+                continue
+            # The digest of assignments has 64 bits, all of which can be sent.
+            if getattr(decoded.body, "assignments_digest", 0) not in (2**63, 2**64 - 1):
+                wrong.append(decoded.body)
+    assert not wrong, f"{len(wrong)}: {wrong[:4]}"
+
+
+@then("each odd frame closes its connection, and nothing is raised")
+def step_odd_frames(context):
+    async def handle(conn, message):
+        raise AssertionError(f"{message} was handled")
+
+    def feed(body):
+        conn = mesh_module.PeerConnection(handler=handle, on_lost=lambda c: None)
+        conn._transport = FakeTransport()
+        conn.data_received(len(body).to_bytes(mesh_module.HEADER_BYTES) + body)
+        return conn._transport.closed
+
+    async def check():
+        deep = b"\x91" * 5000 + b"\x01"
+        pull = b"\x93\x01\xc2\x93\xa4pull"
+        for body in (
+            deep,
+            b"\x93\x01\xc2" + deep,
+            b"\x94\x01\xc2\xc0" + deep,
+            pull + b"\xa1\xff\x90",
+            pull + b"\xa1h\xdd\xff\xff\xff\xff",
+            pull + b"\xdb\xff\xff\xff\xffh",
+            b"\x93\xcf\xff\xff\xff\xff\xff\xff\xff\xff\xc2" + RAW_ACK,
+            b"\xc1",
+            b"",
+        ):
+            assert feed(body), body[:20]
+
+    asyncio.run(check())
+
+
+@when("a request and a response can't be encoded")
+def step_unencodable_messages(context):
+    async def calls(call):
+        await expect_failure(call, RollbackRequest(transaction_id=2**70), NotSent)
+        await expect_failure(call, SuspectReport(group="\ud800", target="t", why=""), NotSent)
+        await expect_failure(call, PrimaryAnnouncement(assignment=ASSIGNMENT), NoResponse)
+        context.answer = await call(RollbackRequest(transaction_id=2))
+
+    async def answer_badly(conn, message):
+        return RollbackRequest(transaction_id=2**70)
+
+    context.run_calls(calls, {PrimaryAnnouncement: answer_badly})
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -512,7 +512,7 @@
     context.run_calls = run_calls
 
 
-def run_calls(calls):
+def run_calls(calls, handlers=None):
     """Run a function with a call to a host; its handlers fail on demand."""
 
     async def roll_back(conn, message):
@@ -527,6 +527,8 @@
         server, client = Mesh(ip=LOOPBACK, port=0), Mesh(ip=LOOPBACK, port=0)
         server.register_handler(RollbackRequest, roll_back)
         server.register_handler(SuspectReport, suspect)
+        for message_type, handler in (handlers or {}).items():
+            server.register_handler(message_type, handler)
         await server.start()
         address = server._server.sockets[0].getsockname()
         try:
--- a/src/wagtailloft/fleet/mesh.py
+++ b/src/wagtailloft/fleet/mesh.py
@@ -10,7 +10,7 @@
 
 from wagtailloft import logs
 from wagtailloft.adapters.sockets import set_tcp_options
-from wagtailloft.errors import NoResponse, NotSent
+from wagtailloft.errors import NoResponse, NotSent, WagtailError
 from wagtailloft.fleet.messages import DECODER, ENCODER, CallFailed, Frame, Message
 
 HEADER_BYTES = 4
@@ -22,11 +22,23 @@
 Handler = Callable[["PeerConnection", Message], Awaitable[Message]]
 
 
-def encode_frame(frame: Frame) -> bytes | None:
-    """Encode a frame with its length; return None if no receiver would accept its size."""
-    body = ENCODER.encode(frame)
+# What encoding raises for numbers over 64 bits, text that is no Unicode and unknown types.
+ENCODE_ERRORS = (OverflowError, ValueError, TypeError, RecursionError)
+
+
+class Unsendable(WagtailError):
+    """Raised for a frame that can't be encoded, or that no receiver would accept."""
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame with its length; raise Unsendable."""
+    name = type(frame.body).__name__
+    try:
+        body = ENCODER.encode(frame)
+    except ENCODE_ERRORS as exc:
+        raise Unsendable(f"the {name} can't be encoded: {exc!r}") from exc
     if len(body) > MAX_FRAME_BYTES:
-        return None
+        raise Unsendable(f"the {name} is larger than {MAX_FRAME_BYTES} bytes")
     return len(body).to_bytes(HEADER_BYTES) + body
 
 
@@ -57,9 +69,11 @@
         if self.closed or self._transport is None:
             raise NotSent("the connection to the host is closed")
         call_id = next(self._call_ids)
-        data = encode_frame(Frame(call_id=call_id, is_response=False, body=message))
-        if data is None:
-            raise NotSent(f"the {type(message).__name__} is larger than {MAX_FRAME_BYTES} bytes")
+        try:
+            data = encode_frame(Frame(call_id=call_id, is_response=False, body=message))
+        except Unsendable as exc:
+            logs.warn("message_unsendable", why=str(exc))
+            raise NotSent(str(exc)) from exc
         future = self._loop.create_future()
         self._calls[call_id] = future
         self._transport.write(data)
@@ -116,7 +130,7 @@
     def _handle_frame(self, body: bytes) -> None:
         try:
             frame = DECODER.decode(body)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             logs.warn("frame_unreadable", why=str(exc))
             self.close()
             return
@@ -140,10 +154,11 @@
         except Exception as exc:  # one bad message must end neither the connection nor the process
             logs.warn("call_failed", message=name, why=repr(exc))
             response = CallFailed(why=f"{name}: {exc!r}")
-        data = encode_frame(Frame(call_id=frame.call_id, is_response=True, body=response))
-        if data is None:
-            logs.warn("response_too_large", message=name)
-            response = CallFailed(why=f"the response to {name} is too large")
+        try:
+            data = encode_frame(Frame(call_id=frame.call_id, is_response=True, body=response))
+        except Unsendable as exc:
+            logs.warn("response_unsendable", message=name, why=str(exc))
+            response = CallFailed(why=f"the response to {name} can't be sent")
             data = encode_frame(Frame(call_id=frame.call_id, is_response=True, body=response))
         self._write(data)
 
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -5,6 +5,7 @@
 from wagtailloft.fleet.records import Changes, Configuration, PrimaryAssignment, Topic
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.models import Host, Position, Record
+from wagtailloft.ranges import Age, Amount, Count, Digest, Seconds
 from wagtailloft.sessions.statements import StatementResult
 
 AGE_UNIT_S = 0.02  # of ages in a byte: five seconds at most
@@ -28,7 +29,7 @@
     """The revision up to which the sender has cached a topic."""
 
     topic: Topic
-    revision: int
+    revision: Count
 
 
 class PullRequest(Record, tag="pull", array_like=True):
@@ -43,25 +44,25 @@
 
     host: str
     known_revisions: tuple[KnownRevision, ...]
-    assignments_digest: int = 0
+    assignments_digest: Digest = 0
     names_only: bool = False
     collect: bool = False
-    configuration_version: int = 0
+    configuration_version: Count = 0
 
 
 class AgedChanges(Record, array_like=True):
     """Changes of a topic, and the seconds since the sender last knew them to be current."""
 
     changes: Changes
-    age: float
+    age: Age
 
 
 class AgedRevision(Record, array_like=True):
     """The revision that the sender has of a topic, and the seconds since it was last current."""
 
     topic: Topic
-    revision: int
-    age: float
+    revision: Count
+    age: Age
 
 
 class ZoneReport(Record, array_like=True):
@@ -90,7 +91,7 @@
     store_unreachable: bool = False
     newer: tuple[AgedRevision, ...] = ()
     zone_report: ZoneReport | None = None
-    configuration_version: int = 0
+    configuration_version: Count = 0
     configuration: Configuration | None = None
 
 
@@ -105,9 +106,9 @@
     target: str
     team: str
     bound: BoundStatement
-    budget: float
+    budget: Seconds
     require_primary: bool = False
-    transaction_id: int = 0
+    transaction_id: Count = 0
     ends: bool = False
     opens_transaction: bool = False
 
@@ -116,13 +117,13 @@
     """Answer a statement request; transaction_id is that of the open transaction, 0 for none."""
 
     outcome: StatementResult
-    transaction_id: int = 0
+    transaction_id: Count = 0
 
 
 class RollbackRequest(Record, tag="forget", array_like=True):
     """Ask the receiver to roll back an open transaction."""
 
-    transaction_id: int
+    transaction_id: Count
 
 
 class FenceRequest(Record, tag="fence", array_like=True):
@@ -168,17 +169,17 @@
     """
 
     team: str
-    held: float
-    wanted: float
-    waiting: float = 0.0
+    held: Amount
+    wanted: Amount
+    waiting: Amount = 0.0
 
 
 class TokenRequest(Record, tag="ask", array_like=True):
     """Lend the sender's share of all rates to the receiver for a while, and ask for tokens."""
 
     host: str
-    incarnation: int
-    number: int
+    incarnation: Count
+    number: Count
     demands: tuple[TeamDemand, ...]
 
 
@@ -189,8 +190,8 @@
     """
 
     team: str
-    tokens: float
-    wait: float = 0.0
+    tokens: Amount
+    wait: Amount = 0.0
 
 
 class TokenResponse(Record, tag="grants", array_like=True):
@@ -206,14 +207,14 @@
     """
 
     group: str
-    max_age: float
-    newest_age: float
+    max_age: Seconds
+    newest_age: Age
 
 
 class AgedPosition(Record, array_like=True):
     """A primary's log position, and the seconds since it was requested."""
 
-    age: float
+    age: Age
     position: Position
 
 
@@ -257,7 +258,7 @@
 class Frame(msgspec.Struct, frozen=True, array_like=True):
     """A message with its call's ID, which the response repeats; a ping or pong has no body."""
 
-    call_id: int
+    call_id: Count
     is_response: bool
     body: Message | None = None
 
--- a/src/wagtailloft/ranges.py
+++ b/src/wagtailloft/ranges.py
@@ -11,9 +11,12 @@
 MAX_NAME_CHARS = 255
 MAX_AMOUNT = 1e12
 
+Digest = Annotated[int, msgspec.Meta(ge=0)]  # of 64 bits, as messages between hosts have
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]  # neither NaN nor infinite
+Age = Annotated[float, msgspec.Meta(ge=0)]  # of what may never have been known: also infinite
+Seconds = Annotated[float, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]  # left; may have passed
 # Without control characters, which end a line of the wire or of a log.
 Text = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS, pattern=r"\A[^\x00-\x1f\x7f]*\Z")]
 Name = Annotated[
