--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -60,3 +60,9 @@
 
   Scenario: A message has a number out of range
     Then no message is decoded that has an odd number in any field
+
+  Scenario: A settings file has odd values
+    Then each odd settings file is refused with its errors
+
+  Scenario: An option of the settings tree has an odd value
+    Then each odd value of an option is refused with what is expected
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -4,6 +4,7 @@
 import math
 import re
 import sys
+import tempfile
 from pathlib import Path
 from types import SimpleNamespace
 from unittest.mock import patch
@@ -16,8 +17,9 @@
 from features.steps.fuzz import FakeTransport
 from features.steps.robustness import expect_failure
 from features.virtual_time import run_virtual
-from wagtailloft import clock, logs
-from wagtailloft.errors import NoResponse, NotSent
+from wagtailloft import clock, logs, options
+from wagtailloft import settings as daemon_settings
+from wagtailloft.errors import FixSettings, NoResponse, NotSent
 from wagtailloft.fleet import mesh as mesh_module
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.messages import (
@@ -71,6 +73,7 @@
 sys.path.append(str(Path(__file__).resolve().parents[2] / "platform"))
 
 import records  # noqa: E402
+import settings_file  # noqa: E402
 import store as platform_store  # noqa: E402
 
 MAX_CALLS = 2000  # of one test; above it, the store is asked over and over
@@ -699,3 +702,128 @@
         return RollbackRequest(transaction_id=2**70)
 
     context.run_calls(calls, {PrimaryAnnouncement: answer_badly})
+
+
+# Settings.
+
+TOML = """
+node_name = "h"
+ip = "10.0.0.1"
+zone = "z"
+region = "r"
+port_range = [2, 3]
+[listen]
+frontend = "10.0.0.1:80"
+ready = "10.0.0.1:81"
+[platform]
+addr = "10.0.0.1:82"
+[cloud_api]
+addr = "10.0.0.1:83"
+[bounds]
+revoke_ms = 5000
+config_apply_ms = 3000
+grace_s = 6
+quota_window_s = 5
+quota_excess = 0.1
+quota_slack = 20
+[limits]
+max_fds = 1024
+memory_mb = 256
+"""
+INI = """
+[host]
+name = a
+ip = 10.0.0.1
+zone = z
+region = r
+caller_port = 1
+peer_port = 2
+operator_port = 3
+[platform]
+address = 10.0.0.1:82
+[session]
+secret = xxxxxxxxxxxxxxxxxxxx
+[process]
+threads = 9
+drain = 1s
+"""
+ODD_TOML_VALUES = (
+    "nan",
+    "inf",
+    "-inf",
+    "-1",
+    "1e400",
+    "9" * 40,
+    "9" * 5000,
+    "[" * 2000 + "]" * 2000,
+)
+ODD_INI_VALUES = (
+    "nan",
+    "inf",
+    "-1",
+    "1e400",
+    "9" * 40,
+    "9" * 5000,
+    "9" * 400 + "s",
+    "1" * 17 + "s",
+)
+
+
+def odd_files(text, values):
+    """Return a settings file with each of its numbers replaced by each odd value."""
+    for match in re.finditer(r"^(\w+) = (\[.*\]|[\d.]+s?)$", text, re.MULTILINE):
+        for value in values:
+            yield match[1], f"{text[: match.start(2)]}{value}{text[match.end(2) :]}"
+
+
+def expect_refusal(load, option, text):
+    """Return what is wrong with the refusal of a settings file, None if nothing is."""
+    try:
+        load(text)
+    except FixSettings as exc:
+        return None if str(exc) else (option, "no message")
+    except Exception as exc:
+        return option, type(exc).__name__
+    return option, text[-300:]
+
+
+@then("each odd settings file is refused with its errors")
+def step_odd_settings(context):
+    path = Path(context.stack.enter_context(tempfile.TemporaryDirectory())) / "host.toml"
+
+    def load_toml(text):
+        path.write_text(text)
+        return settings_file.load(str(path))
+
+    assert load_toml(TOML) and daemon_settings.parse("host.ini", INI)
+    odd = [expect_refusal(load_toml, *item) for item in odd_files(TOML, ODD_TOML_VALUES)]
+    for old, new in (
+        ('"h"', '"h\\r\\nx"'),
+        ('"h"', '"' + "h" * 1000 + '"'),
+        ('"10.0.0.1"', '"10.0.0"'),
+        ("[2, 3]", "[0, 3]"),
+        ("[2, 3]", "[2, 70000]"),
+        ("[2, 3]", "[-2, 3]"),
+        ("[2, 3]", "[3, 2]"),
+    ):
+        odd.append(expect_refusal(load_toml, new, TOML.replace(old, new, 1)))
+    for option, text in odd_files(INI, ODD_INI_VALUES):
+        odd.append(expect_refusal(lambda t: daemon_settings.parse("host.ini", t), option, text))
+    assert not any(odd), [o for o in odd if o]
+
+
+@then("each odd value of an option is refused with what is expected")
+def step_odd_options(context):
+    for option in msgspec.structs.fields(options.Options):
+        for value in (
+            "9" * 400,
+            "9" * 400 + "s",
+            "9" * 400 + "B",
+            "nan",
+            "inf",
+            "-1",
+            "\u0663s",
+            "",
+        ):
+            parsed = options.parse(option.name, value)
+            assert parsed.is_err() and parsed.err_value, (option.name, value[:9])
--- a/src/wagtailloft/options.py
+++ b/src/wagtailloft/options.py
@@ -14,7 +14,8 @@
 BOOLEANS = {"yes": True, "no": False}
 DEFAULTS_LEVEL = "defaults"
 
-_AMOUNT_PATTERN = re.compile(r"(\d+(?:\.\d+)?)\s*([A-Za-z]*)")
+# At most 15 digits on each side, so that any amount is finite.
+_AMOUNT_PATTERN = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,15})?)\s*([A-Za-z]*)")
 
 Seconds = Annotated[float, msgspec.Meta(extra={"unit": "duration"})]
 
--- a/src/wagtailloft/settings.py
+++ b/src/wagtailloft/settings.py
@@ -19,6 +19,8 @@
 Threads = Annotated[int, msgspec.Meta(ge=4, le=2_000)]
 LevelName = Annotated[str, msgspec.Meta(pattern=r"^(debug|info|warning|error)$")]
 
+MAX_DRAIN_S = 86_400.0
+
 EXPECTED = {
     "Port": "a port from 1 to 65535",
     "Name": "letters, digits, dots, dashes or underscores, 63 at most, a letter or digit first",
@@ -151,7 +153,11 @@
         return _parse_address(raw)
     if option == "drain":
         seconds = options.duration(raw)
-        return Ok(seconds) if seconds is not None else Err(f"'{raw}' is not a duration such as 20s")
+        if seconds is None:
+            return Err(f"'{raw}' is not a duration such as 20s")
+        if seconds > MAX_DRAIN_S:
+            return Err(f"'{raw}' is out of bounds; allowed: up to {MAX_DRAIN_S:g} s")
+        return Ok(seconds)
     try:
         return Ok(msgspec.convert(raw, option_type, strict=False))
     except msgspec.ValidationError:
