Don't pass on a target's response that has an odd line or no end as a success

A caller could get a success that lacked rows: a target's line that is no part of a response, or is over 1 MiB, closed the link, but what followed in the same packet still completed the statement. READY without DONE or ERR counted as a success too, with no rows. Rows without end were kept in memory until the time-out. A target whose address has a port above 65535 raised OverflowError out of the opening of a link.

Cause: the rest of a packet was handled after the close; the end of a response was not required; no bound on rows. Change: nothing is handled after a close; a response to a QUERY needs exactly one DONE or ERR, after its rows and before READY; rows have 4 MiB at most. Such a statement counts as unanswered, and the line is logged.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -66,3 +66,19 @@
 
   Scenario: An option of the settings tree has an odd value
     Then each odd value of an option is refused with what is expected
+
+  Scenario Outline: A target's response has an odd line, or lacks one
+    Then a statement whose response is <response> gets no response, and the link is closed
+
+    Examples:
+      | response                                   |
+      | ROW a/ROWS b/DONE s/READY I 1.1            |
+      | ROW a/DONE s/DONE s/ROW b/READY I 1.1/junk |
+      | ROW a/TOO LONG/DONE s/READY I 1.1          |
+      | ROW a/READY I 1.1                          |
+
+  Scenario: A target sends rows without end
+    Then a link keeps a bounded part of a response, and gets no response
+
+  Scenario: A target's address has a port out of range
+    Then a link to a target at port 70000 is not opened, and nothing was sent
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -15,11 +15,11 @@
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
 from features.steps.fuzz import FakeTransport
-from features.steps.robustness import expect_failure
+from features.steps.robustness import expect_failure, make_target_link
 from features.virtual_time import run_virtual
 from wagtailloft import clock, logs, options
 from wagtailloft import settings as daemon_settings
-from wagtailloft.errors import FixSettings, NoResponse, NotSent
+from wagtailloft.errors import FixSettings, Kind, NoResponse, NotSent
 from wagtailloft.fleet import mesh as mesh_module
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.messages import (
@@ -64,17 +64,27 @@
 from wagtailloft.fleet.store_era import ERA_OBJECT
 from wagtailloft.groups import promotion_lease
 from wagtailloft.groups.directory import GroupDirectory
-from wagtailloft.groups.ports import BoundStatement
+from wagtailloft.groups.ports import BoundStatement, LinkSpec
 from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX
 from wagtailloft.host_process import HostProcess
-from wagtailloft.models import Position
-from wagtailloft.sessions.statements import Statement, StatementResult, Verb
+from wagtailloft.models import Mode, Position
+from wagtailloft.sessions.session import Session
+from wagtailloft.sessions.statements import (
+    PreparedStatement,
+    Statement,
+    StatementResult,
+    TransactionState,
+    Verb,
+)
 
 sys.path.append(str(Path(__file__).resolve().parents[2] / "platform"))
 
+import front  # noqa: E402
+import links  # noqa: E402
 import records  # noqa: E402
 import settings_file  # noqa: E402
 import store as platform_store  # noqa: E402
+import wire  # noqa: E402
 
 MAX_CALLS = 2000  # of one test; above it, the store is asked over and over
 DEEP_ARRAY = b"[" * 5000 + b"]" * 5000
@@ -827,3 +837,137 @@
         ):
             parsed = options.parse(option.name, value)
             assert parsed.is_err() and parsed.err_value, (option.name, value[:9])
+
+
+# Lines of callers and targets.
+
+
+def run_at_link(response):
+    """Return the link that got the bytes of a response to a statement, and the exception raised."""
+
+    async def run():
+        link = make_target_link()
+        bound = BoundStatement(request_id="r", statement=Statement(verb=Verb.READ, text="READ 1"))
+        running = asyncio.create_task(link.run(bound, 0.2))
+        await asyncio.sleep(0)
+        kept = 0
+        for chunk in response:
+            if not link.closed:
+                link.data_received(chunk)
+            kept = max(kept, sum(len(r) for p in link._pending for r in p.rows))
+        if link.closed:
+            link.connection_lost(None)
+        (result,) = await asyncio.gather(running, return_exceptions=True)
+        return link, result, kept
+
+    return run_virtual(run())
+
+
+@then("a statement whose response is {response} gets no response, and the link is closed")
+def step_odd_response(context, response):
+    text = response.replace("TOO LONG", "ROW " + "x" * wire.MAX_MESSAGE_BYTES)
+    data = "".join(f"{line}\r\n" for line in text.split("/")).encode()
+    link, result, _ = run_at_link([data])
+    assert isinstance(result, NoResponse) and link.closed, result
+
+
+@then("a link keeps a bounded part of a response, and gets no response")
+def step_endless_rows(context):
+    row = b"ROW " + b"x" * 1000 + b"\r\n"
+    link, result, kept = run_at_link(row * 1000 for _ in range(40))
+    assert isinstance(result, NoResponse) and link.closed, result
+    assert kept <= links.MAX_RESPONSE_CHARS, kept
+
+
+@then("a link to a target at port {port:d} is not opened, and nothing was sent")
+def step_odd_port(context, port):
+    async def check():
+        spec = LinkSpec(group="g", target="m", address=f"127.0.0.1:{port}", team="t")
+        try:
+            await links.TargetLinkFactory(source="127.0.0.1").open(spec)
+        except NotSent:
+            return
+        raise AssertionError("a link was opened")
+
+    asyncio.run(check())
+
+
+class PausableTransport(FakeTransport):
+    """A transport that stops delivering while reading is paused."""
+
+    paused = False
+
+    def pause_reading(self):
+        """Pause."""
+        self.paused = True
+
+    def resume_reading(self):
+        """Resume."""
+        self.paused = False
+
+    close = FakeTransport.abort
+
+
+@then("at most 4 MiB of a caller's messages wait at a host, and all are processed in order")
+def step_large_messages(context):
+    async def check():
+        handled = []
+
+        async def handle(request_id, statement):
+            handled.append(request_id)
+            await asyncio.sleep(0.01)
+            return StatementResult()
+
+        server = SimpleNamespace(closing=False, connections=set())
+        connection = front.CallerConnection(server=server, name="s1")
+        connection._transport = transport = PausableTransport()
+        connection.session = SimpleNamespace(handle=handle, state=TransactionState.IDLE)
+        text = b" WRITE a " + b"x" * (wire.MAX_MESSAGE_BYTES - 100) + b"\r\n"
+        stream = b"".join(b"QUERY %d" % n + text for n in range(40))
+        most = 0
+        for start in range(0, len(stream), 1 << 18):
+            while transport.paused:
+                await asyncio.sleep(0.01)
+            connection.data_received(stream[start : start + (1 << 18)])
+            waiting = (m.statement.text for m in connection._messages)
+            most = max(most, sum(len(t) for t in waiting))
+        await asyncio.sleep(1.0)
+        assert handled == [str(n) for n in range(40)], handled
+        assert most <= 4 << 20, most
+
+    run_virtual(check())
+
+
+@then(
+    "the variables and prepared statements of a session have at most 2 MiB, and others are refused"
+)
+def step_session_state(context):
+    async def check():
+        admission = SimpleNamespace(
+            record_result=lambda *_: None, age=lambda: 0.0, digest=lambda key: ""
+        )
+        session = Session(name="s", database="d", key="", admission=admission, dispatcher=None)
+        value = "x" * (1 << 19)
+        kinds = []
+        for n in range(8):
+            prepared = PreparedStatement(mode=Mode.READ, text=value)
+            for statement in (
+                Statement(verb=Verb.SET, name=f"v{n}", argument=value),
+                Statement(verb=Verb.PREPARE, name=f"p{n}", prepared=prepared),
+            ):
+                kinds.append((await session.handle("r", statement)).kind)
+        kept = [*session._session_variables.values(), *(p.text for p in session._prepared.values())]
+        assert 1 << 20 <= sum(map(len, kept)) <= 2 << 20, [len(k) for k in kept]
+        assert kinds.count(Kind.TOO_LARGE) == 16 - len(kept), kinds
+        again = Statement(verb=Verb.SET, name="v0", argument="short")
+        assert (await session.handle("r", again)).ok
+        assert (await session.handle("r", Statement(verb=Verb.DEALLOCATE, name="p0"))).ok
+
+    run_virtual(check())
+
+
+@then("a log line of values with 1 MiB has at most 4 KiB")
+def step_long_log_values(context):
+    for value in ("x" * (1 << 20), "\n" * (1 << 20), b"x" * (1 << 20)):
+        line = logs.format_event("refused", {"request": value, "ms": 1.0})
+        assert len(line) <= 4096 and line.endswith("ms=1"), (len(line), line[-30:])
