Bound what one caller's lines can make a host keep

One caller could use up a host's memory, which ends the sessions of all: up to 64 messages of 1 MiB waited before reading paused, the variables and prepared statements of a session had no bound, and a refused line put its text of up to 1 MiB into each log line, of which 4,000 may be queued.

Cause: bounds in numbers of messages and lines, none in their size.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -82,3 +82,12 @@
 
   Scenario: A target's address has a port out of range
     Then a link to a target at port 70000 is not opened, and nothing was sent
+
+  Scenario: A caller sends large messages ahead of the responses
+    Then at most 4 MiB of a caller's messages wait at a host, and all are processed in order
+
+  Scenario: A caller sets more variables than a host keeps
+    Then the variables and prepared statements of a session have at most 2 MiB, and others are refused
+
+  Scenario: A caller sends a long name
+    Then a log line of values with 1 MiB has at most 4 KiB
--- a/src/wagtailloft/logs.py
+++ b/src/wagtailloft/logs.py
@@ -18,6 +18,7 @@
 MAX_BURST_LINES = 2_000
 FAILURE_RESERVE_LINES = 500  # part of the burst and of the queue that only failures may use
 MAX_QUEUED_LINES = 4_000  # about 1 MB of memory if the reader of standard output stops
+MAX_VALUE_CHARS = 500  # of a line; callers and other systems choose some of the texts
 STDOUT = 1
 
 
@@ -138,6 +139,8 @@
     if isinstance(value, float):
         return f"{value:.4g}"
     text = str(value)
+    if len(text) > MAX_VALUE_CHARS:
+        text = f"{text[:MAX_VALUE_CHARS]}..."
     if text and not any(c.isspace() or c in '"=' or not c.isprintable() for c in text):
         return text
     escaped = text.encode("unicode_escape").decode().replace('"', '\\"')
--- a/src/wagtailloft/sessions/session.py
+++ b/src/wagtailloft/sessions/session.py
@@ -23,6 +23,9 @@
 )
 
 INTERNAL_REQUEST_ID = "-"
+# Of a session's variables and prepared statements, which go along with a statement between hosts.
+MAX_KEPT_CHARS = 2 << 20
+KEPT_OVERHEAD_CHARS = 64  # counted for each of them
 RATE_REFUSALS = (Kind.OVER_RATE, Kind.LIMITS_UNAVAILABLE, Kind.KEY_UNKNOWN)
 END_VERBS = (Verb.COMMIT, Verb.ROLLBACK)
 BEGIN_VERBS = (Verb.BEGIN, Verb.BEGIN_READ)
@@ -55,6 +58,8 @@
         self._dispatcher = dispatcher
         self._session_variables: dict[str, str] = {}
         self._prepared: dict[str, PreparedStatement] = {}
+        self._kept_sizes: dict[tuple[Verb, str], int] = {}  # in characters
+        self._kept_chars = 0
         self._written_positions: dict[str, Position] = {}
         self._transaction: _SessionTransaction | None = None
         self._transaction_failed = False
@@ -116,18 +121,32 @@
             logs.warn("transaction_stopped", session=self.name)
             await self._fail_transaction()
 
-    async def _handle(self, request_id: str, statement: Statement) -> StatementResult:
-        if self._transaction_failed:
-            return self._after_failure(statement)
+    def _keep(self, statement: Statement) -> StatementResult:
+        """Keep a variable or a prepared statement, unless the session would keep too much."""
+        key = (statement.verb, statement.name)
+        text = statement.prepared.text if statement.prepared else statement.argument
+        size = len(statement.name) + len(text) + KEPT_OVERHEAD_CHARS
+        kept_chars = self._kept_chars - self._kept_sizes.get(key, 0) + size
+        if kept_chars > MAX_KEPT_CHARS:
+            return not_executed(
+                Kind.TOO_LARGE, f"the session keeps {MAX_KEPT_CHARS} characters at most"
+            )
+        self._kept_chars, self._kept_sizes[key] = kept_chars, size
         if statement.verb is Verb.SET:
             self._session_variables[statement.name] = statement.argument
-            return OK_NOT_SENT
-        if statement.verb is Verb.PREPARE:
+        else:
             self._prepared[statement.name] = statement.prepared
-            return OK_NOT_SENT
+        return OK_NOT_SENT
+
+    async def _handle(self, request_id: str, statement: Statement) -> StatementResult:
+        if self._transaction_failed:
+            return self._after_failure(statement)
+        if statement.verb in (Verb.SET, Verb.PREPARE):
+            return self._keep(statement)
         if statement.verb is Verb.DEALLOCATE:
             if self._prepared.pop(statement.name, None) is None:
                 return not_executed(Kind.UNKNOWN_STATEMENT, statement.name)
+            self._kept_chars -= self._kept_sizes.pop((Verb.PREPARE, statement.name))
             return OK_NOT_SENT
         if statement.verb is Verb.EXECUTE:
             prepared = self._prepared.get(statement.name)
