Decode each object, body and number of our own interface on its own, within ranges

Callers and operators could be refused, or told that an outcome is unknown, for one odd object or value of another writer: a body nested over about 1,000 deep was answered as an internal error (a caller) or not at all (an operator). One such object of the platform stopped a daemon's watch of all of them, and one of a wrong type was taken, to fail wherever it was used. A member's position above 64 bits failed after the commit, when the session's token was signed.

Cause: RecursionError is no DecodeError; a list of changes was decoded as one document, without looking at the values; records, and the numbers in thrift messages, had no ranges, so NaN ages and negative tokens were taken. Change: `decode` turns the errors of nesting and of text into DecodeError, and is used by all adapters. A change list is split if it can't be decoded as a whole; each value has to be what its kind requires, or the change is left out and logged once. A read of such an object counts as a platform that does not answer. Records and thrift numbers have ranges. What remains: an unreadable object counts as absent when all objects are listed again (after a loss of history).

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -91,3 +91,16 @@
 
   Scenario: A caller sends a long name
     Then a log line of values with 1 MiB has at most 4 KiB
+
+  Scenario: An odd body of a request, or of an object that an operator writes
+    Then each odd body of a caller or an operator is refused as a bad request
+
+  Scenario: An odd object among those of the platform of our own interface
+    Then for each odd object, the good ones of a list are decoded, and the odd one is logged once
+    And for each odd object, a read of it counts as a platform that does not answer
+
+  Scenario: A member of our own interface answers with odd values
+    Then each odd response of a member counts as no response
+
+  Scenario: A host of our own interface sends odd numbers
+    Then each odd digest, delta, grant and request for tokens is refused
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -19,6 +19,18 @@
 from features.virtual_time import run_virtual
 from wagtailloft import clock, logs, options
 from wagtailloft import settings as daemon_settings
+from wagtailloft.adapters import peers
+from wagtailloft.adapters.callers import CallerHandler
+from wagtailloft.adapters.members import HttpMemberLink, MemberRequest, _decode_progress
+from wagtailloft.adapters.object_api import HttpObjectApi
+from wagtailloft.adapters.peers import (
+    _decode_grant,
+    from_thrift_delta,
+    from_thrift_digest,
+    to_thrift_delta,
+)
+from wagtailloft.adapters.server import HttpRequest
+from wagtailloft.controllers.object_cache import ObjectCache
 from wagtailloft.errors import FixSettings, Kind, NoResponse, NotSent
 from wagtailloft.fleet import mesh as mesh_module
 from wagtailloft.fleet.hosts import Hosts
@@ -62,12 +74,14 @@
 )
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.fleet.store_era import ERA_OBJECT
+from wagtailloft.gen.peer import ttypes
 from wagtailloft.groups import promotion_lease
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.ports import BoundStatement, LinkSpec
 from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX
 from wagtailloft.host_process import HostProcess
-from wagtailloft.models import Mode, Position
+from wagtailloft.models import Member, Mode, Position
+from wagtailloft.operators import OperatorService
 from wagtailloft.sessions.session import Session
 from wagtailloft.sessions.statements import (
     PreparedStatement,
@@ -971,3 +985,154 @@
     for value in ("x" * (1 << 20), "\n" * (1 << 20), b"x" * (1 << 20)):
         line = logs.format_event("refused", {"request": value, "ms": 1.0})
         assert len(line) <= 4096 and line.endswith("ms=1"), (len(line), line[-30:])
+
+
+# Our own interface.
+
+ODD_VALUES = (DEEP_ARRAY, DEEP_OBJECT, b"NaN", b'"\xff"', b'"\\ud800"', b"7", b"[]", b"{}", b"nul")
+
+
+@then("each odd body of a caller or an operator is refused as a bad request")
+def step_odd_bodies(context):
+    handler = CallerHandler(entry=None, body_limit=lambda route: 1 << 20)
+    operators = OperatorService.__new__(OperatorService)
+    for value in ODD_VALUES:
+        for body in (value, b'{"sql":"x","args":[%s]}' % value, b'{"sql":"x","args":%s}' % value):
+            if body.endswith(b"[7]}") or body.endswith(b":[]}"):
+                continue  # good arguments
+            refused = handler.parse(
+                HttpRequest(method="POST", path="/v1/routes/r/statements", body=body)
+            )
+            assert refused.is_err() and refused.err_value.kind is Kind.BAD_REQUEST, body[:40]
+        for body in (value, b'{"name":"t","rate":%s}' % value):
+            if body.endswith(b":7}"):
+                continue  # a good rate
+            refused = operators._decode_valid("team", "t", body)
+            assert refused.is_err() and refused.err_value.kind is Kind.BAD_REQUEST, body[:40]
+
+
+class RawPlatform:
+    """The HTTP transport of a client of the object API that answers with raw JSON."""
+
+    def __init__(self, data):
+        """Answer with the given body."""
+        self.data = data
+
+    def request(self, method, url, **kwargs):
+        """Answer a call."""
+        return SimpleNamespace(status=200, data=self.data, headers={"Store-Era": "1"})
+
+
+def odd_changes():
+    """Return the JSON of changes that are of no use."""
+    change = b'{"kind":%s,"name":%s,"revision":%s,"value":%s}'
+    odd = [change % (b'"team"', b'"odd"', b"2", value) for value in ODD_VALUES]
+    odd += [
+        change % (b'"team"', b'"odd"', number, b'{"name":"odd"}')
+        for number in (b"-1", b"1" * 13, b"9" * 40, b"9" * 6000, b"1e400", b"null", DEEP_ARRAY)
+    ]
+    for kind, value in (
+        (
+            b'"host"',
+            b'{"name":"h","ip":"1.1.1.1","caller_port":1,"peer_port":70000,"operator_port":1}',
+        ),
+        (b'"leadership"', b'{"term":18446744073709551616}'),
+        (b'"era"', b'{"era":9223372036854775807}'),
+        (b'"era"', b'{"era":"x"}'),
+        (b'"epoch"', b'{"name":"x","holder":"h","epoch":-1}'),
+        (b'"team"', b'{"name":"odd","rate":1e300}'),
+        (b"7", b"{}"),
+        (DEEP_ARRAY, b"{}"),
+    ):
+        odd.append(change % (kind, b'"odd"', b"2", value))
+    return [*odd, b"7", b"null", DEEP_ARRAY, b"{}"]
+
+
+@then("for each odd object, the good ones of a list are decoded, and the odd one is logged once")
+def step_odd_changes(context):
+    good = [
+        b'{"kind":"team","name":"%s","revision":%d,"value":{"name":"%s"}}' % (n, r, n)
+        for n, r in ((b"a", 1), (b"z", 3))
+    ]
+    failures = []
+    for odd in odd_changes():
+        lines = []
+        api = HttpObjectApi(address="127.0.0.1:1", source="127.0.0.1")
+        api._http = RawPlatform(
+            b'{"revision":3,"whole":true,"changes":[%s,%s,%s]}' % (good[0], odd, good[1])
+        )
+        try:
+            with patch.object(logs, "warn", lambda name, /, _lines=lines, **_: _lines.append(name)):
+                delta = [api.watch(0, 0.0).ok_value for _ in range(3)][-1]
+                cache = ObjectCache()
+                cache.apply(delta)
+            assert [c.name for c in delta.changes] == ["a", "z"], delta
+            assert lines == ["object_unreadable"], lines
+            to_thrift_delta(cache.changes_since(0)).validate()
+        except Exception as exc:
+            failures.append((odd[:90], repr(exc)[:90]))
+    assert not failures, f"{len(failures)} of {len(odd_changes())}: {failures}"
+
+
+@then("for each odd object, a read of it counts as a platform that does not answer")
+def step_odd_reads(context):
+    for odd in odd_changes():
+        api = HttpObjectApi(address="127.0.0.1:1", source="127.0.0.1")
+        api._http = RawPlatform(odd)
+        kind = re.match(rb'{"kind":"(\w+)"', odd)
+        found = api.get(kind[1].decode() if kind else "team", "odd")
+        assert found.is_err() and found.err_value.kind is Kind.PLATFORM_DOWN, odd[:90]
+
+
+@then("each odd response of a member counts as no response")
+def step_odd_member(context):
+    good = b'{"term":1,"position":{"term":1,"index":2},"results":[]}'
+    member = Member(name="m", ip="127.0.0.1", port=1, control_port=1)
+    numbers = (b"-1", b"9223372036854775808", b"9" * 60, b"1e400", *ODD_VALUES)
+    bodies = [good.replace(b":1,", b":%s," % n, 1) for n in numbers if n != b"7"]
+    bodies += [good.replace(b":2}", b":%s}" % n, 1) for n in numbers if n != b"7"]
+    bodies += [v for v in ODD_VALUES]
+    for body, status in [(b, s) for b in bodies for s in (200, 400)]:
+        link = HttpMemberLink(member=member, source="127.0.0.1")
+        link._conn = SimpleNamespace(
+            usable=True, exchange=lambda *_, r=(status, body): r, close=lambda: None
+        )
+        try:
+            link.call("run", MemberRequest(term=1, mode="read"), 1.0)
+        except NoResponse:
+            continue
+        raise AssertionError((status, body[:90]))
+    progress = b'{"name":"m","term":1,"role":"primary","received":{},"applied":{},"source_age":%s}'
+    for number in (b"-1", b"1e300", *(v for v in ODD_VALUES if v != b"7")):
+        try:
+            _decode_progress(progress % number)
+        except NoResponse:
+            continue
+        raise AssertionError(number[:90])
+
+
+@then("each odd digest, delta, grant and request for tokens is refused")
+def step_odd_peers(context):
+    def refuses(decode, value):
+        try:
+            decoded = decode(value)
+        except (ValueError, RecursionError):
+            return True
+        raise AssertionError(decoded)
+
+    digest = dict(sender="h", revision=1, platform_age=0.1, news=[], fresh=True)
+    assert from_thrift_digest(ttypes.Digest(**digest)) and from_thrift_digest(
+        ttypes.Digest(**digest | {"platform_age": math.inf})
+    )
+    for odd in ({"platform_age": math.nan}, {"platform_age": -1.0}, {"revision": -1}):
+        assert refuses(from_thrift_digest, ttypes.Digest(**digest | odd))
+    change = ttypes.ObjectChange("team", "t", -1, b"{}")
+    assert refuses(from_thrift_delta, ttypes.Changes(1, [change], False))
+    assert refuses(from_thrift_delta, ttypes.Changes(-1, [], False))
+    for odd in (math.nan, math.inf, -1.0):
+        for field in ("tokens", "wait"):
+            grant = ttypes.TokenGrant(**{"number": 1, "tokens": 1.0, "wait": 0.0, field: odd})
+            assert refuses(_decode_grant, grant)
+        for field in ("held", "wanted"):
+            ask = dict(team="t", host="h", number=1, held=0.0, wanted=1.0) | {field: odd}
+            assert refuses(peers.decode_grant_request, ttypes.TokenAsk(**ask))
--- a/src/wagtailloft/adapters/callers.py
+++ b/src/wagtailloft/adapters/callers.py
@@ -13,7 +13,7 @@
 from wagtailloft.digits import is_decimal
 from wagtailloft.entry import Entry, Reply, Request
 from wagtailloft.errors import Kind, Refusal
-from wagtailloft.models import Action, Cell, Mode, Record, Rows, SqlStatement
+from wagtailloft.models import Action, Cell, Mode, Record, Rows, SqlStatement, decode
 
 MAX_DEADLINE_MS = 3_600_000
 MAX_READ_AGE_MS = 86_400_000
@@ -157,8 +157,8 @@
         if action is not Action.RUN:
             return Ok(StatementBody(sql=""))
         try:
-            body = msgspec.json.decode(raw, type=StatementBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            body = decode(raw, StatementBody)
+        except msgspec.DecodeError as exc:
             return _refuse(Kind.BAD_REQUEST, f"body: {exc}")
         if not body.sql.strip() or "\0" in body.sql:
             return _refuse(Kind.BAD_REQUEST, "body: sql is empty or contains a NUL character")
--- a/src/wagtailloft/adapters/members.py
+++ b/src/wagtailloft/adapters/members.py
@@ -6,7 +6,16 @@
 
 from wagtailloft.adapters.http import HttpConnection
 from wagtailloft.errors import NoResponse, NotSent
-from wagtailloft.models import Member, Position, Progress, Record, Rows, SqlStatement
+from wagtailloft.models import (
+    Member,
+    Position,
+    Progress,
+    Record,
+    Rows,
+    SqlStatement,
+    decode,
+)
+from wagtailloft.ranges import Count
 
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 0.25
@@ -35,7 +44,7 @@
 class MemberResponse(Record):
     """A member's complete response to a request, one result per statement."""
 
-    term: int
+    term: Count
     position: Position
     results: tuple[Rows, ...]
 
@@ -97,7 +106,7 @@
 
     def _rejection(self, data: bytes) -> Exception:
         try:
-            rejection = msgspec.json.decode(data, type=_RejectionBody)
+            rejection = decode(data, _RejectionBody)
         except msgspec.DecodeError:
             self.close()
             return NoResponse("the member's error response could not be decoded")
@@ -105,7 +114,7 @@
 
     def _decode_response(self, data: bytes) -> MemberResponse:
         try:
-            response = msgspec.json.decode(data, type=MemberResponse)
+            response = decode(data, MemberResponse)
         except msgspec.DecodeError as exc:
             self.close()
             raise NoResponse("the member's response could not be decoded") from exc
@@ -194,6 +203,6 @@
 
 def _decode_progress(data: bytes) -> Progress:
     try:
-        return msgspec.json.decode(data, type=Progress)
+        return decode(data, Progress)
     except msgspec.DecodeError as exc:
         raise NoResponse("the member's progress report could not be decoded") from exc
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -9,16 +9,20 @@
 
 import msgspec
 import urllib3
+import xxhash
 from result import Err, Ok, Result
 
 from wagtailloft import logs
 from wagtailloft.adapters.sockets import TCP_OPTIONS
+from wagtailloft.catalog import TYPE_BY_KIND
 from wagtailloft.controllers.object_cache import Delta
 from wagtailloft.digits import is_decimal
 from wagtailloft.eras import ERA_KIND, start_of, with_era
 from wagtailloft.errors import Kind, Refusal
-from wagtailloft.models import REMOVED, Change, EraMark, Host
-from wagtailloft.revisions import NO_ERA, era_of, make_revision, number_of
+from wagtailloft.json_parts import split_array, split_object
+from wagtailloft.models import REMOVED, Change, EraMark, Host, Lease, decode
+from wagtailloft.ranges import StoreNumber
+from wagtailloft.revisions import MAX_ERA, NO_ERA, era_of, make_revision, number_of
 
 OBJECT_CALL_TIMEOUT_S = 2.0
 WATCH_GRACE_S = 1.5  # added to the wait of a watch, so that the response can arrive
@@ -27,13 +31,30 @@
 ERA_HEADER = "Store-Era"  # rises by one each time the store comes back from an older copy
 
 
+RECORD_TYPES = {**TYPE_BY_KIND, "lease": Lease}  # of the values that hosts act on
+MAX_REPORTED_OBJECTS = 1000  # remembered, so that each is logged once
+
+
 class WriteConflict(msgspec.Struct, frozen=True, kw_only=True):
     """The stored revision and value of an object whose conditional write was rejected."""
 
-    revision: int
+    revision: StoreNumber
+    value: msgspec.Raw = REMOVED
+
+
+class _StoredChange(msgspec.Struct, frozen=True):
+    kind: str
+    name: str
+    revision: StoreNumber
     value: msgspec.Raw = REMOVED
 
 
+class _ChangeList(msgspec.Struct, frozen=True):
+    revision: StoreNumber
+    changes: tuple[msgspec.Raw, ...]
+    whole: bool = False
+
+
 class _Hosts(msgspec.Struct, frozen=True):
     hosts: tuple[Host, ...]
 
@@ -68,6 +89,7 @@
         self._base = f"http://{address}"
         self._era = NO_ERA  # of the latest response
         self._started_era = NO_ERA  # known to have its start mark
+        self._reported: dict[int, None] = {}
         self._http = urllib3.PoolManager(
             maxsize=8,
             retries=False,
@@ -84,7 +106,7 @@
             return response
         if response.ok_value.status == 404:
             return Ok(None)
-        return _decode_change(response.ok_value)
+        return _decode_response(response.ok_value)
 
     def put(
         self, kind: str, name: str, value: Any, version: int, timeout: float = OBJECT_CALL_TIMEOUT_S
@@ -108,7 +130,7 @@
             return self._resolve_unknown_write(kind, name, sent, version, era, timeout)
         if response.ok_value.status == 409:
             return _decode_conflict(response.ok_value)
-        written = _decode_change(response.ok_value)
+        written = _decode_response(response.ok_value)
         if isinstance(written, Err) or era_of(written.ok_value.revision) == era:
             return written
         logs.warn("write_in_new_era", kind=kind, store_era=self._era, before=era)
@@ -182,7 +204,26 @@
         if isinstance(response, Err):
             return response
         era = _era(response.ok_value)
-        return _decode(response.ok_value.data, Delta).map(lambda delta: _with_era(delta, era))
+        try:
+            decoded = _decode_list(response.ok_value.data)
+        except ValueError as exc:
+            return _unavailable(f"the response could not be decoded: {exc}")
+        changes = tuple(c for raw in decoded.changes if (c := self._decode_listed(raw, era)))
+        revision = make_revision(era, decoded.revision)
+        return Ok(Delta(revision=revision, changes=changes, whole=decoded.whole))
+
+    def _decode_listed(self, raw: msgspec.Raw | bytes, era: int) -> Change | None:
+        """Decode a change; log one that can't be, once, and leave it out."""
+        try:
+            return _decode_change(raw, era)
+        except msgspec.DecodeError as exc:
+            digest = xxhash.xxh64_intdigest(bytes(raw))
+            if digest not in self._reported:
+                self._reported[digest] = None
+                if len(self._reported) > MAX_REPORTED_OBJECTS:
+                    del self._reported[next(iter(self._reported))]
+                logs.warn("object_unreadable", object=bytes(raw)[:100], why=str(exc))
+            return None
 
     def _put_once(
         self, kind: str, name: str, value: Any, version: int, timeout: float
@@ -248,6 +289,8 @@
         if response.status >= 400 and response.status not in (404, 409):
             detail = f"the platform rejected {method} {path.partition('?')[0]}: {response.status}"
             return Err(Refusal(kind=Kind.BAD_REQUEST, detail=detail))
+        if _era(response) > MAX_ERA:
+            return _unavailable("the platform names an impossible era")
         self._era = max(self._era, _era(response))
         return Ok(response)
 
@@ -261,15 +304,6 @@
     return int(text) if is_decimal(text) else NO_ERA
 
 
-def _with_era(delta: Delta, era: int) -> Delta:
-    changes = tuple(
-        msgspec.structs.replace(c, revision=make_revision(era, c.revision)) for c in delta.changes
-    )
-    return msgspec.structs.replace(
-        delta, revision=make_revision(era, delta.revision), changes=changes
-    )
-
-
 def _as_whole(delta: Delta) -> Delta:
     """Return the objects that all changes since number 0 lead to."""
     latest = {(c.kind, c.name): c for c in delta.changes}
@@ -281,11 +315,37 @@
     return msgspec.json.decode(raw) == msgspec.json.decode(msgspec.json.encode(value))
 
 
-def _decode_change(response: urllib3.BaseHTTPResponse) -> Result[Change, Refusal]:
-    era = _era(response)
-    return _decode(response.data, Change).map(
-        lambda change: msgspec.structs.replace(change, revision=make_revision(era, change.revision))
+def _decode_list(data: bytes) -> _ChangeList:
+    """Split a list of changes, none of which is decoded; raise ValueError."""
+    try:
+        return decode(data, _ChangeList)
+    except msgspec.DecodeError:
+        fields = split_object(data)
+    head = [b"%s:%s" % (f, fields[f]) for f in (b'"revision"', b'"whole"') if f in fields]
+    decoded = decode(b'{%s,"changes":[]}' % b",".join(head), _ChangeList)
+    changes = split_array(fields.get(b'"changes"', b""))
+    return msgspec.structs.replace(decoded, changes=tuple(changes))
+
+
+def _decode_change(raw: msgspec.Raw | bytes, era: int) -> Change:
+    """Decode a change whose value is what its kind requires; raise msgspec.DecodeError."""
+    stored = decode(raw, _StoredChange)
+    change = Change(
+        kind=stored.kind,
+        name=stored.name,
+        revision=make_revision(era, stored.revision),
+        value=stored.value,
     )
+    if not change.removed:
+        change.decode(RECORD_TYPES.get(change.kind, Any))
+    return change
+
+
+def _decode_response(response: urllib3.BaseHTTPResponse) -> Result[Change, Refusal]:
+    try:
+        return Ok(_decode_change(response.data, _era(response)))
+    except msgspec.DecodeError as exc:
+        return _unavailable(f"the response could not be decoded: {exc}")
 
 
 def _decode_conflict(response: urllib3.BaseHTTPResponse) -> Err[WriteConflict | Refusal]:
@@ -300,7 +360,7 @@
 
 def _decode(data: bytes, type_: type) -> Result[Any, Refusal]:
     try:
-        return Ok(msgspec.json.decode(data, type=type_))
+        return Ok(decode(data, type_))
     except msgspec.DecodeError as exc:
         return _unavailable(f"the response could not be decoded: {exc}")
 
--- a/src/wagtailloft/adapters/peers.py
+++ b/src/wagtailloft/adapters/peers.py
@@ -23,8 +23,11 @@
 from wagtailloft.controllers.token_bucket import Grant, GrantRequest
 from wagtailloft.errors import Kind, NoResponse, NotSent, Refusal
 from wagtailloft.gen.peer import Peer, ttypes
-from wagtailloft.models import REMOVED, Answer, Call, Change, Host, Record
+from wagtailloft.models import REMOVED, Answer, Call, Change, Host, Record, decode
+from wagtailloft.ranges import Age, Count
 
+# What encoding a call and decoding its response raise, besides the errors of the connection.
+CODEC_ERRORS = (ValueError, TypeError, OverflowError, RecursionError, msgspec.DecodeError)
 CONNECT_TIMEOUT_S = 0.5
 PEER_CALL_TIMEOUT_S = 0.8
 RESPONSE_GRACE_S = 0.25  # added to the call's budget, so that the response can arrive
@@ -110,11 +113,11 @@
 
     def exchange(self, host: Host, digest: GossipDigest) -> GossipDigest:
         """Exchange gossip digests; raise NotSent or NoResponse."""
-        return self._call(host, "exchange", to_thrift_digest(digest), decode=from_thrift_digest)
+        return self._call(host, "exchange", to_thrift_digest(digest), convert=from_thrift_digest)
 
     def pull(self, host: Host, after: int) -> Delta:
         """Fetch the changes after a revision; raise NotSent or NoResponse."""
-        return self._call(host, "pull", after, decode=from_thrift_delta)
+        return self._call(host, "pull", after, convert=from_thrift_delta)
 
     def probe(self, host: Host, other: str) -> bool:
         """Ask a host whether it reaches another; raise NotSent or NoResponse."""
@@ -128,7 +131,7 @@
             "work",
             request,
             timeout=call.budget + RESPONSE_GRACE_S,
-            decode=lambda result: _decode_work_result(result, call.request_id),
+            convert=lambda result: _decode_work_result(result, call.request_id),
         )
 
     def tokens(self, host: Host, request: GrantRequest) -> Result[Grant, Refusal]:
@@ -140,7 +143,7 @@
             held=request.held,
             wanted=request.wanted,
         )
-        return self._call(host, "tokens", value, decode=_decode_grant)
+        return self._call(host, "tokens", value, convert=_decode_grant)
 
     def explain(self, host: Host, subject: str) -> str:
         """Return a host's decisions about a subject as JSON; raise NotSent or NoResponse."""
@@ -163,14 +166,14 @@
         method: str,
         *args: object,
         timeout: float = PEER_CALL_TIMEOUT_S,
-        decode: Callable[[Any], Any] = lambda response: response,
+        convert: Callable[[Any], Any] = lambda response: response,
     ) -> Any:
         """Return the decoded response; one that can't be decoded counts as none."""
         connection = self._acquire(host)
         connection.set_timeout(timeout)
         try:
-            response = decode(getattr(connection.client, method)(*args))
-        except (TException, OSError, EOFError, ValueError, TypeError, msgspec.DecodeError) as exc:
+            response = convert(getattr(connection.client, method)(*args))
+        except (TException, OSError, EOFError, *CODEC_ERRORS) as exc:
             connection.close()
             self.close_idle(host)
             raise NoResponse(f"{host.name}: {type(exc).__name__}") from exc
@@ -259,13 +262,20 @@
         raise ValueError("the response has another request's id")
     if result.kind is not None:
         return Err(Refusal(kind=Kind(result.kind), detail=result.detail or ""))
-    return Ok(msgspec.json.decode(result.body, type=Answer))
+    return Ok(decode(result.body, Answer))
 
 
 def _decode_grant(grant: ttypes.TokenGrant) -> Result[Grant, Refusal]:
     if grant.kind is not None:
         return Err(Refusal(kind=Kind(grant.kind)))
-    return Ok(Grant(number=grant.number, tokens=grant.tokens, wait=grant.wait))
+    fields = {"number": grant.number, "tokens": grant.tokens, "wait": grant.wait}
+    return Ok(msgspec.convert(fields, Grant))
+
+
+def decode_grant_request(ask: ttypes.TokenAsk) -> GrantRequest:
+    """Convert a request for tokens from its thrift form; raise ValueError for odd numbers."""
+    fields = {f: getattr(ask, f) for f in ("team", "host", "number", "held", "wanted")}
+    return msgspec.convert(fields, GrantRequest)
 
 
 def to_thrift_digest(digest: GossipDigest) -> ttypes.Digest:
@@ -285,13 +295,13 @@
 
 
 def from_thrift_digest(value: ttypes.Digest) -> GossipDigest:
-    """Convert a digest from its thrift form."""
+    """Convert a digest from its thrift form; raise ValueError for odd numbers."""
     return GossipDigest(
         sender=value.sender,
-        revision=value.revision,
-        platform_age=value.platform_age,
+        revision=msgspec.convert(value.revision, Count),
+        platform_age=msgspec.convert(value.platform_age, Age),
         fresh=value.fresh,
-        updates=tuple(msgspec.json.decode(n.body, type=Host) for n in value.news),
+        updates=tuple(decode(n.body, Host) for n in value.news),
         forgotten=_from_thrift_changes(value.forgotten or ()),
     )
 
@@ -302,9 +312,10 @@
 
 
 def from_thrift_delta(value: ttypes.Changes) -> Delta:
-    """Convert changes from their thrift form."""
+    """Convert changes from their thrift form; raise ValueError for odd numbers."""
     changes = _from_thrift_changes(value.changes)
-    return Delta(revision=value.revision, changes=changes, whole=value.whole)
+    revision = msgspec.convert(value.revision, Count)
+    return Delta(revision=revision, changes=changes, whole=value.whole)
 
 
 def _to_thrift_changes(changes: Iterable[Change]) -> list[ttypes.ObjectChange]:
@@ -319,7 +330,7 @@
         Change(
             kind=c.kind,
             name=c.name,
-            revision=c.revision,
+            revision=msgspec.convert(c.revision, Count),
             value=REMOVED if c.value is None else msgspec.Raw(c.value),
         )
         for c in values
--- a/src/wagtailloft/client.py
+++ b/src/wagtailloft/client.py
@@ -16,7 +16,7 @@
     TryAgain,
     exception_for,
 )
-from wagtailloft.models import Cell, Mode
+from wagtailloft.models import Cell, Mode, decode
 from wagtailloft.session_tokens import MAX_TOKENS
 
 RESPONSE_GRACE_S = 2.0  # added to the deadline, so that the host's response can arrive
@@ -101,7 +101,7 @@
         with self._lock:
             received = frozenset({response.headers["Wagtail-Session"]})
             self._tokens = (self._tokens - sent) | received
-        return msgspec.json.decode(response.data, type=Success)
+        return decode(response.data, Success)
 
     def _statement(self, body: StatementBody, options: dict[str, object]) -> Success:
         return self.post("statements", msgspec.json.encode(body), options)
@@ -175,7 +175,7 @@
 
 def _exception_from(response: urllib3.BaseHTTPResponse) -> Exception:
     try:
-        failed = msgspec.json.decode(response.data, type=FailureBody)
+        failed = decode(response.data, FailureBody)
         refusal = Refusal(kind=Kind(failed.kind), detail=failed.detail)
     except (msgspec.DecodeError, ValueError):
         return CheckOutcome(f"invalid response body, status {response.status}")
--- a/src/wagtailloft/controllers/token_bucket.py
+++ b/src/wagtailloft/controllers/token_bucket.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from wagtailloft.models import Record, Team
+from wagtailloft.ranges import Amount, Count
 
 TOKEN_LIFETIME_S = 1.0
 PREFETCH_S = 0.1
@@ -20,18 +21,18 @@
 
     team: str
     host: str
-    number: int
-    held: float
-    wanted: float
-    waiting: float = 0.0
+    number: Count
+    held: Amount
+    wanted: Amount
+    waiting: Amount = 0.0
 
 
 class Grant(Record):
     """Granted tokens; wait is the number of seconds after which another request may succeed."""
 
-    number: int
-    tokens: float
-    wait: float = 0.0
+    number: Count
+    tokens: Amount
+    wait: Amount = 0.0
 
 
 @dataclass(kw_only=True)
--- a/src/wagtailloft/eras.py
+++ b/src/wagtailloft/eras.py
@@ -17,6 +17,7 @@
 
 from wagtailloft import logs
 from wagtailloft.models import Change, EraMark, Record
+from wagtailloft.ranges import Count, Era
 from wagtailloft.revisions import NO_ERA, era_of, make_revision, number_of
 
 ERA_KIND = "era"
@@ -62,8 +63,8 @@
 
 
 class _Origin(Record):
-    written_in: int = NO_ERA
-    rewritten_from: int = NO_ERA
+    written_in: Era = NO_ERA
+    rewritten_from: Count = NO_ERA
 
 
 def with_origin(change: Change) -> Any:
@@ -123,7 +124,7 @@
     """Return what an object's value tells of its origin; removals and foreign values tell none."""
     try:
         return change.decode(_Origin | None) or _Origin()
-    except msgspec.ValidationError as exc:
+    except msgspec.DecodeError as exc:
         logs.warn("origin_unreadable", kind=change.kind, name=change.name, message=str(exc))
         return _Origin()
 
--- a/src/wagtailloft/handler.py
+++ b/src/wagtailloft/handler.py
@@ -3,14 +3,18 @@
 import msgspec
 from result import Err
 
-from wagtailloft.adapters.peers import from_thrift_digest, to_thrift_delta, to_thrift_digest
+from wagtailloft.adapters.peers import (
+    decode_grant_request,
+    from_thrift_digest,
+    to_thrift_delta,
+    to_thrift_digest,
+)
 from wagtailloft.controllers.object_cache import ObjectCache
-from wagtailloft.controllers.token_bucket import GrantRequest
 from wagtailloft.errors import Kind, Refusal
 from wagtailloft.gen.peer import ttypes
 from wagtailloft.gossip import Gossip
 from wagtailloft.group_service import GroupServices
-from wagtailloft.models import Call
+from wagtailloft.models import Call, decode
 from wagtailloft.operators import OperatorService
 from wagtailloft.rate_limiter import TokenGranter
 
@@ -48,7 +52,7 @@
     def work(self, work: ttypes.Work) -> ttypes.WorkResult:
         """Execute a call as the owner of its group."""
         try:
-            call = msgspec.json.decode(work.body, type=Call)
+            call = decode(work.body, Call)
         except msgspec.DecodeError as exc:
             return _refusal_result(work.request_id, Refusal(kind=Kind.BAD_REQUEST, detail=str(exc)))
         served = self._group_services.serve(call)
@@ -58,11 +62,7 @@
 
     def tokens(self, ask: ttypes.TokenAsk) -> ttypes.TokenGrant:
         """Grant rate tokens as the token owner."""
-        granted = self._token_granter.grant(
-            GrantRequest(
-                team=ask.team, host=ask.host, number=ask.number, held=ask.held, wanted=ask.wanted
-            )
-        )
+        granted = self._token_granter.grant(decode_grant_request(ask))
         if isinstance(granted, Err):
             return ttypes.TokenGrant(ask.number, 0.0, 0.0, granted.err_value.kind.value)
         grant = granted.ok_value
--- a/src/wagtailloft/models.py
+++ b/src/wagtailloft/models.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from wagtailloft.ranges import Count, Name, Port, Text
+from wagtailloft.ranges import Amount, Count, Era, Name, Number, Port, RowCount, Seconds, Text
 
 REMOVED = msgspec.Raw(b"null")
 
@@ -84,8 +84,8 @@
 
     name: str
     ip: str
-    port: int
-    control_port: int
+    port: Port
+    control_port: Port
     zone: str = ""
     leaving: bool = False
 
@@ -95,8 +95,8 @@
 
     name: str
     members: tuple[Member, ...]
-    slots: int = 2
-    connections: int = 16
+    slots: Count = 2
+    connections: Count = 16
 
     @property
     def majority(self) -> int:
@@ -110,7 +110,7 @@
     An empty primary means that the claimant has claimed the term and not yet promoted a member.
     """
 
-    term: int = 0
+    term: Count = 0
     primary: str = ""
     claimant: str = ""
 
@@ -119,9 +119,9 @@
     """A team's rate in requests per second, its burst in requests and its scheduling weight."""
 
     name: str
-    rate: float = 100.0
-    burst: float = 100.0
-    weight: float = 1.0
+    rate: Number = 100.0
+    burst: Number = 100.0
+    weight: Number = 1.0
 
 
 class Key(Record):
@@ -157,9 +157,9 @@
 
     name: str
     holder: str = ""
-    epoch: int = 0
-    renewals: int = 0
-    era: int = 0
+    epoch: Count = 0
+    renewals: Count = 0
+    era: Era = 0
 
 
 class LeaseEpoch(Record):
@@ -167,7 +167,7 @@
 
     name: str
     holder: str
-    epoch: int
+    epoch: Count
 
 
 class EraMark(Record):
@@ -176,8 +176,8 @@
     start is the lowest number known to be of the era, 0 if that is the mark's own.
     """
 
-    era: int
-    start: int = 0
+    era: Era
+    start: Count = 0
 
 
 class SqlStatement(Record):
@@ -192,7 +192,7 @@
 
     columns: tuple[str, ...] = ()
     rows: tuple[tuple[Cell, ...], ...] = ()
-    count: int = 0
+    count: RowCount = 0
 
 
 class SessionPosition(Record):
@@ -211,13 +211,13 @@
     group: str
     statement: SqlStatement
     mode: Mode
-    budget: float
+    budget: Seconds
     after: Position = Position()
     idempotent: bool = False
-    max_age: float | None = None
+    max_age: Seconds | None = None
     transaction: str = ""
     key_digest: str = ""
-    revision: int = 0
+    revision: Count = 0
     action: Action = Action.RUN
 
 
@@ -248,7 +248,7 @@
 
     def decode(self, record_type: type) -> Any:
         """Decode the value as a record; raise msgspec.DecodeError if it does not match."""
-        return msgspec.json.decode(self.value, type=record_type)
+        return decode(self.value, record_type)
 
 
 class Progress(Record):
@@ -258,18 +258,21 @@
     """
 
     name: str
-    term: int
+    term: Count
     role: Role
     received: Position
     applied: Position
     start: Position = Position()
-    source_age: float = 0.0
-    queue: int = 0
+    source_age: Amount = 0.0
+    queue: Count = 0
 
 
-def decode(data: Any, record_type: type) -> Any:
+def decode(data: Any, record_type: Any) -> Any:
     """Decode JSON bytes as a record; raise msgspec.DecodeError if they do not match."""
-    return msgspec.json.decode(data, type=record_type)
+    try:
+        return msgspec.json.decode(data, type=record_type)
+    except (RecursionError, UnicodeDecodeError) as exc:
+        raise msgspec.DecodeError(str(exc)) from exc
 
 
 def encode(value: Any) -> bytes:
--- a/src/wagtailloft/operators.py
+++ b/src/wagtailloft/operators.py
@@ -26,6 +26,7 @@
     Route,
     SettingsLevel,
     Team,
+    decode,
 )
 from wagtailloft.platform_watcher import PlatformWatcher
 
@@ -295,8 +296,8 @@
         if kind not in EDITABLE:
             return _refuse(Kind.NOT_FOUND, f"objects of kind '{kind}' can't be written")
         try:
-            value = msgspec.json.decode(raw, type=TYPE_BY_KIND[kind], strict=True)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            value = decode(raw, TYPE_BY_KIND[kind])
+        except msgspec.DecodeError as exc:
             return _refuse(Kind.BAD_REQUEST, f"{kind} '{name}': {exc}")
         own_name = value.digest if isinstance(value, Key) else value.name
         error = self._validation_error(value)
@@ -366,14 +367,14 @@
 
     def _fetch_decisions(self, host: Host, subject: str) -> list[Decision]:
         try:
-            return msgspec.json.decode(self._peers.explain(host, subject), type=list[Decision])
-        except (NotSent, NoResponse):
+            return decode(self._peers.explain(host, subject), list[Decision])
+        except (NotSent, NoResponse, msgspec.DecodeError):
             return []
 
     def _fetch_status(self, host: Host) -> HostStatus | None:
         try:
-            return msgspec.json.decode(self._peers.describe(host), type=HostStatus)
-        except (NotSent, NoResponse):
+            return decode(self._peers.describe(host), HostStatus)
+        except (NotSent, NoResponse, msgspec.DecodeError):
             return None
 
 
