Let operators replace an object of our own interface that can't be read

An operator could not change or remove such an object through a daemon: the conflict that tells its version could not be decoded (or raised RecursionError), so it looked as if the platform did not answer. A conflict on a lease whose value is of another type raised DecodeError in the thread that renews the leases.

Cause: a conflict's revision was decoded together with its value, and the value was not looked at. Change: the revision is had apart from the value; a value that is not what the kind requires is given as null. Evidence: the new scenario failed before (platform_down); it passes, and `robustness`, `eras`, `restored`, `settings` and `rates`.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -104,3 +104,6 @@
 
   Scenario: A host of our own interface sends odd numbers
     Then each odd digest, delta, grant and request for tokens is refused
+
+  Scenario: An operator replaces an object that can't be read
+    Then each odd object conflicts with a write at its revision, and its value is given as null
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -1,6 +1,7 @@
 """Steps for odd entries and values, in everything that decodes what others send."""
 
 import asyncio
+import base64
 import math
 import re
 import sys
@@ -22,7 +23,7 @@
 from wagtailloft.adapters import peers
 from wagtailloft.adapters.callers import CallerHandler
 from wagtailloft.adapters.members import HttpMemberLink, MemberRequest, _decode_progress
-from wagtailloft.adapters.object_api import HttpObjectApi
+from wagtailloft.adapters.object_api import HttpObjectApi, WriteConflict
 from wagtailloft.adapters.peers import (
     _decode_grant,
     from_thrift_delta,
@@ -80,8 +81,9 @@
 from wagtailloft.groups.ports import BoundStatement, LinkSpec
 from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX
 from wagtailloft.host_process import HostProcess
-from wagtailloft.models import Member, Mode, Position
+from wagtailloft.models import Member, Mode, Position, Team
 from wagtailloft.operators import OperatorService
+from wagtailloft.session_tokens import SessionTokens, _tag
 from wagtailloft.sessions.session import Session
 from wagtailloft.sessions.statements import (
     PreparedStatement,
@@ -1014,13 +1016,13 @@
 class RawPlatform:
     """The HTTP transport of a client of the object API that answers with raw JSON."""
 
-    def __init__(self, data):
+    def __init__(self, data, status=200):
         """Answer with the given body."""
-        self.data = data
+        self.data, self.status = data, status
 
     def request(self, method, url, **kwargs):
         """Answer a call."""
-        return SimpleNamespace(status=200, data=self.data, headers={"Store-Era": "1"})
+        return SimpleNamespace(status=self.status, data=self.data, headers={"Store-Era": "1"})
 
 
 def odd_changes():
@@ -1136,3 +1138,33 @@
         for field in ("held", "wanted"):
             ask = dict(team="t", host="h", number=1, held=0.0, wanted=1.0) | {field: odd}
             assert refuses(peers.decode_grant_request, ttypes.TokenAsk(**ask))
+
+
+@then("each odd object conflicts with a write at its revision, and its value is given as null")
+def step_odd_object_conflict(context):
+    for value in (*ODD_VALUES, b'{"name":"odd","rate":1e300}'):
+        data = b'{"kind":"team","name":"odd","revision":2,"value":%s}' % value
+        api = HttpObjectApi(address="127.0.0.1:1", source="127.0.0.1")
+        api._http, api._started_era, api._era = RawPlatform(data, status=409), 1, 1
+        put = api.put("team", "odd", Team(name="odd"), 10**12 + 1)
+        assert put.err_value == WriteConflict(revision=10**12 + 2), (value[:20], put)
+
+
+@then("each odd token is refused as a bad session")
+def step_odd_tokens(context):
+    tokens = SessionTokens(secrets=("x" * 20,))
+
+    def read(body):
+        signed = _tag(tokens._secrets[0], body) + body
+        return tokens.read("t", base64.urlsafe_b64encode(signed).decode())
+
+    def encode(*position):
+        return msgspec.msgpack.encode(["t", {"g": position}])
+
+    assert read(encode(1, 2)).is_ok()
+    odd = [encode(*p) for p in ((-1, 2), (1, 2**63), (1, 2**64 - 1), (1.5, 2), (math.nan, 2))]
+    odd += [b"\x92\xa1t" + b"\x91" * 3000, b"\x93\xa1t\x80" + b"\x91" * 3000 + b"\x01"]
+    odd += [b"\x91" * 3000 + b"\x01", b"\x92\xa1t\xdf\xff\xff\xff\xff", b""]
+    for body in odd:
+        refused = read(body)
+        assert refused.is_err() and refused.err_value.kind is Kind.BAD_SESSION, body[:20]
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -36,7 +36,10 @@
 
 
 class WriteConflict(msgspec.Struct, frozen=True, kw_only=True):
-    """The stored revision and value of an object whose conditional write was rejected."""
+    """The stored revision and value of an object whose conditional write was rejected.
+
+    The value is that of a removed object if it is not what the object's kind requires.
+    """
 
     revision: StoreNumber
     value: msgspec.Raw = REMOVED
@@ -129,7 +132,7 @@
                 return response
             return self._resolve_unknown_write(kind, name, sent, version, era, timeout)
         if response.ok_value.status == 409:
-            return _decode_conflict(response.ok_value)
+            return _decode_conflict(kind, response.ok_value)
         written = _decode_response(response.ok_value)
         if isinstance(written, Err) or era_of(written.ok_value.revision) == era:
             return written
@@ -348,16 +351,32 @@
         return _unavailable(f"the response could not be decoded: {exc}")
 
 
-def _decode_conflict(response: urllib3.BaseHTTPResponse) -> Err[WriteConflict | Refusal]:
-    decoded = _decode(response.data, WriteConflict)
-    if isinstance(decoded, Err):
-        return decoded
-    conflict = decoded.ok_value
+def _decode_conflict(kind: str, response: urllib3.BaseHTTPResponse) -> Err[WriteConflict | Refusal]:
+    try:
+        revision, value = _split_conflict(response.data)
+    except ValueError as exc:
+        return _unavailable(f"the response could not be decoded: {exc}")
+    try:
+        decode(value, RECORD_TYPES.get(kind, Any))
+    except msgspec.DecodeError as exc:
+        if value != bytes(REMOVED):
+            logs.warn("object_unreadable", object=response.data[:100], why=str(exc))
+        value = REMOVED
     return Err(
-        msgspec.structs.replace(conflict, revision=make_revision(_era(response), conflict.revision))
+        WriteConflict(revision=make_revision(_era(response), revision), value=msgspec.Raw(value))
     )
 
 
+def _split_conflict(data: bytes) -> tuple[int, bytes]:
+    """Return the revision and the undecoded value of a stored object; raise ValueError."""
+    try:
+        conflict = decode(data, WriteConflict)
+    except msgspec.DecodeError:
+        fields = split_object(data)
+        return decode(fields.get(b'"revision"', b""), StoreNumber), fields.get(b'"value"', b"null")
+    return conflict.revision, bytes(conflict.value)
+
+
 def _decode(data: bytes, type_: type) -> Result[Any, Refusal]:
     try:
         return Ok(decode(data, type_))
