Refuse session tokens whose positions are out of range

A signed token with a negative position, or one above 64 bits, was taken, and could not be signed again.

Change: the positions have ranges in the token's type, and nesting that is too deep counts as undecodable contents.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -107,3 +107,6 @@
 
   Scenario: An operator replaces an object that can't be read
     Then each odd object conflicts with a write at its revision, and its value is given as null
+
+  Scenario: A signed session token has odd contents
+    Then each odd token is refused as a bad session
--- a/src/wagtailloft/session_tokens.py
+++ b/src/wagtailloft/session_tokens.py
@@ -10,6 +10,7 @@
 
 from wagtailloft.errors import Kind, Refusal
 from wagtailloft.models import Position, SessionPosition
+from wagtailloft.ranges import Count
 
 TAG_BYTES = 16
 MAX_TOKEN_BYTES = 8_192
@@ -20,7 +21,7 @@
     """The signed content: a team, and (term, index) by group."""
 
     team: str
-    positions: dict[str, tuple[int, int]]
+    positions: dict[str, tuple[Count, Count]]
 
 
 class SessionTokens:
@@ -67,7 +68,7 @@
             return _bad_session("wrong signature")
         try:
             content = msgspec.msgpack.decode(body, type=_Body)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             return _bad_session("token content can't be decoded")
         if content.team != team:
             return _bad_session("session of another team")
