--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -110,3 +110,9 @@
 
   Scenario: A signed session token has odd contents
     Then each odd token is refused as a bad session
+
+  Scenario: Any JSON is split into its parts, however it is written
+    Then any array and any object are split into what they hold, and any other text is refused
+
+  Scenario: A response of 1 MiB that can't be decoded as a whole
+    Then its good entries are decoded within 3 s, however the odd one is nested
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import base64
+import json
 import math
 import re
+import socket
 import sys
 import tempfile
+import threading
+import time
+from contextlib import suppress
 from pathlib import Path
 from types import SimpleNamespace
 from unittest.mock import patch
@@ -13,15 +18,17 @@
 
 import msgspec
 from behave import given, then, when
+from hypothesis import strategies as st
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
-from features.steps.fuzz import FakeTransport
+from features.steps.fuzz import FakeTransport, fuzz, json_values, mutated
 from features.steps.robustness import expect_failure, make_target_link
 from features.virtual_time import run_virtual
 from wagtailloft import clock, logs, options
 from wagtailloft import settings as daemon_settings
 from wagtailloft.adapters import peers
 from wagtailloft.adapters.callers import CallerHandler
+from wagtailloft.adapters.http import HttpConnection
 from wagtailloft.adapters.members import HttpMemberLink, MemberRequest, _decode_progress
 from wagtailloft.adapters.object_api import HttpObjectApi, WriteConflict
 from wagtailloft.adapters.peers import (
@@ -81,6 +88,7 @@
 from wagtailloft.groups.ports import BoundStatement, LinkSpec
 from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX
 from wagtailloft.host_process import HostProcess
+from wagtailloft.json_parts import split_array, split_object
 from wagtailloft.models import Member, Mode, Position, Team
 from wagtailloft.operators import OperatorService
 from wagtailloft.session_tokens import SessionTokens, _tag
@@ -1168,3 +1176,98 @@
     for body in odd:
         refused = read(body)
         assert refused.is_err() and refused.err_value.kind is Kind.BAD_SESSION, body[:20]
+
+
+# Sizes.
+
+
+@then("any array and any object are split into what they hold, and any other text is refused")
+def step_split(context):
+    @fuzz(st.lists(json_values, max_size=4), st.sampled_from([None, 1]))
+    def check_array(value, indent):
+        parts = split_array(json.dumps(value, indent=indent).encode())
+        assert [json.loads(p) for p in parts] == value
+
+    @fuzz(st.dictionaries(st.text(), json_values, max_size=4), st.sampled_from([None, 1]))
+    def check_object(value, indent):
+        parts = split_object(json.dumps(value, indent=indent, ensure_ascii=False).encode())
+        assert {json.loads(k): json.loads(v) for k, v in parts.items()} == value
+
+    @fuzz(mutated(b'[1,"a"]', b'{"a":[1]}', b'"', b"\\", b"[", b"]"))
+    def check_any(text):
+        for split in (split_array, split_object):
+            try:
+                split(text)
+            except ValueError:
+                pass
+
+
+@then("its good entries are decoded within {limit:g} s, however the odd one is nested")
+def step_large_odd(context, limit):
+    for spec in (
+        b"[" * 500_000 + b"]" * 500_000,
+        b'{"a":' * 170_000 + b"1" + b"}" * 170_000,
+        b"[" + b",," * 500_000 + b"]",
+        b'["' + b'\\"' * 500_000 + b'"]',
+        b'"' + b"\\u0000" * 170_000 + b'\\q"',
+    ):
+        raw_store = RawStore()
+        raw_store.write(b"a", good_object(b"a"))
+        raw_store.write(b"odd", encode_object(b'"odd"', b"REVISION", spec))
+        started = time.process_time()
+        changes = asyncio.run(make_client(raw_store).changes(Topic.TARGETS, 0, 0.0))
+        assert time.process_time() - started < limit, spec[:20]
+        assert targets_of(changes.entries) == ["a"], spec[:20]
+
+
+def serve_endlessly(context, head):
+    """Serve 64 MiB after a head to each connection; return the port, and the bytes sent to each."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.stack.callback(listener.close)
+    sent = []
+
+    def serve():
+        while True:
+            try:
+                conn, _ = listener.accept()
+            except OSError:
+                return
+            sent.append(0)
+            with conn, suppress(OSError):
+                conn.recv(65_536)
+                conn.sendall(head)
+                for _ in range(64):
+                    conn.sendall(b" " * (1 << 20))
+                    sent[-1] += 1 << 20
+
+    threading.Thread(target=serve, daemon=True).start()
+    return listener.getsockname()[1], sent
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: 99999999999\r\n\r\n"
+
+
+@then("a response of the store over 32 MiB counts as none, and its connection is closed")
+def step_endless_store(context):
+    port, sent = serve_endlessly(context, HEAD)
+    client = platform_store.ObjectStore(address=f"127.0.0.1:{port}", source="127.0.0.1")
+    try:
+        asyncio.run(client.changes(Topic.TARGETS, 0, 0.0))
+    except StoreDown as exc:
+        assert "MiB" in str(exc), exc
+    else:
+        raise AssertionError("an endless response was taken")
+    assert len(sent) == 1 and sent[0] < 60 << 20, sent
+
+
+@then("a response of a member of our own interface over 32 MiB counts as none")
+def step_endless_member(context):
+    port, sent = serve_endlessly(context, HEAD)
+    conn = HttpConnection(ip="127.0.0.1", port=port, source="127.0.0.1")
+    conn.open(1.0)
+    try:
+        conn.exchange("POST", "/run", b"{}", 20.0)
+    except NoResponse:
+        assert not conn.usable and sent[0] < 60 << 20, sent
+        return
+    raise AssertionError("an endless response was taken")
--- a/src/wagtailloft/json_parts.py
+++ b/src/wagtailloft/json_parts.py
@@ -7,7 +7,11 @@
 import re
 
 # Possessive repeats, so that the time is proportional to the size of any text.
-_TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+"|"|[\[{]++|[\]}]++|[,:]', re.DOTALL)
+_STRING = rb'"(?:[^"\\]++|\\.)*+"'
+# Whatever precedes the next separator or bracket at the first level; then that.
+_FIRST_LEVEL = re.compile(rb'(?:[^"\[\]{},:]++|%s)*+([,:\[\]{}])' % _STRING, re.DOTALL)
+# Whatever precedes the next brackets further inside; then those.
+_INSIDE = re.compile(rb'(?:[^"\[\]{}]++|%s)*+([\[{]++|[\]}]++)' % _STRING, re.DOTALL)
 
 
 def split_array(raw: bytes) -> list[bytes]:
@@ -25,27 +29,43 @@
     raw = raw.strip()
     if not raw.startswith(opening):
         raise ValueError(f"expected {opening.decode()}")
-    parts, depth, start, name = [], 1, 1, b""
-    for match in _TOKEN.finditer(raw, 1):
-        token = match[0]
-        if token == b'"':
-            raise ValueError("a string has no end")
-        if token[0] in b"[{":
-            depth += len(token)
-        elif token[0] in b"]}":
-            depth -= len(token)
-            if depth <= 0:
-                end = match.end() + depth - 1
-                value = raw[start:end].strip()
-                if value or parts:
-                    parts.append((name, value))
-                if end != len(raw) - 1:
-                    raise ValueError("text follows the last bracket")
-                return parts
-        elif depth == 1 and token == b",":
-            parts.append((name, raw[start : match.start()].strip()))
-            start, name = match.end(), b""
-        elif depth == 1 and token == b":" and not name:
-            name = raw[start : match.start()].strip()
-            start = match.end()
-    raise ValueError("a bracket has no end")
+    parts, start, name = [], 1, b""
+    match = _FIRST_LEVEL.match(raw, 1)
+    while match is not None:
+        token, at = match[1], match.start(1)
+        if token in b"]}":
+            value = raw[start:at].strip()
+            if value or parts:
+                parts.append((name, value))
+            if at != len(raw) - 1:
+                raise ValueError("text follows the last bracket")
+            return parts
+        after = at + 1
+        if token in b"[{":
+            after = _end_of_brackets(raw, after)
+        elif token == b",":
+            parts.append((name, raw[start:at].strip()))
+            start, name = after, b""
+        elif not name:
+            name = raw[start:at].strip()
+            start = after
+        match = _FIRST_LEVEL.match(raw, after)
+    raise ValueError("a string or a bracket has no end")
+
+
+def _end_of_brackets(raw: bytes, start: int) -> int:
+    """Return where the brackets end that were opened just before a position."""
+    depth = 1
+    while depth:
+        match = _INSIDE.match(raw, start)
+        if match is None:
+            raise ValueError("a string or a bracket has no end")
+        brackets = match[1]
+        start = match.end()
+        if brackets[0] in b"[{":
+            depth += len(brackets)
+        elif depth >= len(brackets):
+            depth -= len(brackets)
+        else:
+            return match.start(1) + depth
+    return start
