Bound the size of responses that a host reads

A store, or a proxy before it, that named a huge Content-Length made the reading thread raise MemoryError, which no caller of the store expects, so the task that follows a topic ended. A body without end filled the memory. A member of our own interface could do the latter.

Cause: bodies were read whole, by the length that the response claims. Change: HTTP clients read at most 32 MiB of a response; a longer one closes its connection and counts as none. After a frame that can't be decoded, what follows on that connection of a host is not handled either. Evidence: the new scenario failed before with MemoryError.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -116,3 +116,7 @@
 
   Scenario: A response of 1 MiB that can't be decoded as a whole
     Then its good entries are decoded within 3 s, however the odd one is nested
+
+  Scenario: A store or a member sends a response without end
+    Then a response of the store over 32 MiB counts as none, and its connection is closed
+    And a response of a member of our own interface over 32 MiB counts as none
--- a/src/wagtailloft/adapters/http.py
+++ b/src/wagtailloft/adapters/http.py
@@ -7,6 +7,7 @@
 import httptools
 from urllib3.util.wait import wait_for_read
 
+from wagtailloft.adapters.http_pool import MAX_RESPONSE_BYTES
 from wagtailloft.adapters.sockets import set_tcp_options
 from wagtailloft.errors import NoResponse, NotSent
 
@@ -21,8 +22,10 @@
         self.complete = False
 
     def on_body(self, body: bytes) -> None:
-        """Append a part of the body."""
+        """Append a part of the body; raise ValueError over the limit."""
         self.body += body
+        if len(self.body) > MAX_RESPONSE_BYTES:
+            raise ValueError("the response exceeds the size limit")
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
--- a/src/wagtailloft/adapters/object_api.py
+++ b/src/wagtailloft/adapters/object_api.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from wagtailloft import logs
-from wagtailloft.adapters.sockets import TCP_OPTIONS
+from wagtailloft.adapters.http_pool import HttpPool, HttpReply
 from wagtailloft.catalog import TYPE_BY_KIND
 from wagtailloft.controllers.object_cache import Delta
 from wagtailloft.digits import is_decimal
@@ -24,6 +24,7 @@
 from wagtailloft.ranges import StoreNumber
 from wagtailloft.revisions import MAX_ERA, NO_ERA, era_of, make_revision, number_of
 
+HTTP_CONNECTIONS = 8
 OBJECT_CALL_TIMEOUT_S = 2.0
 WATCH_GRACE_S = 1.5  # added to the wait of a watch, so that the response can arrive
 WATCHED_KINDS = f"team,key,group,route,level,leadership,host,epoch,{ERA_KIND}"
@@ -93,12 +94,7 @@
         self._era = NO_ERA  # of the latest response
         self._started_era = NO_ERA  # known to have its start mark
         self._reported: dict[int, None] = {}
-        self._http = urllib3.PoolManager(
-            maxsize=8,
-            retries=False,
-            socket_options=list(TCP_OPTIONS),
-            source_address=(source, 0),
-        )
+        self._http = HttpPool(source=source, maxsize=HTTP_CONNECTIONS)
 
     def get(
         self, kind: str, name: str, timeout: float = OBJECT_CALL_TIMEOUT_S
@@ -230,7 +226,7 @@
 
     def _put_once(
         self, kind: str, name: str, value: Any, version: int, timeout: float
-    ) -> Result[urllib3.BaseHTTPResponse, Refusal]:
+    ) -> Result[HttpReply, Refusal]:
         body = msgspec.json.encode({"value": value})
         path = f"{_object_path(kind, name)}?version={number_of(version)}"
         return self._call("PUT", path, body, timeout)
@@ -274,7 +270,7 @@
         path: str,
         body: bytes | None = None,
         timeout: float = OBJECT_CALL_TIMEOUT_S,
-    ) -> Result[urllib3.BaseHTTPResponse, Refusal]:
+    ) -> Result[HttpReply, Refusal]:
         total = urllib3.Timeout(total=timeout)
         try:
             response = self._http.request(method, self._base + path, body=body, timeout=total)
@@ -302,7 +298,7 @@
     return f"/objects/{kind}/{quote(name, safe='')}"
 
 
-def _era(response: urllib3.BaseHTTPResponse) -> int:
+def _era(response: HttpReply) -> int:
     text = response.headers.get(ERA_HEADER, "")
     return int(text) if is_decimal(text) else NO_ERA
 
@@ -344,14 +340,14 @@
     return change
 
 
-def _decode_response(response: urllib3.BaseHTTPResponse) -> Result[Change, Refusal]:
+def _decode_response(response: HttpReply) -> Result[Change, Refusal]:
     try:
         return Ok(_decode_change(response.data, _era(response)))
     except msgspec.DecodeError as exc:
         return _unavailable(f"the response could not be decoded: {exc}")
 
 
-def _decode_conflict(kind: str, response: urllib3.BaseHTTPResponse) -> Err[WriteConflict | Refusal]:
+def _decode_conflict(kind: str, response: HttpReply) -> Err[WriteConflict | Refusal]:
     try:
         revision, value = _split_conflict(response.data)
     except ValueError as exc:
--- a/src/wagtailloft/fleet/mesh.py
+++ b/src/wagtailloft/fleet/mesh.py
@@ -113,7 +113,9 @@
                 return
             body = bytes(self._buffer[HEADER_BYTES : HEADER_BYTES + size])
             del self._buffer[: HEADER_BYTES + size]
-            self._handle_frame(body)
+            if not self._handle_frame(body):
+                self.close()
+                return
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail pending calls, and run the hooks that end work received over the connection."""
@@ -127,25 +129,26 @@
             hook()
         self._on_lost(self)
 
-    def _handle_frame(self, body: bytes) -> None:
+    def _handle_frame(self, body: bytes) -> bool:
+        """Handle a frame; return whether it could be decoded."""
         try:
             frame = DECODER.decode(body)
         except (msgspec.MsgspecError, RecursionError) as exc:
             logs.warn("frame_unreadable", why=str(exc))
-            self.close()
-            return
+            return False
         if frame.body is None:
             if not frame.is_response:
                 self._write(PONG)
-            return
+            return True
         if not frame.is_response:
             task = self._loop.create_task(self._handle_request(frame))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            return
+            return True
         future = self._calls.get(frame.call_id)
         if future and not future.done():
             future.set_result(frame.body)
+        return True
 
     async def _handle_request(self, frame: Frame) -> None:
         name = type(frame.body).__name__
