--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -284,7 +284,8 @@
             return
         known = daemon.objects.get("level", LEVEL)
         self._next_value += 1
-        value, revision = {"value": self._next_value}, known.revision if known else 0
+        value = {"name": LEVEL, "value": self._next_value}
+        revision = known.revision if known else 0
         if daemon.api.put("level", LEVEL, value, revision).is_ok():
             daemon.watcher.refresh()
             if value_of_level(daemon.objects) == self._next_value:
