--- a/src/wagtailloft/fleet/mesh.py
+++ b/src/wagtailloft/fleet/mesh.py
@@ -10,7 +10,7 @@
 
 from wagtailloft import logs
 from wagtailloft.adapters.sockets import set_tcp_options
-from wagtailloft.errors import NoResponse, NotSent
+from wagtailloft.errors import NoResponse, NotSent, WagtailError
 from wagtailloft.fleet.messages import DECODER, ENCODER, CallFailed, Frame, Message
 
 HEADER_BYTES = 4
@@ -22,11 +22,23 @@
 Handler = Callable[["PeerConnection", Message], Awaitable[Message]]
 
 
-def encode_frame(frame: Frame) -> bytes | None:
-    """Encode a frame with its length; return None if no receiver would accept its size."""
-    body = ENCODER.encode(frame)
+# What encoding raises for numbers over 64 bits, text that is no Unicode and unknown types.
+ENCODE_ERRORS = (OverflowError, ValueError, TypeError, RecursionError)
+
+
+class Unsendable(WagtailError):
+    """Raised for a frame that can't be encoded, or that no receiver would accept."""
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame with its length; raise Unsendable."""
+    name = type(frame.body).__name__
+    try:
+        body = ENCODER.encode(frame)
+    except ENCODE_ERRORS as exc:
+        raise Unsendable(f"the {name} can't be encoded: {exc!r}") from exc
     if len(body) > MAX_FRAME_BYTES:
-        return None
+        raise Unsendable(f"the {name} is larger than {MAX_FRAME_BYTES} bytes")
     return len(body).to_bytes(HEADER_BYTES) + body
 
 
@@ -57,9 +69,11 @@
         if self.closed or self._transport is None:
             raise NotSent("the connection to the host is closed")
         call_id = next(self._call_ids)
-        data = encode_frame(Frame(call_id=call_id, is_response=False, body=message))
-        if data is None:
-            raise NotSent(f"the {type(message).__name__} is larger than {MAX_FRAME_BYTES} bytes")
+        try:
+            data = encode_frame(Frame(call_id=call_id, is_response=False, body=message))
+        except Unsendable as exc:
+            logs.warn("message_unsendable", why=str(exc))
+            raise NotSent(str(exc)) from exc
         future = self._loop.create_future()
         self._calls[call_id] = future
         self._transport.write(data)
@@ -99,7 +113,9 @@
                 return
             body = bytes(self._buffer[HEADER_BYTES : HEADER_BYTES + size])
             del self._buffer[: HEADER_BYTES + size]
-            self._handle_frame(body)
+            if not self._handle_frame(body):
+                self.close()
+                return
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail pending calls, and run the hooks that end work received over the connection."""
@@ -113,25 +129,26 @@
             hook()
         self._on_lost(self)
 
-    def _handle_frame(self, body: bytes) -> None:
+    def _handle_frame(self, body: bytes) -> bool:
+        """Handle a frame; return whether it could be decoded."""
         try:
             frame = DECODER.decode(body)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             logs.warn("frame_unreadable", why=str(exc))
-            self.close()
-            return
+            return False
         if frame.body is None:
             if not frame.is_response:
                 self._write(PONG)
-            return
+            return True
         if not frame.is_response:
             task = self._loop.create_task(self._handle_request(frame))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            return
+            return True
         future = self._calls.get(frame.call_id)
         if future and not future.done():
             future.set_result(frame.body)
+        return True
 
     async def _handle_request(self, frame: Frame) -> None:
         name = type(frame.body).__name__
@@ -140,10 +157,11 @@
         except Exception as exc:  # one bad message must end neither the connection nor the process
             logs.warn("call_failed", message=name, why=repr(exc))
             response = CallFailed(why=f"{name}: {exc!r}")
-        data = encode_frame(Frame(call_id=frame.call_id, is_response=True, body=response))
-        if data is None:
-            logs.warn("response_too_large", message=name)
-            response = CallFailed(why=f"the response to {name} is too large")
+        try:
+            data = encode_frame(Frame(call_id=frame.call_id, is_response=True, body=response))
+        except Unsendable as exc:
+            logs.warn("response_unsendable", message=name, why=str(exc))
+            response = CallFailed(why=f"the response to {name} can't be sent")
             data = encode_frame(Frame(call_id=frame.call_id, is_response=True, body=response))
         self._write(data)
 
--- a/src/wagtailloft/logs.py
+++ b/src/wagtailloft/logs.py
@@ -22,6 +22,7 @@
 MAX_QUEUED_LINES = 4_000  # about 1 MB of memory if the reader of standard output stops
 RETRY_DELAY_S = 0.5  # after a failed write
 OUTPUT_CLOSED = frozenset({errno.EPIPE, errno.EBADF})  # no later write can succeed
+MAX_VALUE_CHARS = 500  # of a line; callers and other systems choose some of the texts
 STDOUT = 1
 
 
@@ -168,6 +169,8 @@
     if isinstance(value, float):
         return f"{value:.4g}"
     text = str(value)
+    if len(text) > MAX_VALUE_CHARS:
+        text = f"{text[:MAX_VALUE_CHARS]}..."
     if text and not any(c.isspace() or c in '"=' or not c.isprintable() for c in text):
         return text
     escaped = text.encode("unicode_escape").decode().replace('"', '\\"')
