Call dead hosts again, which may only have been cut off

After a cut of all connections between hosts for 6 s, every host took all others for dead and never called them again, as nobody calls a dead host. No host heard from a majority any more: operators' changes were refused as no_majority, an outage of the platform made all settings stale, and two hosts took themselves for the owner of the same shard. Dead hosts that a majority hears are removed from the register after 5 s and come back by registering again; without a majority nothing ended this but restarts.

Cause: DEAD, which silence alone leads to, counted as the end of the process. Now each round of gossip also calls one dead host, and a digest tells its receiver if it is believed suspect or dead, as a reply did before, so that it can refute that with a higher incarnation.

features/liveness.feature failed before on a model of daemons, 4 s after the cut: h00/1 has h01, h02 and h03 dead.

--- /dev/null
+++ b/features/liveness.feature
@@ -0,0 +1,6 @@
+Feature: A daemon that can't be reached is not taken for one that has ended
+
+  Scenario: Daemons that were all cut off from each other hear each other again
+    Given a model of daemons that know a key
+    When all daemons are cut off from each other for 6 s
+    Then within 4 s every daemon takes all others for alive and hears from a majority
--- a/src/wagtailloft/controllers/membership.py
+++ b/src/wagtailloft/controllers/membership.py
@@ -131,6 +131,11 @@
                 chosen.append(self._peers[name].host)
         return tuple(chosen)
 
+    def pick_dead(self) -> Host | None:
+        """Return a random dead host, which may only have been cut off, or None if none is dead."""
+        dead = [p.host for p in self._peers.values() if p.host.state is HostState.DEAD]
+        return self._rng.choice(dead) if dead else None
+
     def indirect_probers(self, name: str, count: int) -> tuple[Host, ...]:
         """Return random hosts that are alive and can probe another host on behalf of this one."""
         alive = [
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -5,8 +5,6 @@
 import time
 from concurrent.futures import Executor
 
-import msgspec
-
 from wagtailloft import logs
 from wagtailloft.adapters.peers import GossipDigest, Peers
 from wagtailloft.controllers.freshness import FreshnessTracker, PeerReport, SettingsState
@@ -135,10 +133,16 @@
                 self._executor.submit(self.exchange, host)
 
     def tick(self) -> None:
-        """Exchange digests with a platform watcher and the next few peers; declare hosts dead."""
+        """Exchange digests with a platform watcher and the next few peers; declare hosts dead.
+
+        One dead host is tried too: after a cut, neither side would call the other again.
+        """
         with self._lock:
             peers = {h.name: h for h in self._membership.next_probes(FANOUT - 1)}
             peers |= self._pick_platform_watcher()
+            dead = self._membership.pick_dead()
+            if dead is not None:
+                peers[dead.name] = dead
             died = self._membership.expire_suspects(time.monotonic())
         for host in died:
             logs.warn("host_dead", host=host.name)
@@ -161,11 +165,17 @@
         for host in alive:
             self._executor.submit(self.exchange, host)
 
-    def digest(self) -> GossipDigest:
-        """Return this host's digest."""
+    def digest(self, receiver: str = "") -> GossipDigest:
+        """Return this host's digest.
+
+        A receiver believed suspect or dead is in it, so that it can refute that.
+        """
         now = time.monotonic()
         with self._lock:
             updates = self._membership.next_updates()
+            known = self._membership.find(receiver)
+        if known is not None and known.state in (HostState.SUSPECT, HostState.DEAD):
+            updates = (*updates, known)
         return GossipDigest(
             sender=self.own().name,
             revision=self._objects.revision,
@@ -176,30 +186,24 @@
         )
 
     def handle_digest(self, digest: GossipDigest) -> GossipDigest:
-        """Apply a peer's digest and return this host's.
-
-        A sender believed suspect or dead is in the reply, so that it can refute that.
-        """
+        """Apply a peer's digest and return this host's."""
         self._merge(digest)
         self._adopt_forgotten(digest)
         self._freshness.record_revision(digest.sender, digest.revision)
         sender = self.find(digest.sender)
-        reply = self.digest()
-        if sender is None:
-            return reply
-        if digest.revision > reply.revision:
+        reply = self.digest(digest.sender)
+        if sender is not None and digest.revision > reply.revision:
             self._executor.submit(self._catch_up, sender)
-        if sender.state in (HostState.SUSPECT, HostState.DEAD):
-            return msgspec.structs.replace(reply, updates=(*reply.updates, sender))
         return reply
 
     def exchange(self, host: Host) -> bool:
         """Exchange digests with a peer; suspect it if it does not answer indirect probes either."""
         requested_at = time.monotonic()
         try:
-            digest = self._peers.exchange(host, self.digest())
+            digest = self._peers.exchange(host, self.digest(host.name))
         except (NotSent, NoResponse):
-            self._probe_indirectly(host)
+            if host.state is not HostState.DEAD:
+                self._probe_indirectly(host)
             return False
         answered_at = time.monotonic()
         with self._lock:
@@ -226,7 +230,7 @@
         if host is None:
             return False
         try:
-            self._peers.exchange(host, self.digest())
+            self._peers.exchange(host, self.digest(name))
         except (NotSent, NoResponse):
             return False
         return True
