Don't take a lease that an older copy of the store has for this host for held

A team could get tokens from two hosts at once. After the store came back from a copy in which a lease names a host that had lost it since, that host renewed it without waiting and granted under its earlier epoch, while the holder, cut off, granted until its own lease expired. Likewise a host whose acquisition was done although its response was lost held the lease in an epoch that it never published, which the earlier holder could not learn of.

Cause: the host's name in the store counted as proof that nobody else may grant. Now the host resumes a lease only in the present era and in the epoch that it published. An acquisition without a response is repeated with a new epoch; a lease of a copy is acquired like that of any other holder, after its expiry. A renewal without a response costs no more than before, which a scenario guards.

The fake store of these steps now checks versions.

--- a/features/rates.feature
+++ b/features/rates.feature
@@ -31,3 +31,18 @@
   Scenario: A host that acquires a lease again grants nothing before a majority knows the new epoch
     Given a host that acquired and released a lease that another host then acquired and lost
     Then acquiring it again gives no right to grant before a majority knows the epoch
+
+  Scenario: A lease that an older copy of the store has for a host is not held by that host
+    Given a host that acquired and released a lease that another host then acquired and lost
+    When the store comes back from a copy of when the host held the lease
+    Then for 2 s the host has no right to grant
+
+  Scenario: An acquired lease whose response was lost gives no right before its epoch is published
+    Given a host that acquired and released a lease that another host then acquired and lost
+    When the response is lost to the write that acquires it again, which is done
+    Then the host has no right to grant an epoch that it did not publish
+
+  Scenario: The response to a renewal of a lease is lost
+    Given a host that holds a lease
+    When the response is lost to a renewal, which is done
+    Then the host may grant in the same epoch a second later
--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -3,38 +3,51 @@
 import time
 
 import msgspec
-from behave import given, then
-from result import Ok
+from behave import given, then, when
+from result import Err, Ok
 
+from wagtailloft.adapters.object_api import WriteConflict
 from wagtailloft.catalog import Catalog
 from wagtailloft.controllers.object_cache import Delta, ObjectCache
 from wagtailloft.decisions import Decisions
-from wagtailloft.leases import LEASE_DURATION_S, Leases
-from wagtailloft.models import Change, Host, Lease
+from wagtailloft.errors import Kind, Refusal
+from wagtailloft.leases import LEASE_DURATION_S, RENEW_INTERVAL_S, Leases
+from wagtailloft.models import Change, Host, Lease, LeaseEpoch
+from wagtailloft.revisions import make_revision
 
 SHARD = "shard-0"
 
 
 class FakeObjectApi:
-    """Store objects in memory, and call `on_write` after each write, before the response."""
+    """Store objects in memory, and call `on_write` after each write, before the response.
+
+    The responses to the next `lost_responses` writes are lost.
+    """
 
     def __init__(self):
         """Create an empty store."""
         self.objects = {}
         self.revision = 0
         self.on_write = lambda: None
+        self.lost_responses = 0
 
     def get(self, kind, name, timeout=0.0):
         """Return an object."""
         return Ok(self.objects.get((kind, name)))
 
     def put(self, kind, name, value, version, timeout=0.0):
-        """Write an object, whatever its version."""
+        """Write an object if it is still at a version; version 0 overwrites any."""
+        stored = self.objects.get((kind, name))
+        if version and stored is not None and stored.revision != version:
+            return Err(WriteConflict(revision=stored.revision, value=stored.value))
         self.revision += 1
         raw = msgspec.Raw(msgspec.json.encode(value))
         change = Change(kind=kind, name=name, revision=self.revision, value=raw)
         self.objects[(kind, name)] = change
         self.on_write()
+        if self.lost_responses:
+            self.lost_responses -= 1
+            return Err(Refusal(kind=Kind.OUTCOME_UNKNOWN, detail="no response"))
         return Ok(change)
 
 
@@ -69,8 +82,20 @@
 
 @given("a host that acquired and released a lease that another host then acquired and lost")
 def step_lease_taken_over(context):
+    start_leases(context)
+    context.leases.tick()
+    assert context.leases.grant_right(SHARD).granting_from == 0.0
+    context.leases.release()
+    other = Lease(name=SHARD, holder="other/1", epoch=2)
+    context.object_api.put("lease", SHARD, other, 0)
+    context.leases.tick()
+    context.gossip.revision_known_by_majority = False
+
+
+def start_leases(context):
+    """Create the leases of a host that knows no objects."""
     context.object_api, context.gossip = FakeObjectApi(), FakeGossip()
-    objects = ObjectCache()
+    context.objects = objects = ObjectCache()
     objects.apply(Delta(revision=1, changes=()))
     context.leases = Leases(
         holder="me/1",
@@ -79,13 +104,6 @@
         catalog=Catalog(objects=objects, region="r", zone="z"),
         decisions=Decisions(host="me"),
     )
-    context.leases.tick()
-    assert context.leases.grant_right(SHARD).granting_from == 0.0
-    context.leases.release()
-    other = Lease(name=SHARD, holder="other/1", epoch=2)
-    context.object_api.put("lease", SHARD, other, 0)
-    context.leases.tick()
-    context.gossip.revision_known_by_majority = False
 
 
 @then("acquiring it again gives no right to grant before a majority knows the epoch")
@@ -102,3 +120,70 @@
         context.leases.tick()
         record_right()
     assert len(could_grant) >= 4 and not any(could_grant), could_grant
+
+
+def may_grant(context):
+    """Tell whether the host may grant tokens now."""
+    right = context.leases.grant_right(SHARD)
+    return right is not None and right.granting_from <= time.monotonic()
+
+
+@when("the store comes back from a copy of when the host held the lease")
+def step_restored_lease(context):
+    context.object_api.revision = make_revision(1, context.object_api.revision)
+    context.object_api.put("lease", SHARD, Lease(name=SHARD, holder="me/1", epoch=1), 0)
+
+
+@then("for {seconds:g} s the host has no right to grant")
+def step_no_right(context, seconds):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        context.leases.tick()
+        assert not may_grant(context), context.leases.grant_right(SHARD)
+        time.sleep(0.05)
+
+
+@when("the response is lost to the write that acquires it again, which is done")
+def step_lost_acquisition(context):
+    time.sleep(LEASE_DURATION_S + 0.1)
+    context.object_api.lost_responses = 1
+    context.leases.tick()
+    assert context.object_api.lost_responses == 0
+    context.gossip.revision_known_by_majority = True
+
+
+@then("the host has no right to grant an epoch that it did not publish")
+def step_only_published(context):
+    until = time.monotonic() + RENEW_INTERVAL_S * 3
+    while time.monotonic() < until:
+        context.leases.tick()
+        right = context.leases.grant_right(SHARD)
+        stored = context.object_api.objects.get(("epoch", SHARD))
+        published = stored.decode(LeaseEpoch).epoch if stored else 0
+        assert right is None or right.epoch == published, (right, published)
+        time.sleep(0.05)
+    assert may_grant(context)
+
+
+@given("a host that holds a lease")
+def step_holds_lease(context):
+    start_leases(context)
+    context.leases.tick()
+    context.epoch = context.leases.grant_right(SHARD).epoch
+
+
+@when("the response is lost to a renewal, which is done")
+def step_lost_renewal(context):
+    time.sleep(RENEW_INTERVAL_S)
+    context.object_api.lost_responses = 1
+    context.leases.tick()
+    assert context.object_api.lost_responses == 0
+
+
+@then("the host may grant in the same epoch a second later")
+def step_same_epoch(context):
+    until = time.monotonic() + RENEW_INTERVAL_S
+    while time.monotonic() < until:
+        context.leases.tick()
+        time.sleep(0.05)
+    assert may_grant(context) and context.leases.grant_right(SHARD).epoch == context.epoch
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -40,8 +40,8 @@
 class _ShardLease:
     """The state of one shard's lease as this host knows it; times are in monotonic seconds.
 
-    epoch_revision is the platform's revision of the published epoch; epoch_known_at is when a
-    majority of hosts was first seen to have it.
+    published_epoch is the epoch that this host published last, epoch_revision the platform's
+    revision of it; epoch_known_at is when a majority of hosts was first seen to have it.
     """
 
     name: str
@@ -51,6 +51,7 @@
     held_until: float = 0.0
     granting_from: float = math.inf
     epoch_known_at: float = math.inf
+    published_epoch: int = 0
     epoch_revision: int = 0
     released_by_predecessor: bool = False
     renewed_at: float = 0.0
@@ -150,8 +151,14 @@
         if change is not None:
             version, lease = change.revision, change.decode(Lease)
         if version != shard_lease.version:
-            shard_lease.version, shard_lease.lease, shard_lease.last_change_at = version, lease, now
-        is_free = not lease.holder and lease.era == era_of(version)
+            shard_lease.version, shard_lease.last_change_at = version, now
+        # After a write without a response the store may name this host, which then goes on in an
+        # epoch that it published. If an older copy names it, another host may hold the lease.
+        is_own = lease.holder == self._holder and lease.era == era_of(version)
+        if is_own and lease.epoch == shard_lease.published_epoch:
+            shard_lease.lease = lease
+            return
+        is_free = is_own or (not lease.holder and lease.era == era_of(version))
         if is_free or (change is None and self._catalog.objects.is_first_era()):
             self._acquire(shard_lease, version, lease)
         elif now - shard_lease.last_change_at >= LEASE_DURATION_S and self._gossip.hears_majority():
@@ -264,5 +271,6 @@
             shard_lease.held_until = 0.0
             shard_lease.lease = None
             return False
+        shard_lease.published_epoch = lease.epoch
         shard_lease.epoch_revision = put.ok_value.revision
         return True
