Stop granting rate tokens before a lease's release is sent

A team could get tokens from two hosts at once when a host gave up a lease during an outage that was about to end: it granted until the response to the release arrived, up to 2.4 s if that was lost, while the next holder takes a released lease for one whose holder grants no more.

The right to grant is now given up before the write. The scenario of features/rates.feature, which asks for the right while the store handles the release, failed before with GrantRight(epoch=1, granting_from=0.0).

--- a/features/rates.feature
+++ b/features/rates.feature
@@ -46,3 +46,7 @@
     Given a host that holds a lease
     When the response is lost to a renewal, which is done
     Then the host may grant in the same epoch a second later
+
+  Scenario: A host that releases a lease during an outage stops before the store has the release
+    Given a host that granted tokens during an outage and leaves
+    Then it has no right to grant once the store has the release
--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -8,6 +8,7 @@
 
 from wagtailloft.adapters.object_api import WriteConflict
 from wagtailloft.catalog import Catalog
+from wagtailloft.controllers.freshness import SettingsState
 from wagtailloft.controllers.object_cache import Delta, ObjectCache
 from wagtailloft.decisions import Decisions
 from wagtailloft.errors import Kind, Refusal
@@ -55,6 +56,11 @@
     """Gossip of a host that owns one shard, in a fleet that may not know its new revision yet."""
 
     revision_known_by_majority = True
+    state = SettingsState.FRESH
+
+    def settings_state(self):
+        """Return `state`, which the scenario sets."""
+        return self.state
 
     def owners(self, subject):
         """Return this host for SHARD, and no host for other shards."""
@@ -165,6 +171,24 @@
     assert may_grant(context)
 
 
+@given("a host that granted tokens during an outage and leaves")
+def step_leaves_in_outage(context):
+    start_leases(context)
+    context.leases.tick()
+    epoch = context.object_api.objects[("epoch", SHARD)]
+    context.objects.apply(Delta(revision=epoch.revision, changes=(epoch,)))
+    context.gossip.state = SettingsState.OUTAGE
+    assert may_grant(context)
+
+
+@then("it has no right to grant once the store has the release")
+def step_no_right_after_release(context):
+    rights = []
+    context.object_api.on_write = lambda: rights.append(context.leases.grant_right(SHARD))
+    context.leases.release()
+    assert rights == [None], rights
+
+
 @given("a host that holds a lease")
 def step_holds_lease(context):
     start_leases(context)
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -222,8 +222,10 @@
         self._write(shard_lease, renewed, shard_lease.version)
 
     def _release(self, shard_lease: _ShardLease) -> None:
-        shard_lease.held_until = 0.0
         lease = msgspec.structs.replace(shard_lease.lease, holder="", renewals=0)
+        # Before the write, since the next holder relies on it as soon as the store has it.
+        shard_lease.held_until = 0.0
+        shard_lease.lease = None
         self._write(shard_lease, lease, shard_lease.version)
         shard_lease.held_until = 0.0
         shard_lease.lease = None
