Let running daemons refuse connections in the model, which reaps dead hosts

The model check gets resets for daemons too: for a time a daemon's calls in flight are done without a response and new connections are refused, by the other daemons and by the platform, while it goes on running. The model runs the register of hosts as a daemon does, dead hosts are removed; the code moved from daemon.py to host_register.py for that. In the end every daemon must take all others for alive, and one of them must grant the tokens of each shard. A process's incarnation comes from the clock, so that refutations don't reach that of the next process.

--- a/features/check.py
+++ b/features/check.py
@@ -60,6 +60,11 @@
         """Cut a host off from the others for a time."""
         self.fleet.cut(host, seconds)
 
+    @rule(host=hosts, seconds=durations)
+    def reset(self, host, seconds):
+        """Cut a host that goes on running off from the others and the store, with resets."""
+        self.fleet.reset(host, seconds)
+
     @rule(host=hosts, seconds=durations)
     def pause(self, host, seconds):
         """Freeze a host for a time."""
@@ -99,11 +104,6 @@
         """Let the operator write a configuration."""
         self.fleet.configure(withdraw=withdraw)
 
-    @rule(host=hosts, seconds=durations)
-    def reset(self, host, seconds):
-        """Cut a host that goes on running off from the others and the store, with resets."""
-        self.fleet.reset(host, seconds)
-
     @rule(host=hosts, seconds=st.sampled_from((0.02, 0.5, 4.0)))
     def fail_over(self, host, seconds):
         """Let a host replace the primary, and time pass."""
--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -24,13 +24,15 @@
 from wagtailloft.controllers.membership import Membership
 from wagtailloft.controllers.object_cache import ObjectCache
 from wagtailloft.decisions import Decisions
-from wagtailloft.errors import NoResponse
+from wagtailloft.errors import NoResponse, NotSent
+from wagtailloft.host_register import HostRegister
 from wagtailloft.object_repair import ObjectRepair
 from wagtailloft.revisions import era_of
 
 DAEMONS, ZONES = 4, 2
 SHARDS = 2
 LEVEL = "level"
+PLATFORM = "platform"
 STEP_S = 0.05
 COPIES = 400
 CONVERGE_S = 15.0
@@ -52,11 +54,17 @@
         call = (None, method, parts.path, query, json.loads(body) if body else {})
         if fleet.platform_down or self._daemon.refused:
             raise urllib3.exceptions.HTTPError("refused")
+        try:
+            is_reset = self._daemon.loses_response(PLATFORM)
+        except NotSent as exc:
+            raise urllib3.exceptions.NewConnectionError(None, str(exc)) from exc
         if method == "PUT" and fleet.late_writes:
             fleet.late_writes -= 1
             fleet.pending.append((fleet.now + LATE_WRITE_S, call))
             raise urllib3.exceptions.HTTPError("no response")
         status, value = fleet.platform.handle(*call)
+        if is_reset:
+            raise urllib3.exceptions.ProtocolError("connection reset")
         if method == "PUT" and fleet.lost_answers:
             fleet.lost_answers -= 1
             raise urllib3.exceptions.HTTPError("no response")
@@ -72,22 +80,26 @@
         self._fleet, self._daemon = fleet, daemon
 
     def exchange(self, host, digest):
-        """Exchange digests; raise NoResponse."""
-        return self._other(host).gossip.handle_digest(digest)
+        """Exchange digests; raise NotSent or NoResponse."""
+        return self._call(host, lambda other: other.gossip.handle_digest(digest))
 
     def pull(self, host, after):
-        """Return the changes after a revision; raise NoResponse."""
-        return self._other(host).objects.changes_since(after)
+        """Return the changes after a revision; raise NotSent or NoResponse."""
+        return self._call(host, lambda other: other.objects.changes_since(after))
 
     def probe(self, host, other):
-        """Return whether a host reaches another; raise NoResponse."""
-        return self._other(host).gossip.probe_host(other)
+        """Return whether a host reaches another; raise NotSent or NoResponse."""
+        return self._call(host, lambda prober: prober.gossip.probe_host(other))
 
-    def _other(self, host):
-        other = self._fleet.daemons[int(host.name[1:])]
-        if self._daemon.cut or other.cut or other.paused:
+    def _call(self, host, method):
+        daemon, other = self._daemon, self._fleet.daemons[int(host.name[1:])]
+        if daemon.cut or other.cut or other.paused or daemon.side != other.side:
             raise NoResponse("no connection")
-        return other
+        is_reset = daemon.loses_response(other.number) | other.loses_response(daemon.number)
+        response = method(other)
+        if is_reset:
+            raise NoResponse("connection reset")
+        return response
 
 
 class Queue:
@@ -114,13 +126,25 @@
     def __init__(self, *, fleet, number):
         """Start the daemon's first process."""
         self.fleet, self.number = fleet, number
-        self.cut = self.refused = self.paused = False
-        self.incarnation = 0
+        self.cut = self.refused = self.paused = self.reset = False
+        self.side, self.connected, self.incarnation = 0, set(), 0
         self.restart()
 
+    def loses_response(self, peer):
+        """Tell whether a call over a connection is done without a response, as it is reset.
+
+        Raise NotSent once a new connection is refused.
+        """
+        if not self.reset:
+            return False
+        if peer not in self.connected:
+            raise NotSent("connection refused")
+        self.connected.remove(peer)
+        return True
+
     def restart(self):
         """Replace the daemon's process by one that knows nothing."""
-        self.incarnation += 1
+        self.incarnation = max(self.incarnation + 1, int(self.fleet.now * 1000))
         own = make_host(self.number, ZONES, incarnation=self.incarnation)
         rng = random.Random(own.process_name)
         self.name, self.queue = own.process_name, Queue()
@@ -151,11 +175,13 @@
             platform_watcher=self.watcher,
             clock=lambda: self.fleet.now,
         )
+        catalog = Catalog(objects=self.objects, region="r", zone=own.zone)
+        self.host_register = HostRegister(gossip=self.gossip, object_api=self.api, catalog=catalog)
         self.leases = leases.Leases(
             holder=own.process_name,
             object_api=self.api,
             gossip=self.gossip,
-            catalog=Catalog(objects=self.objects, region="r", zone=own.zone),
+            catalog=catalog,
             decisions=decisions,
         )
         self.leases._shards = dict(list(self.leases._shards.items())[:SHARDS])
@@ -195,16 +221,8 @@
         self.leases.tick()
 
     def _register(self):
-        listed = self.api.hosts()
-        for host in listed.ok_value if listed.is_ok() else ():
-            if self.gossip.find(host.name) is None and host.name != self.gossip.own().name:
-                self.gossip.exchange(host)
-        own = self.gossip.own()
-        found = self.objects.get("host", own.name)
-        if found is None or found.decode(models.Host).incarnation != own.incarnation:
-            stored = self.api.get("host", own.name)
-            if stored.is_ok():
-                self.api.put("host", own.name, own, _revision(stored.ok_value))
+        self.host_register.register()
+        self.host_register.remove_dead_hosts()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -218,7 +236,7 @@
 class ModelDaemons:
     """The daemons and the platform, in steps of virtual time."""
 
-    def __init__(self, *, seed):
+    def __init__(self, *, seed, count=DAEMONS):
         """Start the daemons and let them settle."""
         self.now, self.rng = 1000.0, random.Random(seed)
         self.platform = FakePlatform(host_lag_s=1.0)
@@ -233,7 +251,7 @@
             self._stack.enter_context(patch(f"{module}.time", clock))
         self._stack.enter_context(patch("standins.platform.time", clock))
         self.daemons = []
-        self.daemons = [ModelDaemon(fleet=self, number=n) for n in range(DAEMONS)]
+        self.daemons = [ModelDaemon(fleet=self, number=n) for n in range(count)]
         self.advance(8.0)
 
     def close(self):
@@ -326,6 +344,12 @@
             (self.now + seconds, lambda: setattr(self.daemons[number], "cut", False))
         )
 
+    def reset(self, number, seconds):
+        """Reset the connections of a daemon that runs, and refuse new ones for a time."""
+        daemon = self.daemons[number]
+        daemon.reset, daemon.connected = True, {PLATFORM, *range(len(self.daemons))}
+        self._events.append((self.now + seconds, lambda: setattr(daemon, "reset", False)))
+
     def pause(self, number, seconds):
         """Freeze a daemon for a time."""
         self.daemons[number].paused = True
@@ -335,7 +359,8 @@
         """End all faults; return what the daemons and the platform disagree on after a while."""
         self.lost_answers = self.late_writes = 0
         for daemon in self.daemons:
-            daemon.cut = daemon.refused = False
+            daemon.cut = daemon.refused = daemon.reset = False
+            daemon.side = 0
             daemon.wake()
         self.advance(CONVERGE_S)
         stored = {name for kind, name in self.platform.objects if kind == "key"}
@@ -348,6 +373,12 @@
                 wrong.append(f"{daemon.name} has not settled the era")
             if daemon.gossip.settings_state() is not SettingsState.FRESH:
                 wrong.append(f"{daemon.name} has old settings")
+            states = {h.name: h.state.value for h in daemon.gossip.hosts()}
+            if states != dict.fromkeys((h.gossip.own().name for h in self.daemons), "alive"):
+                wrong.append(f"{daemon.name} takes the hosts for {states}")
+        for shard in self.daemons[0].leases._shards:
+            if len(self._granting(shard, self.daemons)) != 1:
+                wrong.append(f"{self._granting(shard, self.daemons)} grant the tokens of {shard}")
         back = [n for n, w in self.withdrawals.items() if n in stored and w.known_by in running]
         wrong += [f"the withdrawn {name} is back" for name in back]
         latest = max((v for v, name in self.changes if name in running), default=0)
@@ -374,14 +405,17 @@
     def _check(self):
         running = [d for d in self.daemons if not d.paused]
         for shard in self.daemons[0].leases._shards:
-            rights = {d.name: d.leases.grant_right(shard) for d in running}
-            granting = [n for n, r in rights.items() if r and r.granting_from <= self.now]
+            granting = self._granting(shard, running)
             if len(granting) > 1:
                 self.violations.append(f"{granting} grant the tokens of {shard}")
         for daemon in running:
             self._check_keys(daemon)
             self._check_level(daemon)
 
+    def _granting(self, shard, daemons):
+        rights = {d.name: d.leases.grant_right(shard) for d in daemons}
+        return [name for name, r in rights.items() if r and r.granting_from <= self.now]
+
     def _check_level(self, daemon):
         value, era = value_of_level(daemon.objects), era_of(daemon.objects.revision)
         if value == 0 and daemon.objects.is_complete() and era != daemon.era:
@@ -404,10 +438,6 @@
                 self.violations.append(f"{daemon.name} accepts {name} again")
 
 
-def _revision(change):
-    return change.revision if change else 0
-
-
 def value_of_level(objects):
     """Return the value that a daemon has in force, 0 if none."""
     change = objects.get("level", LEVEL)
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -9,7 +9,6 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import fire
-from result import Err
 
 from wagtailloft import logs, settings
 from wagtailloft.adapters.callers import CallerHandler
@@ -29,6 +28,7 @@
 from wagtailloft.gossip import GOSSIP_INTERVAL_S, Gossip
 from wagtailloft.group_service import GroupServiceContext, GroupServices, HeartbeatInterval
 from wagtailloft.handler import PeerHandler
+from wagtailloft.host_register import HostRegister
 from wagtailloft.leases import Leases
 from wagtailloft.member_endpoint import http_link
 from wagtailloft.metrics import Metrics
@@ -95,6 +95,9 @@
             freshness=self.freshness,
             gossip=self.gossip,
         )
+        self.host_register = HostRegister(
+            gossip=self.gossip, object_api=self.object_api, catalog=self.catalog
+        )
         self.object_repair = ObjectRepair(
             objects=self.objects,
             object_api=self.object_api,
@@ -187,11 +190,11 @@
         self.timers.every("owners", OWNERSHIP_INTERVAL_S, self._tick_ownership)
         self.timers.every("leases", OWNERSHIP_INTERVAL_S, self.leases.tick)
         self.timers.every("limits", USAGE_REPORT_INTERVAL_S, self.rate_limiter.report_usage)
-        self.timers.every("join", REGISTRATION_INTERVAL_S, self._register_host)
+        self.timers.every("join", REGISTRATION_INTERVAL_S, self.host_register.register)
         self.timers.every("repair", REPAIR_INTERVAL_S, self.object_repair.tick)
-        self.timers.every("reaper", REGISTRATION_INTERVAL_S, self._remove_dead_hosts)
+        self.timers.every("reaper", REGISTRATION_INTERVAL_S, self.host_register.remove_dead_hosts)
         self.timers.start()
-        self.executor.submit(self._register_host)
+        self.executor.submit(self.host_register.register)
         self.caller_server.start()
         logs.event("started", host=self.cfg.host.name, zone=self.cfg.host.zone)
 
@@ -211,13 +214,13 @@
         logs.event("stopping", host=self.cfg.host.name)
         deadline = time.monotonic() + self._drain_timeout
         self.gossip.leave()
-        self._publish_state(HostState.LEAVING)
+        self.host_register.publish()
         self.caller_server.closing = True
         self._wait_until_idle(deadline)
         self.caller_server.stop()
         self.leases.release()
         self.group_services.close()
-        self._unregister_host()
+        self.host_register.unregister()
         self.platform_watcher.stop()
         self.timers.stop()
         self.operator_server.stop()
@@ -254,46 +257,6 @@
         for state in HostState:
             self.metrics.hosts.labels(state.value).set(states.count(state))
 
-    def _register_host(self) -> None:
-        own = self.gossip.own()
-        if own.state is not HostState.ALIVE:
-            return
-        registered = self.catalog.find(Host, own.name)
-        if registered is None or registered.incarnation < own.incarnation:
-            self._publish_state(HostState.ALIVE)
-
-    def _remove_dead_hosts(self) -> None:
-        """Remove hosts that have long been dead from the object API.
-
-        Only one host of the fleet does so at a time: the preferred owner of this task, and only
-        while it hears a majority of the hosts.
-        """
-        first = self.gossip.owners("reaper")[:1]
-        is_preferred = [h.name for h in first] == [self.gossip.own().name]
-        if not is_preferred or not self.gossip.hears_majority():
-            return
-        for host in self.gossip.removable_hosts():
-            found = self.object_api.get("host", host.name)
-            if isinstance(found, Err) or found.ok_value is None:
-                continue
-            if found.ok_value.decode(Host).incarnation == host.incarnation:
-                self.object_api.put("host", host.name, None, found.ok_value.revision)
-                logs.warn("host_unlisted", host=host.name)
-
-    def _publish_state(self, state: HostState) -> None:
-        own = self.gossip.own()
-        found = self.object_api.get("host", own.name)
-        if isinstance(found, Err):
-            return
-        version = found.ok_value.revision if found.ok_value else 0
-        self.object_api.put("host", own.name, own, version)
-        logs.event("published", host=own.name, state=state.value)
-
-    def _unregister_host(self) -> None:
-        found = self.object_api.get("host", self.cfg.host.name)
-        if found.is_ok() and found.ok_value is not None:
-            self.object_api.put("host", self.cfg.host.name, None, found.ok_value.revision)
-
     def _era_changed(self, era: int) -> None:
         self.metrics.store_eras.inc()
         logs.warn("store_era_changed", store_era=era)
