Confirm an operator's change only once a majority of hosts knows it

A withdrawn key could be reported as withdrawn and still be accepted for as long as a cut lasted: a host that was just cut off with the platform took a change, as it had heard from a majority up to 2.5 s before, and the other hosts, which heard each other and no fresh host after that, took the platform to be down for all and went on with their settings.

Cause: silence of 2.5 s counted as proof that no host accepts changes any more. Now the host that stores a change tells the others, and confirms it only once a majority knows its revision, otherwise answers outcome_unknown after 2 s. A host in an outage hears from a majority, one of which knows what was confirmed.

The model runs the real operator service for it, and the random runs check now that no daemon accepts a key 2.5 s after its withdrawal was confirmed, unless a process or the store lost what it knew since.

--- a/features/check.py
+++ b/features/check.py
@@ -121,10 +121,10 @@
         """Let the operator add a key through a host."""
         self.fleet.add_key(host)
 
-    @rule(host=hosts)
-    def withdraw_key(self, host):
-        """Let the operator withdraw the oldest key through a host."""
-        self.fleet.withdraw_key(host)
+    @rule(host=hosts, wait=st.booleans())
+    def withdraw_key(self, host, wait):
+        """Let the operator withdraw the oldest key through a host, if `wait` until it answers."""
+        self.fleet.withdraw_key(host, wait=wait)
 
     @rule(host=hosts)
     def change_level(self, host):
--- a/features/liveness.feature
+++ b/features/liveness.feature
@@ -4,3 +4,8 @@
     Given a model of daemons that know a key
     When all daemons are cut off from each other for 6 s
     Then within 4 s every daemon takes all others for alive and hears from a majority
+
+  Scenario: A withdrawal is confirmed only if a majority knows it
+    Given a model of daemons that know a key
+    When one is cut off from all others, which the platform refuses, and withdraws the key
+    Then the withdrawal is not confirmed, or no daemon accepts the key 3 s later
--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -17,10 +17,14 @@
 
 from features.fake_mesh import make_host
 from standins.platform import FakePlatform
-from wagtailloft import gossip, leases, models, platform_watcher
+from wagtailloft import gossip, leases, models, operators, platform_watcher
 from wagtailloft.adapters.object_api import HttpObjectApi
 from wagtailloft.catalog import Catalog
-from wagtailloft.controllers.freshness import FreshnessTracker, SettingsState
+from wagtailloft.controllers.freshness import (
+    SETTINGS_MAX_AGE_S,
+    FreshnessTracker,
+    SettingsState,
+)
 from wagtailloft.controllers.membership import Membership
 from wagtailloft.controllers.object_cache import ObjectCache
 from wagtailloft.decisions import Decisions
@@ -185,6 +189,18 @@
             decisions=decisions,
         )
         self.leases._shards = dict(list(self.leases._shards.items())[:SHARDS])
+        self.operators = operators.OperatorService(
+            catalog=catalog,
+            object_api=self.api,
+            platform_watcher=self.watcher,
+            gossip=self.gossip,
+            freshness=self.freshness,
+            peers=None,
+            group_services=None,
+            leases=self.leases,
+            decisions=decisions,
+            executor=self.queue,
+        )
         self._due = {name: self.fleet.now + rng.uniform(0, s) for name, s in INTERVALS_S.items()}
 
     def step(self):
@@ -227,10 +243,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Withdrawal:
-    """An acknowledged withdrawal of a key, and the process that it was sent to."""
+    """A withdrawal of a key, the process that it was sent to, and when that confirmed it."""
 
     at: float
     known_by: str
+    confirmed_at: float | None = None
 
 
 class ModelDaemons:
@@ -245,11 +262,14 @@
         self._copies = deque(maxlen=COPIES)
         self.keys, self.withdrawals, self._next_key = [], {}, 0
         self.changes, self.confirmed, self._next_value = [], set(), 0
+        self._disturbed_at = 0.0
         self._stack = ExitStack()
         clock = SimpleNamespace(monotonic=lambda: self.now, time=lambda: self.now)
         for module in ("wagtailloft.gossip", "wagtailloft.leases", "wagtailloft.platform_watcher"):
             self._stack.enter_context(patch(f"{module}.time", clock))
         self._stack.enter_context(patch("standins.platform.time", clock))
+        waiting = SimpleNamespace(monotonic=clock.monotonic, sleep=self.advance)
+        self._stack.enter_context(patch("wagtailloft.operators.time", waiting))
         self.daemons = []
         self.daemons = [ModelDaemon(fleet=self, number=n) for n in range(count)]
         self.advance(8.0)
@@ -282,18 +302,34 @@
             self.keys.append(name)
             daemon.watcher.refresh()
 
-    def withdraw_key(self, number):
-        """Let a daemon withdraw the oldest key, as its operator interface does."""
+    def withdraw_key(self, number, *, wait=False):
+        """Let the operator withdraw the oldest key through a daemon, if `wait` until it answers."""
         daemon = self.daemons[number]
         if daemon.paused or not self.keys or not daemon.objects.is_complete():
             return
-        known = daemon.objects.get("key", self.keys[0])
-        if known is None or daemon.api.put("key", known.name, None, known.revision).is_err():
+        known, process, at = daemon.objects.get("key", self.keys[0]), daemon.name, self.now
+        if known is None:
+            self.keys.append(self.keys.pop(0))
             return
-        daemon.watcher.refresh()
-        if daemon.objects.get("key", known.name) is None:
-            name = self.keys.pop(0)
-            self.withdrawals[name] = Withdrawal(at=self.now, known_by=daemon.name)
+        if wait:
+            confirmed = daemon.operators.remove("key", known.name, known.revision).is_ok()
+        else:
+            confirmed = False
+            if daemon.api.put("key", known.name, None, known.revision).is_err():
+                return
+            daemon.watcher.refresh()
+        if daemon.name != process:
+            return
+        if confirmed or daemon.objects.get("key", known.name) is None:
+            confirmed_at = self.now if confirmed and not self.disturbed_after(at) else None
+            self.keys.remove(known.name)
+            self.withdrawals[known.name] = Withdrawal(
+                at=self.now, known_by=process, confirmed_at=confirmed_at
+            )
+
+    def disturbed_after(self, at):
+        """Tell whether a process, or the store, has lost since what it knew."""
+        return self._disturbed_at >= at
 
     def change_level(self, number):
         """Let a daemon raise a level of the settings, as its operator interface does."""
@@ -321,6 +357,7 @@
             self.platform._restore()
             self._copies.clear()
             self.platform_down = False
+            self._disturbed_at = self.now
             for number in restarted:
                 self.daemons[number].restart()
 
@@ -328,6 +365,7 @@
 
     def restart(self, number):
         """Restart a daemon."""
+        self._disturbed_at = self.now
         self.daemons[number].restart()
 
     def refuse(self, number, seconds):
@@ -430,7 +468,12 @@
             daemon.value = max(daemon.value, value)
 
     def _check_keys(self, daemon):
-        for name in self.withdrawals:
+        for name, withdrawal in self.withdrawals.items():
+            confirmed_at = withdrawal.confirmed_at
+            if confirmed_at is not None and not self.disturbed_after(confirmed_at):
+                late = self.now - confirmed_at > SETTINGS_MAX_AGE_S + STEP_S
+                if late and daemon.accepts(name):
+                    self.violations.append(f"{daemon.name} still accepts {name}")
             # A process that never knew the key has not learned of its withdrawal by lacking it.
             if ("key", name) in daemon.objects._removals:
                 daemon.withdrawn.add(name)
--- a/src/wagtailloft/operators.py
+++ b/src/wagtailloft/operators.py
@@ -33,6 +33,8 @@
 # A removal waits for a new era of the store to be settled, which takes up to 3 s.
 SETTLE_WAIT_S = 5.0
 SETTLE_CHECK_S = 0.05
+CONFIRM_WAIT_S = 2.0
+CONFIRM_CHECK_S = 0.05
 LEVEL_PREFIXES = ("region:", "zone:", "group:", "route:")
 
 
@@ -281,8 +283,29 @@
             f"{kind}:{_display_name(kind, name)}", "accepted", f"revision {revision}"
         )
         self._platform_watcher.refresh()
+        if not self._wait_until_known(revision):
+            detail = f"stored at revision {revision}, but not yet known to a majority of the hosts"
+            return _refuse(Kind.OUTCOME_UNKNOWN, detail)
         return Ok(WriteResult(revision=revision))
 
+    def _wait_until_known(self, revision: int) -> bool:
+        """Wait until a majority of the hosts knows a revision; return whether it does.
+
+        Hosts that hear no fresh host, but a majority of all, may use their settings in an outage,
+        and learn what a majority knows. That this host heard from a majority before the write does
+        not tell that it still does.
+        """
+        deadline = time.monotonic() + CONFIRM_WAIT_S
+        while not (
+            self._catalog.objects.revision >= revision and self._gossip.known_by_majority(revision)
+        ):
+            if time.monotonic() >= deadline:
+                logs.warn("change_unconfirmed", revision=revision)
+                return False
+            self._gossip.exchange_with_all()
+            time.sleep(CONFIRM_CHECK_S)
+        return True
+
     def _wait_until_settled(self) -> bool:
         deadline = time.monotonic() + SETTLE_WAIT_S
         while not self._catalog.objects.is_complete():
