Remove dead hosts from the register one at a time

Majorities count the registered hosts. After two of five hosts had been cut off for 6.5 s, both were removed at once as dead, and two hosts were a majority of the three that remained, as three are of the earlier five: if the third was cut off at that moment, and met the other two, these three went on in an outage with a key that the first two had confirmed as withdrawn.

Cause: silence counted as the end of a process whose vote then counted no more. Now one host is removed at a time, and the next only once a majority knows the register without the last. A host of any earlier majority then knows of the removals, and tells the others.

The scenario of features/liveness.feature failed before: h00, h01 and h02 accept the key 8 s after its withdrawal was confirmed. Now the withdrawal is refused as no_majority.

--- a/features/liveness.feature
+++ b/features/liveness.feature
@@ -9,3 +9,8 @@
     Given a model of daemons that know a key
     When one is cut off from all others, which the platform refuses, and withdraws the key
     Then the withdrawal is not confirmed, or no daemon accepts the key 3 s later
+
+  Scenario: Daemons that run are removed from the register as dead
+    Given a model of 5 daemons that know a key
+    When two are cut off until they are about to be removed as dead, a third joins them, and another withdraws the key
+    Then the withdrawal is not confirmed, or no daemon accepts the key 3 s later
--- a/features/steps/liveness.py
+++ b/features/steps/liveness.py
@@ -1,7 +1,9 @@
 """Steps for daemons that run although others can't reach them."""
 
-from behave import then, when
+from behave import given, then, when
 
+from features.restored_objects import ModelDaemons
+from wagtailloft.controllers.membership import DEAD_RETENTION_S
 from wagtailloft.models import HostState
 
 
@@ -25,6 +27,14 @@
         assert daemon.gossip.hears_majority(), daemon.name
 
 
+@given("a model of {count:d} daemons that know a key")
+def step_more_daemons(context, count):
+    context.fleet = ModelDaemons(seed=1, count=count)
+    context.stack.callback(context.fleet.close)
+    context.fleet.add_key(0)
+    context.fleet.advance(2.0)
+
+
 @when("one is cut off from all others, which the platform refuses, and withdraws the key")
 def step_withdrawn_while_cut(context):
     fleet = context.fleet
@@ -34,6 +44,31 @@
     fleet.withdraw_key(0, wait=True)
 
 
+@when(
+    "two are cut off until they are about to be removed as dead, a third joins them, and another"
+    " withdraws the key"
+)
+def step_withdrawn_by_the_rest(context):
+    fleet = context.fleet
+    (first,) = fleet.daemons[0].gossip.owners("reaper")[:1]
+    reaper = next(d for d in fleet.daemons if d.gossip.own().name == first.name)
+    others = [d for d in fleet.daemons if d is not reaper]
+    for daemon in others[:2]:
+        cut_off(fleet, daemon)
+    while not reaper.gossip.removable_hosts():
+        assert fleet.now < 1000.0 + 20.0 + DEAD_RETENTION_S, "no host is removable"
+        fleet.advance(0.05)
+    cut_off(fleet, others[2])
+    fleet.advance(3.0)
+    fleet.withdraw_key(reaper.number, wait=True)
+
+
+def cut_off(fleet, daemon):
+    """Cut a daemon off from the platform and the daemons of the first side."""
+    daemon.side = 1
+    fleet.refuse(daemon.number, 40.0)
+
+
 @then("the withdrawal is not confirmed, or no daemon accepts the key {seconds:g} s later")
 def step_not_confirmed(context, seconds):
     fleet = context.fleet
--- a/src/wagtailloft/host_register.py
+++ b/src/wagtailloft/host_register.py
@@ -44,19 +44,33 @@
             self._object_api.put("host", name, None, found.ok_value.revision)
 
     def remove_dead_hosts(self) -> None:
-        """Remove hosts that have long been dead.
+        """Remove a host that has long been dead, which may still run where others don't reach it.
 
-        Only one host of the fleet does so at a time: the preferred owner of this task, and only
-        while it hears a majority of the hosts.
+        Only one host of the fleet does so: the preferred owner of this task, and only while it
+        hears a majority of the hosts. The next host is removed once a majority knows the register
+        without the last one. Thus a majority of the earlier register, which may have been cut off
+        meanwhile, always has a host in common with one of the present register.
         """
         first = self._gossip.owners("reaper")[:1]
         is_preferred = [h.name for h in first] == [self._gossip.own().name]
-        if not is_preferred or not self._gossip.hears_majority():
+        removable = self._gossip.removable_hosts()
+        if not is_preferred or not removable or not self._gossip.hears_majority():
             return
-        for host in self._gossip.removable_hosts():
-            found = self._object_api.get("host", host.name)
-            if isinstance(found, Err) or found.ok_value is None:
-                continue
-            if found.ok_value.decode(Host).incarnation == host.incarnation:
-                self._object_api.put("host", host.name, None, found.ok_value.revision)
-                logs.warn("host_unlisted", host=host.name)
+        if not self._gossip.known_by_majority(self._catalog.objects.revision):
+            self._gossip.exchange_with_all()
+            return
+        for host in removable:
+            registered = self._catalog.find(Host, host.name)
+            if registered is not None and registered.incarnation == host.incarnation:
+                self._remove(host)
+                return
+
+    def _remove(self, host: Host) -> None:
+        found = self._object_api.get("host", host.name)
+        if isinstance(found, Err) or found.ok_value is None:
+            return  # or this host's cache does not have the removal yet
+        if found.ok_value.decode(Host).incarnation != host.incarnation:
+            return
+        put = self._object_api.put("host", host.name, None, found.ok_value.revision)
+        if not isinstance(put, Err):
+            logs.warn("host_unlisted", host=host.name)
