Let a process follow one that had a later clock

After a host's clock was set back, a new process had a lower incarnation than the one before. Nobody took its address or its state for newer: the others called the earlier address until they suspected the host there, the register kept the earlier entry, and a host that had left stayed leaving where that was all that was known of it.

Cause: a higher incarnation with the same state counted as this process's own. Now a process goes above any higher incarnation of its host that it meets, and so replaces that everywhere.

The scenario of features/liveness.feature failed before: h00, h02 and h03 know h01 at 10.1.0.1 in incarnation 1000000, which is at 10.2.0.1.

--- a/features/check.py
+++ b/features/check.py
@@ -131,6 +131,11 @@
         """Let the operator change a setting through a host."""
         self.fleet.change_level(host)
 
+    @rule(host=hosts)
+    def restart_with_clock_set_back(self, host):
+        """Restart a host after its clock was set back."""
+        self.fleet.restart(host, clock_set_back=True)
+
 
 MACHINES = {"hosts": HostMachine, "daemons": DaemonMachine}
 
--- a/features/liveness.feature
+++ b/features/liveness.feature
@@ -14,3 +14,8 @@
     Given a model of 5 daemons that know a key
     When two are cut off until they are about to be removed as dead, a third joins them, and another withdraws the key
     Then the withdrawal is not confirmed, or no daemon accepts the key 3 s later
+
+  Scenario: A daemon restarts at another address after its clock was set back
+    Given a model of daemons that know a key
+    When one restarts at another address after its clock was set back
+    Then within 4 s every daemon knows it at its present address
--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -13,6 +13,7 @@
 from unittest.mock import patch
 from urllib.parse import parse_qsl, urlsplit
 
+import msgspec
 import urllib3
 
 from features.fake_mesh import make_host
@@ -131,7 +132,7 @@
         """Start the daemon's first process."""
         self.fleet, self.number = fleet, number
         self.cut = self.refused = self.paused = self.reset = False
-        self.side, self.connected, self.incarnation = 0, set(), 0
+        self.side, self.connected, self.incarnation, self.starts = 0, set(), 0, 0
         self.restart()
 
     def loses_response(self, peer):
@@ -146,10 +147,13 @@
         self.connected.remove(peer)
         return True
 
-    def restart(self):
-        """Replace the daemon's process by one that knows nothing."""
+    def restart(self, *, clock_set_back=False):
+        """Replace the daemon's process by one that knows nothing, at another address."""
+        self.starts += 1
         self.incarnation = max(self.incarnation + 1, int(self.fleet.now * 1000))
-        own = make_host(self.number, ZONES, incarnation=self.incarnation)
+        incarnation = self.starts if clock_set_back else self.incarnation
+        own = make_host(self.number, ZONES, incarnation=incarnation)
+        own = msgspec.structs.replace(own, ip=f"10.{self.starts}.0.{self.number}")
         rng = random.Random(own.process_name)
         self.name, self.queue = own.process_name, Queue()
         self.withdrawn, self.value, self.era = set(), 0, 0
@@ -363,10 +367,10 @@
 
         self._events.append((self.now + outage, come_back))
 
-    def restart(self, number):
+    def restart(self, number, *, clock_set_back=False):
         """Restart a daemon."""
         self._disturbed_at = self.now
-        self.daemons[number].restart()
+        self.daemons[number].restart(clock_set_back=clock_set_back)
 
     def refuse(self, number, seconds):
         """Let the platform refuse a daemon for a time."""
@@ -411,9 +415,10 @@
                 wrong.append(f"{daemon.name} has not settled the era")
             if daemon.gossip.settings_state() is not SettingsState.FRESH:
                 wrong.append(f"{daemon.name} has old settings")
-            states = {h.name: h.state.value for h in daemon.gossip.hosts()}
-            if states != dict.fromkeys((h.gossip.own().name for h in self.daemons), "alive"):
-                wrong.append(f"{daemon.name} takes the hosts for {states}")
+            hosts = {(h.name, h.ip, h.state.value) for h in daemon.gossip.hosts()}
+            owns = [h.gossip.own() for h in self.daemons]
+            if hosts != {(own.name, own.ip, "alive") for own in owns}:
+                wrong.append(f"{daemon.name} takes the hosts for {hosts}")
         for shard in self.daemons[0].leases._shards:
             if len(self._granting(shard, self.daemons)) != 1:
                 wrong.append(f"{self._granting(shard, self.daemons)} grant the tokens of {shard}")
--- a/features/steps/liveness.py
+++ b/features/steps/liveness.py
@@ -78,3 +78,19 @@
     assert not (confirmed and accepting), accepting
     wrong = fleet.converge()
     assert not wrong and not fleet.violations, (wrong, fleet.violations[:3])
+
+
+@when("one restarts at another address after its clock was set back")
+def step_clock_set_back(context):
+    context.fleet.restart(1, clock_set_back=True)
+
+
+@then("within {seconds:g} s every daemon knows it at its present address")
+def step_known_at_address(context, seconds):
+    fleet = context.fleet
+    fleet.advance(seconds)
+    own = fleet.daemons[1].gossip.own()
+    known = {d.name: d.gossip.find(own.name) for d in fleet.daemons}
+    assert set(known.values()) == {own}, known
+    stored = fleet.platform.objects[("host", own.name)].value
+    assert (stored["ip"], stored["incarnation"]) == (own.ip, own.incarnation), stored
--- a/src/wagtailloft/controllers/membership.py
+++ b/src/wagtailloft/controllers/membership.py
@@ -67,7 +67,8 @@
     def merge(self, host: Host, now: float) -> bool:
         """Apply an update about a host if it is newer; return whether it changed anything.
 
-        An update that gives this host a wrong state is refuted by a higher incarnation.
+        An update that gives this host a wrong state is refuted by a higher incarnation, as is one
+        of an earlier process with a higher incarnation, after which the clock was set back.
         """
         if host.name == self._own.name:
             return self._refute(host, now)
@@ -168,9 +169,10 @@
         peer.transmissions = 0
 
     def _refute(self, host: Host, now: float) -> bool:
-        if host.incarnation < self._own.incarnation or host.state is self._own.state:
+        if host.incarnation < self._own.incarnation:
             return False
-        if host.incarnation == self._own.incarnation and host.state is HostState.ALIVE:
+        is_same = host.incarnation == self._own.incarnation
+        if is_same and host.state in (self._own.state, HostState.ALIVE):
             return False
         self._own = msgspec.structs.replace(self._own, incarnation=host.incarnation + 1)
         self._put(self._own, now)
