Renew a lease before granting again after a release without a response

A host whose release of a lease got no response, and which read in the store that it still held the lease, granted again at once during an outage. If the release was done after that, the next holder took the lease for released and granted too, before the first host's next renewal.

The host now writes a renewal before it resumes the lease, after which the release can't be done any more. The scenario of features/rates.feature failed before: the right was there while the store did no write.

--- a/features/rates.feature
+++ b/features/rates.feature
@@ -50,3 +50,8 @@
   Scenario: A host that releases a lease during an outage stops before the store has the release
     Given a host that granted tokens during an outage and leaves
     Then it has no right to grant once the store has the release
+
+  Scenario: A host whose release of a lease got no response grants only after a renewal
+    Given a host that granted tokens during an outage and leaves
+    When its release gets no response, and it is the owner again
+    Then it has no right to grant before the store has a renewal
--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -22,7 +22,7 @@
 class FakeObjectApi:
     """Store objects in memory, and call `on_write` after each write, before the response.
 
-    The responses to the next `lost_responses` writes are lost.
+    The responses to the next `lost_responses` writes are lost; while `refused`, no write is done.
     """
 
     def __init__(self):
@@ -31,6 +31,7 @@
         self.revision = 0
         self.on_write = lambda: None
         self.lost_responses = 0
+        self.refused = False
 
     def get(self, kind, name, timeout=0.0):
         """Return an object."""
@@ -38,6 +39,8 @@
 
     def put(self, kind, name, value, version, timeout=0.0):
         """Write an object if it is still at a version; version 0 overwrites any."""
+        if self.refused:
+            return Err(Refusal(kind=Kind.OUTCOME_UNKNOWN, detail="no response"))
         stored = self.objects.get((kind, name))
         if version and stored is not None and stored.revision != version:
             return Err(WriteConflict(revision=stored.revision, value=stored.value))
@@ -211,3 +214,20 @@
         context.leases.tick()
         time.sleep(0.05)
     assert may_grant(context) and context.leases.grant_right(SHARD).epoch == context.epoch
+
+
+@when("its release gets no response, and it is the owner again")
+def step_release_not_done(context):
+    context.object_api.refused = True
+    context.leases.release()
+    context.leases.tick()
+
+
+@then("it has no right to grant before the store has a renewal")
+def step_right_after_renewal(context):
+    assert context.leases.grant_right(SHARD) is None
+    context.object_api.refused = False
+    context.leases.tick()
+    assert (
+        may_grant(context) and context.object_api.objects[("lease", SHARD)].decode(Lease).renewals
+    )
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -118,7 +118,7 @@
         if is_holder and not preferred:
             self._release(shard_lease)
         elif is_holder and now - shard_lease.renewed_at >= RENEW_INTERVAL_S:
-            self._renew(shard_lease)
+            self._write_renewal(shard_lease, shard_lease.lease, shard_lease.version)
         elif is_holder and shard_lease.granting_from == math.inf:
             self._schedule_grants(shard_lease, now)
         elif preferred and not is_holder:
@@ -156,7 +156,7 @@
         # epoch that it published. If an older copy names it, another host may hold the lease.
         is_own = lease.holder == self._holder and lease.era == era_of(version)
         if is_own and lease.epoch == shard_lease.published_epoch:
-            shard_lease.lease = lease
+            self._write_renewal(shard_lease, lease, version)
             return
         is_free = is_own or (not lease.holder and lease.era == era_of(version))
         if is_free or (change is None and self._catalog.objects.is_first_era()):
@@ -216,10 +216,9 @@
             f"in {delay:.1f} s, outage excluded: {outage_excluded}",
         )
 
-    def _renew(self, shard_lease: _ShardLease) -> None:
-        lease = shard_lease.lease
+    def _write_renewal(self, shard_lease: _ShardLease, lease: Lease, version: int) -> None:
         renewed = msgspec.structs.replace(lease, renewals=lease.renewals + 1)
-        self._write(shard_lease, renewed, shard_lease.version)
+        self._write(shard_lease, renewed, version)
 
     def _release(self, shard_lease: _ShardLease) -> None:
         lease = msgspec.structs.replace(shard_lease.lease, holder="", renewals=0)
