Refute an entry of an earlier process in the same incarnation

A new process that was told of its host's earlier one went one above its incarnation. If the earlier process had refuted a suspicion meanwhile, which a part of the hosts knew, both had the same incarnation, and those hosts kept the earlier address for good. The same happened to processes that start at the same reading of a clock that was set back.

Cause: an equal incarnation counted as the same process. Now a process refutes an entry of its incarnation that is not its own, and every digest tells its receiver what the sender believes of it, so that it learns of such an entry.

The new scenario of features/liveness.feature failed before: h00 knows h01 at 10.1.0.1. Random runs now restart daemons with the first process's incarnation too.

--- a/features/check.py
+++ b/features/check.py
@@ -15,7 +15,7 @@
     run_state_machine_as_test,
 )
 
-from features.restored_objects import ModelDaemons
+from features.restored_objects import FIRST_INCARNATION, ModelDaemons
 from features.restored_store import HOSTS, ModelFleet
 
 STEPS = 50
@@ -131,10 +131,10 @@
         """Let the operator change a setting through a host."""
         self.fleet.change_level(host)
 
-    @rule(host=hosts)
-    def restart_with_clock_set_back(self, host):
+    @rule(host=hosts, incarnation=st.sampled_from((1, FIRST_INCARNATION)))
+    def restart_with_clock_set_back(self, host, incarnation):
         """Restart a host after its clock was set back."""
-        self.fleet.restart(host, clock_set_back=True)
+        self.fleet.restart(host, incarnation=incarnation)
 
 
 MACHINES = {"hosts": HostMachine, "daemons": DaemonMachine}
--- a/features/liveness.feature
+++ b/features/liveness.feature
@@ -19,3 +19,8 @@
     Given a model of daemons that know a key
     When one restarts at another address after its clock was set back
     Then within 4 s every daemon knows it at its present address
+
+  Scenario: A daemon restarts at another address with the incarnation of its earlier process
+    Given a model of daemons that know a key
+    When one restarts at another address with the incarnation that it had before
+    Then within 4 s every daemon knows it at its present address
--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -39,6 +39,8 @@
 LEVEL = "level"
 PLATFORM = "platform"
 STEP_S = 0.05
+START_S = 1000.0
+FIRST_INCARNATION = 1_000_000  # of the daemons that start at START_S
 COPIES = 400
 CONVERGE_S = 15.0
 LATE_WRITE_S = 3.0
@@ -147,15 +149,17 @@
         self.connected.remove(peer)
         return True
 
-    def restart(self, *, clock_set_back=False):
-        """Replace the daemon's process by one that knows nothing, at another address."""
+    def restart(self, *, incarnation=None):
+        """Replace the daemon's process by one that knows nothing, at another address.
+
+        The incarnation is that of the present time unless it is given.
+        """
         self.starts += 1
         self.incarnation = max(self.incarnation + 1, int(self.fleet.now * 1000))
-        incarnation = self.starts if clock_set_back else self.incarnation
-        own = make_host(self.number, ZONES, incarnation=incarnation)
+        own = make_host(self.number, ZONES, incarnation=incarnation or self.incarnation)
         own = msgspec.structs.replace(own, ip=f"10.{self.starts}.0.{self.number}")
         rng = random.Random(own.process_name)
-        self.name, self.queue = own.process_name, Queue()
+        self.name, self.queue = f"{own.process_name}.{self.starts}", Queue()
         self.withdrawn, self.value, self.era = set(), 0, 0
         self.api = HttpObjectApi(address="platform", source=own.ip)
         self.api._http = Transport(fleet=self.fleet, daemon=self)
@@ -259,7 +263,7 @@
 
     def __init__(self, *, seed, count=DAEMONS):
         """Start the daemons and let them settle."""
-        self.now, self.rng = 1000.0, random.Random(seed)
+        self.now, self.rng = START_S, random.Random(seed)
         self.platform = FakePlatform(host_lag_s=1.0)
         self.platform_down, self.lost_answers, self.late_writes = False, 0, 0
         self.pending, self._events, self.violations = [], [], []
@@ -367,10 +371,10 @@
 
         self._events.append((self.now + outage, come_back))
 
-    def restart(self, number, *, clock_set_back=False):
+    def restart(self, number, *, incarnation=None):
         """Restart a daemon."""
         self._disturbed_at = self.now
-        self.daemons[number].restart(clock_set_back=clock_set_back)
+        self.daemons[number].restart(incarnation=incarnation)
 
     def refuse(self, number, seconds):
         """Let the platform refuse a daemon for a time."""
--- a/features/steps/liveness.py
+++ b/features/steps/liveness.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from features.restored_objects import ModelDaemons
+from features.restored_objects import FIRST_INCARNATION, START_S, ModelDaemons
 from wagtailloft.controllers.membership import DEAD_RETENTION_S
 from wagtailloft.models import HostState
 
@@ -56,7 +56,7 @@
     for daemon in others[:2]:
         cut_off(fleet, daemon)
     while not reaper.gossip.removable_hosts():
-        assert fleet.now < 1000.0 + 20.0 + DEAD_RETENTION_S, "no host is removable"
+        assert fleet.now < START_S + 20.0 + DEAD_RETENTION_S, "no host is removable"
         fleet.advance(0.05)
     cut_off(fleet, others[2])
     fleet.advance(3.0)
@@ -82,7 +82,12 @@
 
 @when("one restarts at another address after its clock was set back")
 def step_clock_set_back(context):
-    context.fleet.restart(1, clock_set_back=True)
+    context.fleet.restart(1, incarnation=1)
+
+
+@when("one restarts at another address with the incarnation that it had before")
+def step_same_incarnation(context):
+    context.fleet.restart(1, incarnation=FIRST_INCARNATION)
 
 
 @then("within {seconds:g} s every daemon knows it at its present address")
--- a/src/wagtailloft/controllers/membership.py
+++ b/src/wagtailloft/controllers/membership.py
@@ -171,8 +171,8 @@
     def _refute(self, host: Host, now: float) -> bool:
         if host.incarnation < self._own.incarnation:
             return False
-        is_same = host.incarnation == self._own.incarnation
-        if is_same and host.state in (self._own.state, HostState.ALIVE):
+        is_own = msgspec.structs.replace(host, state=self._own.state) == self._own
+        if is_own and host.state in (self._own.state, HostState.ALIVE):
             return False
         self._own = msgspec.structs.replace(self._own, incarnation=host.incarnation + 1)
         self._put(self._own, now)
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -168,13 +168,13 @@
     def digest(self, receiver: str = "") -> GossipDigest:
         """Return this host's digest.
 
-        A receiver believed suspect or dead is in it, so that it can refute that.
+        It says what this host believes of the receiver, which can refute that.
         """
         now = time.monotonic()
         with self._lock:
             updates = self._membership.next_updates()
             known = self._membership.find(receiver)
-        if known is not None and known.state in (HostState.SUSPECT, HostState.DEAD):
+        if known is not None:
             updates = (*updates, known)
         return GossipDigest(
             sender=self.own().name,
