Count a member's late report from when it was requested

A read with a maximum age could be served up to 0.25 s older than allowed. The report of a switchover's check or of an election's command counted as of the moment at which it arrived, so a position sample could claim that a majority was still in its term at a time when it had left it.

Reports now carry the time of the request, as those of heartbeats do. If a heartbeat and a command of an election ran at once, the report with the higher term is taken for the later one.

The scenario of features/consistency.feature failed before: a sample of 100.25 from a request sent at 100.0.

--- a/features/consistency.feature
+++ b/features/consistency.feature
@@ -33,3 +33,7 @@
   Scenario: A bounded read that falls back to the primary after a replica was behind
     Given a replica that is behind, and a primary that was replaced without knowing
     Then a read of data up to 5 s old is refused, and one of data of any age is served
+
+  Scenario: A member's report that takes long counts from when it was requested
+    Given a primary that takes 0.25 s to report its progress
+    Then a position sample from its report is as old as the request
--- a/features/steps/statements.py
+++ b/features/steps/statements.py
@@ -210,3 +210,40 @@
     committed = context.transactions.commit(state)
     assert committed.err_value.kind is Kind.TRANSACTION_LOST, committed
     assert context.transactions.count == 0
+
+
+class SlowControl:
+    """A member's control interface whose answers take a time on a clock of its own."""
+
+    def __init__(self, *, seconds):
+        """Take the given time for each answer."""
+        self.now, self._seconds = 100.0, seconds
+
+    def current_progress(self):
+        """Return the progress that the member had when it was asked."""
+        self.now += self._seconds
+        position = Position(term=1, index=1)
+        return Progress(
+            name=MEMBER.name, term=1, role=Role.PRIMARY, received=position, applied=position
+        )
+
+
+@given("a primary that takes {seconds:g} s to report its progress")
+def step_slow_report(context, seconds):
+    context.control = SlowControl(seconds=seconds)
+
+
+@then("a position sample from its report is as old as the request")
+def step_sample_time(context):
+    control = context.control
+    monitor = GroupMonitor(
+        group=GROUP,
+        board=Blackboard(),
+        controls=lambda member: control,
+        heartbeat_interval=lambda: 1.0,
+        clock=lambda: control.now,
+    )
+    requested_at = control.now
+    monitor.fetch_progress(MEMBER.name)
+    (sample,) = monitor.view().samples
+    assert sample.time <= requested_at < control.now, (sample, requested_at)
--- a/src/wagtailloft/election.py
+++ b/src/wagtailloft/election.py
@@ -113,10 +113,11 @@
         primary = view.primary.member
         command = FollowCommand(term=view.term, source=f"{primary.ip}:{primary.control_port}")
         members = [m for m in self.group.members if m.name in names]
+        requested_at = time.monotonic()
         with ThreadPoolExecutor(max(1, len(members))) as executor:
             for report in executor.map(lambda m: self._send_command(m, "follow", command), members):
                 if report is not None:
-                    self._monitor.record_progress(report)
+                    self._monitor.record_progress(report, requested_at)
 
     def publish(self) -> None:
         """Write the current term and primary to the platform if its record is older."""
@@ -188,13 +189,14 @@
 
     def _promote(self, name: str, term: int) -> bool:
         member = next(m for m in self.group.members if m.name == name)
+        requested_at = time.monotonic()
         report = self._send_command(
             member, "promote", TermCommand(term=term, claimant=self._claim_id)
         )
         if report is None:
             self._record_decision("election abandoned", f"{name} was not promoted in term {term}")
             return False
-        self._monitor.record_progress(report)
+        self._monitor.record_progress(report, requested_at)
         return True
 
     def _send_command(self, member: Member, action: str, command: Record) -> Progress | None:
--- a/src/wagtailloft/group_monitor.py
+++ b/src/wagtailloft/group_monitor.py
@@ -41,6 +41,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._requested_at: dict[str, float] = {}
+        self._recorded_at: dict[str, float] = {}
         self._stopped = threading.Event()
         views = tuple(MemberView(member=m) for m in group.members)
         board.write(group.name, GroupView(group=group, members=views))
@@ -82,9 +83,9 @@
             lambda v: msgspec.structs.replace(v, last_election=now, elections=v.elections + 1)
         )
 
-    def record_progress(self, progress: Progress) -> None:
-        """Record progress that a member reported outside of a heartbeat."""
-        self._record_answer(progress.name, progress, self._clock())
+    def record_progress(self, progress: Progress, requested_at: float) -> None:
+        """Record what a member reported, outside of a heartbeat, to a request sent then."""
+        self._record_answer(progress.name, progress, requested_at)
 
     def wait_for(self, ready: Callable[[GroupView], bool], deadline: float) -> bool:
         """Wait until the view satisfies a condition; return False after the deadline."""
@@ -122,8 +123,9 @@
     def fetch_progress(self, name: str) -> Progress:
         """Fetch a member's current progress and record it; raise NoResponse."""
         member = self._view_of(name).member
+        requested_at = self._clock()
         progress = self._controls(member).current_progress()
-        self.record_progress(progress)
+        self.record_progress(progress, requested_at)
         return progress
 
     def _record_commit(self, position: Position) -> None:
@@ -185,9 +187,10 @@
 
     def _record_answer(self, name: str, progress: Progress, requested_at: float) -> None:
         def change(view: GroupView) -> GroupView:
-            if requested_at < self._requested_at.get(name, NEVER):
+            if self._is_outdated(view, name, progress, requested_at):
                 return view
             self._requested_at[name] = requested_at
+            self._recorded_at[name] = self._clock()
             members = tuple(
                 (
                     msgspec.structs.replace(
@@ -203,6 +206,20 @@
 
         self._update(change)
 
+    def _is_outdated(
+        self, view: GroupView, name: str, progress: Progress, requested_at: float
+    ) -> bool:
+        """Tell whether a later report of a member is known.
+
+        Of a heartbeat and an election's command that ran at once, the report with the higher term
+        is the later one.
+        """
+        terms = (m.progress.term for m in view.members if m.member.name == name and m.progress)
+        known_term = next(terms, 0)
+        if progress.term < known_term:
+            return requested_at < self._recorded_at.get(name, NEVER)
+        return progress.term == known_term and requested_at < self._requested_at.get(name, NEVER)
+
     def _record_miss(self, name: str) -> None:
         def change(view: GroupView) -> GroupView:
             members = tuple(
