Count the time for which a machine is suspended in leases, tokens and settings

A host whose machine was suspended could grant tokens under a lease that another host had acquired since, spend tokens that had expired, and serve withdrawn keys, until what it held ended on a clock that had stood still.

Cause: time.monotonic, by which the own engine waits out what another process may still do, stands still meanwhile. Leases, gossip, the platform watcher and the tokens now use the clock that the platform path uses. Position samples of group owners still use the other one.

Both new scenarios of features/rates.feature and features/keys.feature failed before: a right to grant, and fresh settings, after 10 s. The model of daemons sets that one clock now.

--- a/features/keys.feature
+++ b/features/keys.feature
@@ -44,3 +44,8 @@
     When callers write and read
     And callers continue for 1 s
     Then the key appears in no forwarded request, in no log and in no metric
+
+  Scenario: A daemon is suspended with its machine for longer than its settings stay fresh
+    Given a daemon whose settings the platform just confirmed
+    When its machine is suspended for 10 s
+    Then its settings are not fresh any more
--- a/features/rates.feature
+++ b/features/rates.feature
@@ -55,3 +55,8 @@
     Given a host that granted tokens during an outage and leaves
     When its release gets no response, and it is the owner again
     Then it has no right to grant before the store has a renewal
+
+  Scenario: A host that holds a lease is suspended with its machine for longer than the lease lasts
+    Given a host that holds a lease
+    When its machine is suspended for 10 s
+    Then the host has no right to grant at once
--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -273,8 +273,7 @@
         self._disturbed_at = 0.0
         self._stack = ExitStack()
         clock = SimpleNamespace(monotonic=lambda: self.now, time=lambda: self.now)
-        for module in ("wagtailloft.gossip", "wagtailloft.leases", "wagtailloft.platform_watcher"):
-            self._stack.enter_context(patch(f"{module}.time", clock))
+        self._stack.enter_context(patch("wagtailloft.clock.now", lambda: self.now))
         self._stack.enter_context(patch("standins.platform.time", clock))
         waiting = SimpleNamespace(monotonic=clock.monotonic, sleep=self.advance)
         self._stack.enter_context(patch("wagtailloft.operators.time", waiting))
--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -1,19 +1,26 @@
-"""Steps for rate leases with fakes of the object API and gossip."""
+"""Steps for rate leases and for the age of settings, with fakes of the object API and gossip."""
 
+import random
 import time
+from types import SimpleNamespace
+from unittest.mock import patch
 
 import msgspec
 from behave import given, then, when
 from result import Err, Ok
 
+from wagtailloft import clock
 from wagtailloft.adapters.object_api import WriteConflict
 from wagtailloft.catalog import Catalog
-from wagtailloft.controllers.freshness import SettingsState
+from wagtailloft.controllers.freshness import FreshnessTracker, SettingsState
+from wagtailloft.controllers.membership import Membership
 from wagtailloft.controllers.object_cache import Delta, ObjectCache
 from wagtailloft.decisions import Decisions
 from wagtailloft.errors import Kind, Refusal
+from wagtailloft.gossip import Gossip
 from wagtailloft.leases import LEASE_DURATION_S, RENEW_INTERVAL_S, Leases
 from wagtailloft.models import Change, Host, Lease, LeaseEpoch
+from wagtailloft.platform_watcher import PlatformWatcher
 from wagtailloft.revisions import make_revision
 
 SHARD = "shard-0"
@@ -121,7 +128,7 @@
 
     def record_right():
         right = context.leases.grant_right(SHARD)
-        could_grant.append(right is not None and right.granting_from <= time.monotonic())
+        could_grant.append(right is not None and right.granting_from <= clock.now())
 
     context.object_api.on_write = record_right
     time.sleep(LEASE_DURATION_S + 0.1)
@@ -134,7 +141,7 @@
 def may_grant(context):
     """Tell whether the host may grant tokens now."""
     right = context.leases.grant_right(SHARD)
-    return right is not None and right.granting_from <= time.monotonic()
+    return right is not None and right.granting_from <= clock.now()
 
 
 @when("the store comes back from a copy of when the host held the lease")
@@ -231,3 +238,42 @@
     assert (
         may_grant(context) and context.object_api.objects[("lease", SHARD)].decode(Lease).renewals
     )
+
+
+@given("a daemon whose settings the platform just confirmed")
+def step_confirmed_settings(context):
+    objects, freshness = ObjectCache(), FreshnessTracker()
+    context.settings = Gossip(
+        membership=Membership(own=FakeGossip().own(), rng=random.Random(1)),
+        objects=objects,
+        freshness=freshness,
+        peers=None,
+        executor=SimpleNamespace(submit=lambda *call: None),
+        decisions=Decisions(host="me"),
+    )
+    delta = Delta(revision=1, changes=())
+    PlatformWatcher(
+        object_api=SimpleNamespace(watch=lambda after, wait: Ok(delta)),
+        objects=objects,
+        freshness=freshness,
+        gossip=context.settings,
+    ).refresh()
+    assert context.settings.settings_state() is SettingsState.FRESH
+
+
+@when("its machine is suspended for {seconds:g} s")
+def step_suspended(context, seconds):
+    clock_gettime = time.clock_gettime
+    context.stack.enter_context(
+        patch("time.clock_gettime", lambda clock: clock_gettime(clock) + seconds)
+    )
+
+
+@then("the host has no right to grant at once")
+def step_no_right_at_once(context):
+    assert context.leases.grant_right(SHARD) is None
+
+
+@then("its settings are not fresh any more")
+def step_settings_not_fresh(context):
+    assert context.settings.settings_state() is not SettingsState.FRESH
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -10,7 +10,7 @@
 
 import fire
 
-from wagtailloft import logs, settings
+from wagtailloft import clock, logs, settings
 from wagtailloft.adapters.callers import CallerHandler
 from wagtailloft.adapters.members import HttpMemberControl
 from wagtailloft.adapters.object_api import HttpObjectApi
@@ -250,7 +250,7 @@
     def _tick_ownership(self) -> None:
         leaving = self.gossip.own().state is HostState.LEAVING
         self.group_services.tick(frozenset() if leaving else self.entry.preferred_groups())
-        now = time.monotonic()
+        now = clock.now()
         self.metrics.settings_revision.set(self.objects.revision)
         self.metrics.settings_age.set(min(self.freshness.age(now), 1e6))
         states = [h.state for h in self.gossip.hosts()]
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -2,10 +2,9 @@
 
 import random
 import threading
-import time
 from concurrent.futures import Executor
 
-from wagtailloft import logs
+from wagtailloft import clock, logs
 from wagtailloft.adapters.peers import GossipDigest, Peers
 from wagtailloft.controllers.freshness import FreshnessTracker, PeerReport, SettingsState
 from wagtailloft.controllers.membership import Membership
@@ -91,7 +90,7 @@
         """
         if not self._objects.was_complete:
             return SettingsState.STALE
-        return self._freshness.state(self.registered_hosts(), time.monotonic())
+        return self._freshness.state(self.registered_hosts(), clock.now())
 
     def hears_majority(self) -> bool:
         """Tell whether this host hears a majority of the registered hosts, itself included.
@@ -99,12 +98,12 @@
         A host is heard if it answered a call sent within the last SETTINGS_MAX_AGE_S, at a revision
         that this host has reached and after the platform confirmed its settings at least once.
         """
-        return self._freshness.hears_majority(self.registered_hosts(), time.monotonic())
+        return self._freshness.hears_majority(self.registered_hosts(), clock.now())
 
     def removable_hosts(self) -> tuple[Host, ...]:
         """Return the hosts that have been dead long enough to be removed from the platform."""
         with self._lock:
-            return self._membership.removable_hosts(time.monotonic())
+            return self._membership.removable_hosts(clock.now())
 
     def known_by_majority(self, revision: int) -> bool:
         """Tell whether a majority of the registered hosts, this one included, has a revision."""
@@ -115,13 +114,11 @@
 
         This host does not count towards the majority; the time is in monotonic seconds.
         """
-        return self._freshness.majority_fresh_since(
-            self.registered_hosts(), since, time.monotonic()
-        )
+        return self._freshness.majority_fresh_since(self.registered_hosts(), since, clock.now())
 
     def exchange_with_all(self) -> None:
         """Exchange digests with every host that is not dead, at most once per GOSSIP_INTERVAL_S."""
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             if now - self._last_full_exchange < GOSSIP_INTERVAL_S:
                 return
@@ -143,7 +140,7 @@
             dead = self._membership.pick_dead()
             if dead is not None:
                 peers[dead.name] = dead
-            died = self._membership.expire_suspects(time.monotonic())
+            died = self._membership.expire_suspects(clock.now())
         for host in died:
             logs.warn("host_dead", host=host.name)
             self._decisions.add(host.name, "dead", "no answer to this host or to indirect probes")
@@ -160,7 +157,7 @@
     def leave(self) -> None:
         """Announce to all peers in state ALIVE that this host is stopping."""
         with self._lock:
-            self._membership.leave(time.monotonic())
+            self._membership.leave(clock.now())
             alive = [h for h in self._membership.hosts() if h.state is HostState.ALIVE]
         for host in alive:
             self._executor.submit(self.exchange, host)
@@ -170,7 +167,7 @@
 
         It says what this host believes of the receiver, which can refute that.
         """
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             updates = self._membership.next_updates()
             known = self._membership.find(receiver)
@@ -198,16 +195,16 @@
 
     def exchange(self, host: Host) -> bool:
         """Exchange digests with a peer; suspect it if it does not answer indirect probes either."""
-        requested_at = time.monotonic()
+        requested_at = clock.now()
         try:
             digest = self._peers.exchange(host, self.digest(host.name))
         except (NotSent, NoResponse):
             if host.state is not HostState.DEAD:
                 self._probe_indirectly(host)
             return False
-        answered_at = time.monotonic()
+        answered_at = clock.now()
         with self._lock:
-            self._membership.mark_alive(host.name, time.monotonic())
+            self._membership.mark_alive(host.name, clock.now())
         self._merge(digest)
         if digest.revision > self._objects.revision:
             self._catch_up(host)
@@ -244,7 +241,7 @@
         return {watcher.name: watcher}
 
     def _merge(self, digest: GossipDigest) -> None:
-        now = time.monotonic()
+        now = clock.now()
         with self._lock:
             updated = [h for h in digest.updates if self._membership.merge(h, now)]
         for host in updated:
@@ -275,11 +272,11 @@
             except (NotSent, NoResponse):
                 continue
         with self._lock:
-            self._membership.mark_suspect(host.name, time.monotonic())
+            self._membership.mark_suspect(host.name, clock.now())
 
     def _on_host_change(self, change: Change) -> None:
         with self._lock:
             if change.removed:
                 self._membership.forget(change.name)
                 return
-            self._membership.merge(change.decode(Host), time.monotonic())
+            self._membership.merge(change.decode(Host), clock.now())
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -2,13 +2,12 @@
 
 import math
 import threading
-import time
 from dataclasses import dataclass
 
 import msgspec
 from result import Err
 
-from wagtailloft import logs
+from wagtailloft import clock, logs
 from wagtailloft.adapters.object_api import ObjectApi, WriteConflict
 from wagtailloft.catalog import Catalog
 from wagtailloft.controllers.freshness import SETTINGS_MAX_AGE_S, SettingsState
@@ -85,9 +84,7 @@
         lease = shard_lease.lease
         if lease is None or lease.holder != self._holder:
             return None
-        if time.monotonic() >= shard_lease.held_until and not self._valid_during_outage(
-            shard_lease
-        ):
+        if clock.now() >= shard_lease.held_until and not self._valid_during_outage(shard_lease):
             return None
         return GrantRight(epoch=lease.epoch, granting_from=shard_lease.granting_from)
 
@@ -101,7 +98,7 @@
             return
         try:
             for shard_lease in self._shards.values():
-                self._tick(shard_lease, time.monotonic())
+                self._tick(shard_lease, clock.now())
         finally:
             self._lock.release()
 
@@ -232,7 +229,7 @@
 
     def _write(self, shard_lease: _ShardLease, lease: Lease, version: int) -> bool:
         """Write a lease; its duration starts when the write is sent, so that it never ends late."""
-        requested_at = time.monotonic()
+        requested_at = clock.now()
         put = self._object_api.put("lease", shard_lease.name, lease, version, LEASE_CALL_TIMEOUT_S)
         if isinstance(put, Err):
             conflict = put.err_value
@@ -256,7 +253,7 @@
         so afterwards wrote it in the present era.
         """
         era = era_of(conflict.revision)
-        if era <= era_of(shard_lease.version) or time.monotonic() >= shard_lease.held_until:
+        if era <= era_of(shard_lease.version) or clock.now() >= shard_lease.held_until:
             return False
         is_stored = bytes(conflict.value) != bytes(REMOVED)
         return not is_stored or decode(conflict.value, Lease).era < era
--- a/src/wagtailloft/operators.py
+++ b/src/wagtailloft/operators.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from wagtailloft import logs, options
+from wagtailloft import clock, logs, options
 from wagtailloft.adapters.object_api import ObjectApi, WriteConflict
 from wagtailloft.adapters.peers import Peers
 from wagtailloft.catalog import TYPE_BY_KIND, Catalog
@@ -226,7 +226,7 @@
             region=own.region,
             revision=self._catalog.objects.revision,
             settings=self._gossip.settings_state().value,
-            settings_age=round(min(self._freshness.age(time.monotonic()), 1e6), 3),
+            settings_age=round(min(self._freshness.age(clock.now()), 1e6), 3),
             spreader=self._platform_watcher.is_platform_watcher(),
             shards=self._leases.held_shards(),
             groups=tuple(self._group_status(s) for s in self._group_services.open_groups()),
--- a/src/wagtailloft/platform_watcher.py
+++ b/src/wagtailloft/platform_watcher.py
@@ -2,11 +2,10 @@
 
 import random
 import threading
-import time
 
 from absl import logging
 
-from wagtailloft import logs
+from wagtailloft import clock, logs
 from wagtailloft.adapters.object_api import ObjectApi
 from wagtailloft.controllers.freshness import FreshnessTracker
 from wagtailloft.controllers.object_cache import ObjectCache
@@ -52,7 +51,7 @@
         answer.
         """
         with self._refresh_lock:
-            requested_at = time.monotonic()
+            requested_at = clock.now()
             response = self._object_api.watch(self._objects.revision, wait)
             if response.is_err():
                 return False
@@ -73,7 +72,7 @@
     def _loop(self) -> None:
         backoff = RETRY_DELAY_S
         while not self._stopped.is_set():
-            unconfirmed_too_long = self._freshness.age(time.monotonic()) > UNCONFIRMED_LIMIT_S
+            unconfirmed_too_long = self._freshness.age(clock.now()) > UNCONFIRMED_LIMIT_S
             if not self.is_platform_watcher() and not unconfirmed_too_long:
                 self._stopped.wait(RETRY_DELAY_S)
                 continue
--- a/src/wagtailloft/rate_limiter.py
+++ b/src/wagtailloft/rate_limiter.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from wagtailloft import clock
 from wagtailloft.adapters.peers import Peers
 from wagtailloft.catalog import Catalog
 from wagtailloft.controllers.ownership import rate_shard
@@ -51,7 +52,7 @@
             return Err(
                 Refusal(kind=Kind.LIMITS_UNAVAILABLE, detail="this host does not hold the lease")
             )
-        now = time.monotonic()
+        now = clock.now()
         if now < right.granting_from:
             return Err(
                 Refusal(
@@ -166,10 +167,10 @@
 
     def _spend(self, tokens: _TeamTokens) -> bool:
         with tokens.lock:
-            return tokens.reserve.spend(time.monotonic())
+            return tokens.reserve.spend(clock.now())
 
     def _request_tokens(self, tokens: _TeamTokens) -> Result[Grant, Refusal]:
-        requested_at = time.monotonic()
+        requested_at = clock.now()
         with tokens.lock:
             request = tokens.reserve.next_request(tokens.waiters, requested_at)
         granted = self._send_request(request)
