Allow a daemon in the model to drop a change in an era that it only passes

By the trace, it was frozen while an era was settled without the change that it alone knew, and when it woke it applied the settled era and the next one, which was not settled yet, within one step. To drop what a settled store lacks is what the design says; the check only looked at the state after the step. It now asks in which era the daemon dropped the change, and allows only a settled one that it had not met before, as it did.

--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -160,10 +160,11 @@
         own = msgspec.structs.replace(own, ip=f"10.{self.starts}.0.{self.number}")
         rng = random.Random(own.process_name)
         self.name, self.queue = f"{own.process_name}.{self.starts}", Queue()
-        self.withdrawn, self.value, self.era = set(), 0, 0
+        self.withdrawn, self.value, self.era, self.dropped_in = set(), 0, 0, 0
         self.api = HttpObjectApi(address="platform", source=own.ip)
         self.api._http = Transport(fleet=self.fleet, daemon=self)
         self.objects, self.freshness = ObjectCache(), FreshnessTracker()
+        self.objects.watch("level", self._level_changed)
         decisions = Decisions(host=own.name)
         self.gossip = gossip.Gossip(
             membership=Membership(own=own, rng=rng),
@@ -230,6 +231,10 @@
             return False
         return self.objects.get("key", key) is not None
 
+    def _level_changed(self, change):
+        if change.removed and self.objects.is_complete():
+            self.dropped_in = era_of(self.objects.revision)
+
     def _watch(self):
         unconfirmed = self.freshness.age(self.fleet.now) > platform_watcher.UNCONFIRMED_LIMIT_S
         if self.watcher.is_platform_watcher() or unconfirmed:
@@ -464,8 +469,8 @@
 
     def _check_level(self, daemon):
         value, era = value_of_level(daemon.objects), era_of(daemon.objects.revision)
-        if value == 0 and daemon.objects.is_complete() and era != daemon.era:
-            # It was away until the era was settled, and drops what nobody else has written again.
+        if value == 0 and daemon.dropped_in > daemon.era:
+            # It was away until an era was settled, and drops what nobody else has written again.
             daemon.value = 0
             self.changes = [change for change in self.changes if change[1] != daemon.name]
         if daemon.objects.revision and value < daemon.value:
