Part the daemons of the model into two sides that the platform may refuse

Cuts of single daemons seldom leave groups of them that hear each other only. The new rule cuts a random set off from the rest and lets the platform refuse another one.

--- a/features/check.py
+++ b/features/check.py
@@ -126,6 +126,11 @@
         """Let the operator withdraw the oldest key through a host, if `wait` until it answers."""
         self.fleet.withdraw_key(host, wait=wait)
 
+    @rule(apart=st.sets(hosts), refused=st.sets(hosts), seconds=durations)
+    def part(self, apart, refused, seconds):
+        """Cut some hosts off from the rest, and let the store refuse some, for a time."""
+        self.fleet.part(apart, refused, seconds)
+
     @rule(host=hosts)
     def change_level(self, host):
         """Let the operator change a setting through a host."""
--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -394,6 +394,15 @@
             (self.now + seconds, lambda: setattr(self.daemons[number], "cut", False))
         )
 
+    def part(self, apart, refused, seconds):
+        """Cut some daemons off from the rest, and let the platform refuse some, for a time."""
+        for number in apart:
+            daemon = self.daemons[number]
+            daemon.side = 1
+            self._events.append((self.now + seconds, lambda d=daemon: setattr(d, "side", 0)))
+        for number in refused:
+            self.refuse(number, seconds)
+
     def reset(self, number, seconds):
         """Reset the connections of a daemon that runs, and refuse new ones for a time."""
         daemon = self.daemons[number]
