--- a/features/fake_mesh.py
+++ b/features/fake_mesh.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 
 from wagtailloft.fleet.messages import AgedChanges, AgedRevision, Hello, HelloReply, PullResponse
-from wagtailloft.fleet.records import Changes
+from wagtailloft.fleet.records import Changes, CountedHostsRecord, Entry
 from wagtailloft.models import Host
 
 
@@ -20,6 +20,12 @@
     )
 
 
+def counted_hosts(*names):
+    """Return a getter of store entries that lists hosts whose confirmations count."""
+    record = CountedHostsRecord(hosts=names)
+    return lambda topic, name: Entry(name=name, revision=1, value=record)
+
+
 class InProcessMesh:
     """A mesh that calls the handlers of other hosts in the same process directly."""
 
@@ -77,4 +83,9 @@
             self.sent[known.topic] += known.revision < self.revision
             changes = Changes(topic=known.topic, revision=self.revision, is_snapshot=False)
             topic_changes.append(AgedChanges(changes=changes, age=self.ages[other.name]))
-        return PullResponse(topic_changes=tuple(topic_changes), verified=True, newer=tuple(newer))
+        return PullResponse(
+            topic_changes=tuple(topic_changes),
+            verified=True,
+            newer=tuple(newer),
+            host=other.name,
+        )
--- a/features/restored_store.py
+++ b/features/restored_store.py
@@ -15,18 +15,20 @@
 from wagtailloft import clock
 from wagtailloft.errors import NotSent
 from wagtailloft.fleet.hosts import Hosts
-from wagtailloft.fleet.mesh import ConnectionRefused
 from wagtailloft.fleet.ports import Conflict, EraChanged, StoreDown
 from wagtailloft.fleet.records import (
     Changes,
     Configuration,
     Entry,
+    HostRecord,
     PrimaryAssignment,
     Target,
     TeamRule,
     Topic,
+    host_record_name,
 )
 from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.groups.counted_hosts import CountedHosts
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.failover import COORDINATOR_KEY
 from wagtailloft.groups.fencing import FenceService
@@ -166,7 +168,7 @@
         await self.host.thawed.wait()
         other = self.meshes[address[0]].host
         if self.host.resets or other.resets:
-            raise ConnectionRefused("[Errno 111] Connect call failed")
+            raise NotSent("[Errno 111] Connect call failed")
         if self.host.cut or other.cut or not other.thawed.is_set():
             await asyncio.sleep(limit)
             raise NotSent("no connection")
@@ -210,6 +212,7 @@
         self.cache._rng = self.cache._pulls._rng = random.Random(record.process_name)
         self.lease = PromotionLease(own=record, cache=self.cache, has_ended=self.hosts.has_ended)
         self.cache.on_change(Topic.FLEET, self.lease.observe)
+        self.cache.on_change(Topic.FLEET, self.hosts.follow_register)
         self.directory = GroupDirectory(cache=self.cache)
         self.fence = FenceService(
             hosts=self.hosts,
@@ -218,6 +221,7 @@
             local_executor=SimpleNamespace(fence=_no_position),
         )
         self.repair = RecordRepair(cache=self.cache)
+        self.counted_hosts = CountedHosts(hosts=self.hosts, cache=self.cache)
         self.version = 0
         self.tasks = [asyncio.create_task(self.cache.watch_store(t)) for t in Topic]
         self.tasks.append(asyncio.create_task(self.cache.pull_from_peers()))
@@ -234,6 +238,7 @@
             first = self.hosts.rank_owners(COORDINATOR_KEY)[0]
             if first.name == self.hosts.own.name and self.cache.age() <= self.cache.max_age:
                 await self.repair.run_once()
+                await self.counted_hosts.update()
 
     async def _fail_over(self):
         try:
@@ -263,10 +268,15 @@
         if await self.cache.write(Topic.FLEET, name, claim) is None:
             return
         await self.fence.fence(claim, planned=False)
-        if not self.lease.is_held() and not await self.lease.acquire():
-            return
+        if not self.lease.is_held():
+            if not await self.lease.acquire():
+                return
+            await self.cache.read_now(Topic.FLEET)
         if self.cache.assignment(GROUP) != claim or not self.lease.is_held():
             return
+        if claim.era != self.cache.era.era:
+            await self._try_failover()
+            return
         await self.thawed.wait()
         if not self.lease.is_held():
             return
@@ -295,6 +305,7 @@
         self.operator_busy = False
         self._write_settings()
         self._write_members()
+        self._register_hosts()
         self.store.copies.clear()
         self.hosts = []
         self.run(self._start())
@@ -342,6 +353,7 @@
             await asyncio.sleep(self.rng.uniform(0.0, MAX_REWRITE_S))
             self._write_settings()
             self._write_members()
+            self._register_hosts()
             self.operator_busy = False
 
         if not self.operator_busy:
@@ -434,6 +446,11 @@
             )
             self.store.write(Topic.TARGETS, name, report)
 
+    def _register_hosts(self):
+        for number in range(HOSTS):
+            host = make_host(number, ZONES, incarnation=0)
+            self.store.write(Topic.FLEET, host_record_name(host.name), HostRecord(host=host))
+
     async def _observe(self):
         while True:
             running = [h for h in self.hosts if h.thawed.is_set()]
--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -15,7 +15,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from wagtailloft import logs
+from wagtailloft import clock, logs
 from wagtailloft.controllers.token_bucket import GrantRequest
 from wagtailloft.errors import FixSettings, Kind, NotSent
 from wagtailloft.fleet.ports import Conflict
@@ -344,8 +344,16 @@
     unconfirmed_deadline = progress.deadline(3.3)
     assert unconfirmed_deadline >= 100.0 + OUTAGE_ASSIGNMENT_MAX_AGE_S + 3.3
     for _ in range(2):
-        progress.confirm()
-    assert progress.deadline(3.3) >= progress._last_confirmed_at + 3.3 + EXPIRY_MARGIN_S
+        progress.confirm(counts=True)
+    progress.confirm(counts=False)
+    assert progress.deadline(3.3) == unconfirmed_deadline, "2 of 5 are no majority"
+    before = clock.now()
+    progress.confirm(counts=True)
+    deadline = progress.deadline(3.3)
+    assert before + 3.3 + EXPIRY_MARGIN_S <= deadline <= clock.now() + 3.3 + EXPIRY_MARGIN_S
+    time.sleep(0.01)
+    progress.confirm(counts=True)
+    assert progress.deadline(3.3) == deadline, "a host that confirms later prolongs the wait"
 
 
 @then("a writer whose reader stopped returns at once, drops failures last and counts dropped lines")
@@ -595,13 +603,16 @@
 
 @then("another host waits to take the lease, and the fencing token increases")
 def step_promotion_lease(context):
+    async def has_ended(process_name):
+        return process_name == "b/1"
+
     async def check():
         store = FakeStore()
         first, second = (
             promotion_lease.PromotionLease(
                 own=Host(name=n, ip="", caller_port=1, peer_port=1, operator_port=1, incarnation=1),
                 cache=FakeStoreCache(store),
-                has_ended=lambda name, incarnation: name == "b",
+                has_ended=has_ended,
             )
             for n in ("a", "b")
         )
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -79,9 +79,9 @@
 class PullResponse(Record, tag="news", array_like=True):
     """Answer a pull request.
 
-    verified tells that the assignments were current at some time since the sender's process
-    started, store_unreachable that the sender can't reach the store. newer names the topics whose
-    changes were left out. configuration_version is that of the sender's configuration in force.
+    verified tells that the assignments count towards a majority, store_unreachable that the sender
+    can't reach the store. newer names the topics whose changes were left out. configuration_version
+    is that of the sender's configuration in force, host the sender's name.
     """
 
     topic_changes: tuple[AgedChanges, ...]
@@ -92,6 +92,7 @@
     zone_report: ZoneReport | None = None
     configuration_version: int = 0
     configuration: Configuration | None = None
+    host: str = ""
 
 
 class StatementRequest(Record, tag="work", array_like=True):
@@ -139,6 +140,7 @@
     """Confirm a fence with the last log position that the sender saw acknowledged."""
 
     acknowledged: Position | None = None
+    host: str = ""
 
 
 class PrimaryAnnouncement(Record, tag="settled", array_like=True):
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -127,9 +127,19 @@
 
 
 class HostRecord(Record, tag="host"):
-    """The registration of one host in the fleet."""
+    """The registration of one host in the fleet.
+
+    A host whose registration is withdrawn may not use primaries, and is deleted once it can't.
+    """
 
     host: Host
+    withdrawn: bool = False
+
+
+class CountedHostsRecord(Record, tag="counted"):
+    """The hosts whose confirmations of a fence count towards a majority of all hosts."""
+
+    hosts: tuple[str, ...]
 
 
 def host_record_name(host: str) -> str:
@@ -137,7 +147,15 @@
     return f"{HOST_RECORD_PREFIX}{host}"
 
 
-Value = Configuration | Target | PrimaryAssignment | PromotionLeaseRecord | HostRecord | EraRecord
+Value = (
+    Configuration
+    | Target
+    | PrimaryAssignment
+    | PromotionLeaseRecord
+    | HostRecord
+    | EraRecord
+    | CountedHostsRecord
+)
 
 
 class Entry(Record, array_like=True):
