--- a/features/check.py
+++ b/features/check.py
@@ -15,7 +15,7 @@
     run_state_machine_as_test,
 )
 
-from features.restored_objects import ModelDaemons
+from features.restored_objects import FIRST_INCARNATION, ModelDaemons
 from features.restored_store import HOSTS, ModelFleet
 
 STEPS = 50
@@ -60,6 +60,11 @@
         """Cut a host off from the others for a time."""
         self.fleet.cut(host, seconds)
 
+    @rule(host=hosts, seconds=durations)
+    def reset(self, host, seconds):
+        """Cut a host that goes on running off from the others and the store, with resets."""
+        self.fleet.reset(host, seconds)
+
     @rule(host=hosts, seconds=durations)
     def pause(self, host, seconds):
         """Freeze a host for a time."""
@@ -99,11 +104,6 @@
         """Let the operator write a configuration."""
         self.fleet.configure(withdraw=withdraw)
 
-    @rule(host=hosts, seconds=durations)
-    def reset(self, host, seconds):
-        """Cut a host that goes on running off from the others and the store, with resets."""
-        self.fleet.reset(host, seconds)
-
     @rule(host=hosts, seconds=st.sampled_from((0.02, 0.5, 4.0)))
     def fail_over(self, host, seconds):
         """Let a host replace the primary, and time pass."""
@@ -121,16 +121,26 @@
         """Let the operator add a key through a host."""
         self.fleet.add_key(host)
 
-    @rule(host=hosts)
-    def withdraw_key(self, host):
-        """Let the operator withdraw the oldest key through a host."""
-        self.fleet.withdraw_key(host)
+    @rule(host=hosts, wait=st.booleans())
+    def withdraw_key(self, host, wait):
+        """Let the operator withdraw the oldest key through a host, if `wait` until it answers."""
+        self.fleet.withdraw_key(host, wait=wait)
+
+    @rule(apart=st.sets(hosts), refused=st.sets(hosts), seconds=durations)
+    def part(self, apart, refused, seconds):
+        """Cut some hosts off from the rest, and let the store refuse some, for a time."""
+        self.fleet.part(apart, refused, seconds)
 
     @rule(host=hosts)
     def change_level(self, host):
         """Let the operator change a setting through a host."""
         self.fleet.change_level(host)
 
+    @rule(host=hosts, incarnation=st.sampled_from((1, FIRST_INCARNATION)))
+    def restart_with_clock_set_back(self, host, incarnation):
+        """Restart a host after its clock was set back."""
+        self.fleet.restart(host, incarnation=incarnation)
+
 
 MACHINES = {"hosts": HostMachine, "daemons": DaemonMachine}
 
--- a/features/rates.feature
+++ b/features/rates.feature
@@ -31,3 +31,32 @@
   Scenario: A host that acquires a lease again grants nothing before a majority knows the new epoch
     Given a host that acquired and released a lease that another host then acquired and lost
     Then acquiring it again gives no right to grant before a majority knows the epoch
+
+  Scenario: A lease that an older copy of the store has for a host is not held by that host
+    Given a host that acquired and released a lease that another host then acquired and lost
+    When the store comes back from a copy of when the host held the lease
+    Then for 2 s the host has no right to grant
+
+  Scenario: An acquired lease whose response was lost gives no right before its epoch is published
+    Given a host that acquired and released a lease that another host then acquired and lost
+    When the response is lost to the write that acquires it again, which is done
+    Then the host has no right to grant an epoch that it did not publish
+
+  Scenario: The response to a renewal of a lease is lost
+    Given a host that holds a lease
+    When the response is lost to a renewal, which is done
+    Then the host may grant in the same epoch a second later
+
+  Scenario: A host that releases a lease during an outage stops before the store has the release
+    Given a host that granted tokens during an outage and leaves
+    Then it has no right to grant once the store has the release
+
+  Scenario: A host whose release of a lease got no response grants only after a renewal
+    Given a host that granted tokens during an outage and leaves
+    When its release gets no response, and it is the owner again
+    Then it has no right to grant before the store has a renewal
+
+  Scenario: A host that holds a lease is suspended with its machine for longer than the lease lasts
+    Given a host that holds a lease
+    When its machine is suspended for 10 s
+    Then the host has no right to grant at once
--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -13,18 +13,24 @@
 from unittest.mock import patch
 from urllib.parse import parse_qsl, urlsplit
 
+import msgspec
 import urllib3
 
 from features.fake_mesh import make_host
 from standins.platform import FakePlatform
-from wagtailloft import gossip, leases, models, platform_watcher
+from wagtailloft import gossip, leases, models, operators, platform_watcher
 from wagtailloft.adapters.object_api import HttpObjectApi
 from wagtailloft.catalog import Catalog
-from wagtailloft.controllers.freshness import FreshnessTracker, SettingsState
+from wagtailloft.controllers.freshness import (
+    SETTINGS_MAX_AGE_S,
+    FreshnessTracker,
+    SettingsState,
+)
 from wagtailloft.controllers.membership import Membership
 from wagtailloft.controllers.object_cache import ObjectCache
 from wagtailloft.decisions import Decisions
-from wagtailloft.errors import NoResponse
+from wagtailloft.errors import NoResponse, NotSent
+from wagtailloft.host_register import HostRegister
 from wagtailloft.object_repair import ObjectRepair
 from wagtailloft.revisions import era_of
 from wagtailloft.supervision import Supervisor
@@ -32,7 +38,10 @@
 DAEMONS, ZONES = 4, 2
 SHARDS = 2
 LEVEL = "level"
+PLATFORM = "platform"
 STEP_S = 0.05
+START_S = 1000.0
+FIRST_INCARNATION = 1_000_000  # of the daemons that start at START_S
 COPIES = 400
 CONVERGE_S = 15.0
 LATE_WRITE_S = 3.0
@@ -53,11 +62,17 @@
         call = (None, method, parts.path, query, json.loads(body) if body else {})
         if fleet.platform_down or self._daemon.refused:
             raise urllib3.exceptions.HTTPError("refused")
+        try:
+            is_reset = self._daemon.loses_response(PLATFORM)
+        except NotSent as exc:
+            raise urllib3.exceptions.NewConnectionError(None, str(exc)) from exc
         if method == "PUT" and fleet.late_writes:
             fleet.late_writes -= 1
             fleet.pending.append((fleet.now + LATE_WRITE_S, call))
             raise urllib3.exceptions.HTTPError("no response")
         status, value = fleet.platform.handle(*call)
+        if is_reset:
+            raise urllib3.exceptions.ProtocolError("connection reset")
         if method == "PUT" and fleet.lost_answers:
             fleet.lost_answers -= 1
             raise urllib3.exceptions.HTTPError("no response")
@@ -73,22 +88,26 @@
         self._fleet, self._daemon = fleet, daemon
 
     def exchange(self, host, digest):
-        """Exchange digests; raise NoResponse."""
-        return self._other(host).gossip.handle_digest(digest)
+        """Exchange digests; raise NotSent or NoResponse."""
+        return self._call(host, lambda other: other.gossip.handle_digest(digest))
 
     def pull(self, host, after):
-        """Return the changes after a revision; raise NoResponse."""
-        return self._other(host).objects.changes_since(after)
+        """Return the changes after a revision; raise NotSent or NoResponse."""
+        return self._call(host, lambda other: other.objects.changes_since(after))
 
     def probe(self, host, other):
-        """Return whether a host reaches another; raise NoResponse."""
-        return self._other(host).gossip.probe_host(other)
+        """Return whether a host reaches another; raise NotSent or NoResponse."""
+        return self._call(host, lambda prober: prober.gossip.probe_host(other))
 
-    def _other(self, host):
-        other = self._fleet.daemons[int(host.name[1:])]
-        if self._daemon.cut or other.cut or other.paused:
+    def _call(self, host, method):
+        daemon, other = self._daemon, self._fleet.daemons[int(host.name[1:])]
+        if daemon.cut or other.cut or other.paused or daemon.side != other.side:
             raise NoResponse("no connection")
-        return other
+        is_reset = daemon.loses_response(other.number) | other.loses_response(daemon.number)
+        response = method(other)
+        if is_reset:
+            raise NoResponse("connection reset")
+        return response
 
 
 class Queue:
@@ -115,20 +134,38 @@
     def __init__(self, *, fleet, number):
         """Start the daemon's first process."""
         self.fleet, self.number = fleet, number
-        self.cut = self.refused = self.paused = False
-        self.incarnation = 0
+        self.cut = self.refused = self.paused = self.reset = False
+        self.side, self.connected, self.incarnation, self.starts = 0, set(), 0, 0
         self.restart()
 
-    def restart(self):
-        """Replace the daemon's process by one that knows nothing."""
-        self.incarnation += 1
-        own = make_host(self.number, ZONES, incarnation=self.incarnation)
+    def loses_response(self, peer):
+        """Tell whether a call over a connection is done without a response, as it is reset.
+
+        Raise NotSent once a new connection is refused.
+        """
+        if not self.reset:
+            return False
+        if peer not in self.connected:
+            raise NotSent("connection refused")
+        self.connected.remove(peer)
+        return True
+
+    def restart(self, *, incarnation=None):
+        """Replace the daemon's process by one that knows nothing, at another address.
+
+        The incarnation is that of the present time unless it is given.
+        """
+        self.starts += 1
+        self.incarnation = max(self.incarnation + 1, int(self.fleet.now * 1000))
+        own = make_host(self.number, ZONES, incarnation=incarnation or self.incarnation)
+        own = msgspec.structs.replace(own, ip=f"10.{self.starts}.0.{self.number}")
         rng = random.Random(own.process_name)
-        self.name, self.queue = own.process_name, Queue()
-        self.withdrawn, self.value, self.era = set(), 0, 0
+        self.name, self.queue = f"{own.process_name}.{self.starts}", Queue()
+        self.withdrawn, self.value, self.era, self.dropped_in = set(), 0, 0, 0
         self.api = HttpObjectApi(address="platform", source=own.ip)
         self.api._http = Transport(fleet=self.fleet, daemon=self)
         self.objects, self.freshness = ObjectCache(), FreshnessTracker()
+        self.objects.watch("level", self._level_changed)
         decisions = Decisions(host=own.name)
         self.gossip = gossip.Gossip(
             membership=Membership(own=own, rng=rng),
@@ -153,14 +190,28 @@
             platform_watcher=self.watcher,
             clock=lambda: self.fleet.now,
         )
+        catalog = Catalog(objects=self.objects, region="r", zone=own.zone)
+        self.host_register = HostRegister(gossip=self.gossip, object_api=self.api, catalog=catalog)
         self.leases = leases.Leases(
             holder=own.process_name,
             object_api=self.api,
             gossip=self.gossip,
-            catalog=Catalog(objects=self.objects, region="r", zone=own.zone),
+            catalog=catalog,
             decisions=decisions,
         )
         self.leases._shards = dict(list(self.leases._shards.items())[:SHARDS])
+        self.operators = operators.OperatorService(
+            catalog=catalog,
+            object_api=self.api,
+            platform_watcher=self.watcher,
+            gossip=self.gossip,
+            freshness=self.freshness,
+            peers=None,
+            group_services=None,
+            leases=self.leases,
+            decisions=decisions,
+            executor=self.queue,
+        )
         self._due = {name: self.fleet.now + rng.uniform(0, s) for name, s in INTERVALS_S.items()}
 
     def step(self):
@@ -182,6 +233,10 @@
             return False
         return self.objects.get("key", key) is not None
 
+    def _level_changed(self, change):
+        if change.removed and self.objects.is_complete():
+            self.dropped_in = era_of(self.objects.revision)
+
     def _watch(self):
         unconfirmed = self.freshness.age(self.fleet.now) > platform_watcher.UNCONFIRMED_LIMIT_S
         if self.watcher.is_platform_watcher() or unconfirmed:
@@ -197,45 +252,40 @@
         self.leases.tick()
 
     def _register(self):
-        listed = self.api.hosts()
-        for host in listed.ok_value if listed.is_ok() else ():
-            if self.gossip.find(host.name) is None and host.name != self.gossip.own().name:
-                self.gossip.exchange(host)
-        own = self.gossip.own()
-        found = self.objects.get("host", own.name)
-        if found is None or found.decode(models.Host).incarnation != own.incarnation:
-            stored = self.api.get("host", own.name)
-            if stored.is_ok():
-                self.api.put("host", own.name, own, _revision(stored.ok_value))
+        self.host_register.register()
+        self.host_register.remove_dead_hosts()
 
 
 @dataclass(frozen=True, kw_only=True)
 class Withdrawal:
-    """An acknowledged withdrawal of a key, and the process that it was sent to."""
+    """A withdrawal of a key, the process that it was sent to, and when that confirmed it."""
 
     at: float
     known_by: str
+    confirmed_at: float | None = None
 
 
 class ModelDaemons:
     """The daemons and the platform, in steps of virtual time."""
 
-    def __init__(self, *, seed):
+    def __init__(self, *, seed, count=DAEMONS):
         """Start the daemons and let them settle."""
-        self.now, self.rng = 1000.0, random.Random(seed)
+        self.now, self.rng = START_S, random.Random(seed)
         self.platform = FakePlatform(host_lag_s=1.0)
         self.platform_down, self.lost_answers, self.late_writes = False, 0, 0
         self.pending, self._events, self.violations = [], [], []
         self._copies = deque(maxlen=COPIES)
         self.keys, self.withdrawals, self._next_key = [], {}, 0
         self.changes, self.confirmed, self._next_value = [], set(), 0
+        self._disturbed_at = 0.0
         self._stack = ExitStack()
         clock = SimpleNamespace(monotonic=lambda: self.now, time=lambda: self.now)
-        for module in ("wagtailloft.gossip", "wagtailloft.leases", "wagtailloft.platform_watcher"):
-            self._stack.enter_context(patch(f"{module}.time", clock))
+        self._stack.enter_context(patch("wagtailloft.clock.now", lambda: self.now))
         self._stack.enter_context(patch("standins.platform.time", clock))
+        waiting = SimpleNamespace(monotonic=clock.monotonic, sleep=self.advance)
+        self._stack.enter_context(patch("wagtailloft.operators.time", waiting))
         self.daemons = []
-        self.daemons = [ModelDaemon(fleet=self, number=n) for n in range(DAEMONS)]
+        self.daemons = [ModelDaemon(fleet=self, number=n) for n in range(count)]
         self.advance(8.0)
 
     def close(self):
@@ -266,18 +316,34 @@
             self.keys.append(name)
             daemon.watcher.refresh()
 
-    def withdraw_key(self, number):
-        """Let a daemon withdraw the oldest key, as its operator interface does."""
+    def withdraw_key(self, number, *, wait=False):
+        """Let the operator withdraw the oldest key through a daemon, if `wait` until it answers."""
         daemon = self.daemons[number]
         if daemon.paused or not self.keys or not daemon.objects.is_complete():
             return
-        known = daemon.objects.get("key", self.keys[0])
-        if known is None or daemon.api.put("key", known.name, None, known.revision).is_err():
+        known, process, at = daemon.objects.get("key", self.keys[0]), daemon.name, self.now
+        if known is None:
+            self.keys.append(self.keys.pop(0))
             return
-        daemon.watcher.refresh()
-        if daemon.objects.get("key", known.name) is None:
-            name = self.keys.pop(0)
-            self.withdrawals[name] = Withdrawal(at=self.now, known_by=daemon.name)
+        if wait:
+            confirmed = daemon.operators.remove("key", known.name, known.revision).is_ok()
+        else:
+            confirmed = False
+            if daemon.api.put("key", known.name, None, known.revision).is_err():
+                return
+            daemon.watcher.refresh()
+        if daemon.name != process:
+            return
+        if confirmed or daemon.objects.get("key", known.name) is None:
+            confirmed_at = self.now if confirmed and not self.disturbed_after(at) else None
+            self.keys.remove(known.name)
+            self.withdrawals[known.name] = Withdrawal(
+                at=self.now, known_by=process, confirmed_at=confirmed_at
+            )
+
+    def disturbed_after(self, at):
+        """Tell whether a process, or the store, has lost since what it knew."""
+        return self._disturbed_at >= at
 
     def change_level(self, number):
         """Let a daemon raise a level of the settings, as its operator interface does."""
@@ -306,14 +372,16 @@
             self.platform._restore()
             self._copies.clear()
             self.platform_down = False
+            self._disturbed_at = self.now
             for number in restarted:
                 self.daemons[number].restart()
 
         self._events.append((self.now + outage, come_back))
 
-    def restart(self, number):
+    def restart(self, number, *, incarnation=None):
         """Restart a daemon."""
-        self.daemons[number].restart()
+        self._disturbed_at = self.now
+        self.daemons[number].restart(incarnation=incarnation)
 
     def refuse(self, number, seconds):
         """Let the platform refuse a daemon for a time."""
@@ -329,6 +397,21 @@
             (self.now + seconds, lambda: setattr(self.daemons[number], "cut", False))
         )
 
+    def part(self, apart, refused, seconds):
+        """Cut some daemons off from the rest, and let the platform refuse some, for a time."""
+        for number in apart:
+            daemon = self.daemons[number]
+            daemon.side = 1
+            self._events.append((self.now + seconds, lambda d=daemon: setattr(d, "side", 0)))
+        for number in refused:
+            self.refuse(number, seconds)
+
+    def reset(self, number, seconds):
+        """Reset the connections of a daemon that runs, and refuse new ones for a time."""
+        daemon = self.daemons[number]
+        daemon.reset, daemon.connected = True, {PLATFORM, *range(len(self.daemons))}
+        self._events.append((self.now + seconds, lambda: setattr(daemon, "reset", False)))
+
     def pause(self, number, seconds):
         """Freeze a daemon for a time."""
         self.daemons[number].paused = True
@@ -338,7 +421,8 @@
         """End all faults; return what the daemons and the platform disagree on after a while."""
         self.lost_answers = self.late_writes = 0
         for daemon in self.daemons:
-            daemon.cut = daemon.refused = False
+            daemon.cut = daemon.refused = daemon.reset = False
+            daemon.side = 0
             daemon.wake()
         self.advance(CONVERGE_S)
         stored = {name for kind, name in self.platform.objects if kind == "key"}
@@ -351,6 +435,13 @@
                 wrong.append(f"{daemon.name} has not settled the era")
             if daemon.gossip.settings_state() is not SettingsState.FRESH:
                 wrong.append(f"{daemon.name} has old settings")
+            hosts = {(h.name, h.ip, h.state.value) for h in daemon.gossip.hosts()}
+            owns = [h.gossip.own() for h in self.daemons]
+            if hosts != {(own.name, own.ip, "alive") for own in owns}:
+                wrong.append(f"{daemon.name} takes the hosts for {hosts}")
+        for shard in self.daemons[0].leases._shards:
+            if len(self._granting(shard, self.daemons)) != 1:
+                wrong.append(f"{self._granting(shard, self.daemons)} grant the tokens of {shard}")
         back = [n for n, w in self.withdrawals.items() if n in stored and w.known_by in running]
         wrong += [f"the withdrawn {name} is back" for name in back]
         latest = max((v for v, name in self.changes if name in running), default=0)
@@ -377,18 +468,21 @@
     def _check(self):
         running = [d for d in self.daemons if not d.paused]
         for shard in self.daemons[0].leases._shards:
-            rights = {d.name: d.leases.grant_right(shard) for d in running}
-            granting = [n for n, r in rights.items() if r and r.granting_from <= self.now]
+            granting = self._granting(shard, running)
             if len(granting) > 1:
                 self.violations.append(f"{granting} grant the tokens of {shard}")
         for daemon in running:
             self._check_keys(daemon)
             self._check_level(daemon)
 
+    def _granting(self, shard, daemons):
+        rights = {d.name: d.leases.grant_right(shard) for d in daemons}
+        return [name for name, r in rights.items() if r and r.granting_from <= self.now]
+
     def _check_level(self, daemon):
         value, era = value_of_level(daemon.objects), era_of(daemon.objects.revision)
-        if value == 0 and daemon.objects.is_complete() and era != daemon.era:
-            # It was away until the era was settled, and drops what nobody else has written again.
+        if value == 0 and daemon.dropped_in > daemon.era:
+            # It was away until an era was settled, and drops what nobody else has written again.
             daemon.value = 0
             self.changes = [change for change in self.changes if change[1] != daemon.name]
         if daemon.objects.revision and value < daemon.value:
@@ -399,7 +493,12 @@
             daemon.value = max(daemon.value, value)
 
     def _check_keys(self, daemon):
-        for name in self.withdrawals:
+        for name, withdrawal in self.withdrawals.items():
+            confirmed_at = withdrawal.confirmed_at
+            if confirmed_at is not None and not self.disturbed_after(confirmed_at):
+                late = self.now - confirmed_at > SETTINGS_MAX_AGE_S + STEP_S
+                if late and daemon.accepts(name):
+                    self.violations.append(f"{daemon.name} still accepts {name}")
             # A process that never knew the key has not learned of its withdrawal by lacking it.
             if ("key", name) in daemon.objects._removals:
                 daemon.withdrawn.add(name)
@@ -407,10 +506,6 @@
                 self.violations.append(f"{daemon.name} accepts {name} again")
 
 
-def _revision(change):
-    return change.revision if change else 0
-
-
 def value_of_level(objects):
     """Return the value that a daemon has in force, 0 if none."""
     change = objects.get("level", LEVEL)
--- a/src/wagtailloft/controllers/membership.py
+++ b/src/wagtailloft/controllers/membership.py
@@ -67,7 +67,8 @@
     def merge(self, host: Host, now: float) -> bool:
         """Apply an update about a host if it is newer; return whether it changed anything.
 
-        An update that gives this host a wrong state is refuted by a higher incarnation.
+        An update that gives this host a wrong state is refuted by a higher incarnation, as is one
+        of an earlier process with a higher incarnation, after which the clock was set back.
         """
         if host.name == self._own.name:
             return self._refute(host, now)
@@ -131,6 +132,11 @@
                 chosen.append(self._peers[name].host)
         return tuple(chosen)
 
+    def pick_dead(self) -> Host | None:
+        """Return a random dead host, which may only have been cut off, or None if none is dead."""
+        dead = [p.host for p in self._peers.values() if p.host.state is HostState.DEAD]
+        return self._rng.choice(dead) if dead else None
+
     def indirect_probers(self, name: str, count: int) -> tuple[Host, ...]:
         """Return random hosts that are alive and can probe another host on behalf of this one."""
         alive = [
@@ -163,9 +169,10 @@
         peer.transmissions = 0
 
     def _refute(self, host: Host, now: float) -> bool:
-        if host.incarnation < self._own.incarnation or host.state is self._own.state:
+        if host.incarnation < self._own.incarnation:
             return False
-        if host.incarnation == self._own.incarnation and host.state is HostState.ALIVE:
+        is_own = msgspec.structs.replace(host, state=self._own.state) == self._own
+        if is_own and host.state in (self._own.state, HostState.ALIVE):
             return False
         self._own = msgspec.structs.replace(self._own, incarnation=host.incarnation + 1)
         self._put(self._own, now)
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -2,13 +2,12 @@
 
 import math
 import threading
-import time
 from dataclasses import dataclass
 
 import msgspec
 from result import Err
 
-from wagtailloft import logs
+from wagtailloft import clock, logs
 from wagtailloft.adapters.object_api import ObjectApi, WriteConflict
 from wagtailloft.catalog import Catalog
 from wagtailloft.controllers.freshness import SETTINGS_MAX_AGE_S, SettingsState
@@ -40,8 +39,8 @@
 class _ShardLease:
     """The state of one shard's lease as this host knows it; times are in monotonic seconds.
 
-    epoch_revision is the platform's revision of the published epoch; epoch_known_at is when a
-    majority of hosts was first seen to have it.
+    published_epoch is the epoch that this host published last, epoch_revision the platform's
+    revision of it; epoch_known_at is when a majority of hosts was first seen to have it.
     """
 
     name: str
@@ -51,6 +50,7 @@
     held_until: float = 0.0
     granting_from: float = math.inf
     epoch_known_at: float = math.inf
+    published_epoch: int = 0
     epoch_revision: int = 0
     released_by_predecessor: bool = False
     renewed_at: float = 0.0
@@ -84,9 +84,7 @@
         lease = shard_lease.lease
         if lease is None or lease.holder != self._holder:
             return None
-        if time.monotonic() >= shard_lease.held_until and not self._valid_during_outage(
-            shard_lease
-        ):
+        if clock.now() >= shard_lease.held_until and not self._valid_during_outage(shard_lease):
             return None
         return GrantRight(epoch=lease.epoch, granting_from=shard_lease.granting_from)
 
@@ -100,7 +98,7 @@
             return
         try:
             for shard_lease in self._shards.values():
-                self._tick(shard_lease, time.monotonic())
+                self._tick(shard_lease, clock.now())
         finally:
             self._lock.release()
 
@@ -117,7 +115,7 @@
         if is_holder and not preferred:
             self._release(shard_lease)
         elif is_holder and now - shard_lease.renewed_at >= RENEW_INTERVAL_S:
-            self._renew(shard_lease)
+            self._write_renewal(shard_lease, shard_lease.lease, shard_lease.version)
         elif is_holder and shard_lease.granting_from == math.inf:
             self._schedule_grants(shard_lease, now)
         elif preferred and not is_holder:
@@ -150,8 +148,14 @@
         if change is not None:
             version, lease = change.revision, change.decode(Lease)
         if version != shard_lease.version:
-            shard_lease.version, shard_lease.lease, shard_lease.last_change_at = version, lease, now
-        is_free = not lease.holder and lease.era == era_of(version)
+            shard_lease.version, shard_lease.last_change_at = version, now
+        # After a write without a response the store may name this host, which then goes on in an
+        # epoch that it published. If an older copy names it, another host may hold the lease.
+        is_own = lease.holder == self._holder and lease.era == era_of(version)
+        if is_own and lease.epoch == shard_lease.published_epoch:
+            self._write_renewal(shard_lease, lease, version)
+            return
+        is_free = is_own or (not lease.holder and lease.era == era_of(version))
         if is_free or (change is None and self._catalog.objects.is_first_era()):
             self._acquire(shard_lease, version, lease)
         elif now - shard_lease.last_change_at >= LEASE_DURATION_S and self._gossip.hears_majority():
@@ -209,14 +213,15 @@
             f"in {delay:.1f} s, outage excluded: {outage_excluded}",
         )
 
-    def _renew(self, shard_lease: _ShardLease) -> None:
-        lease = shard_lease.lease
+    def _write_renewal(self, shard_lease: _ShardLease, lease: Lease, version: int) -> None:
         renewed = msgspec.structs.replace(lease, renewals=lease.renewals + 1)
-        self._write(shard_lease, renewed, shard_lease.version)
+        self._write(shard_lease, renewed, version)
 
     def _release(self, shard_lease: _ShardLease) -> None:
-        shard_lease.held_until = 0.0
         lease = msgspec.structs.replace(shard_lease.lease, holder="", renewals=0)
+        # Before the write, since the next holder relies on it as soon as the store has it.
+        shard_lease.held_until = 0.0
+        shard_lease.lease = None
         self._write(shard_lease, lease, shard_lease.version)
         shard_lease.held_until = 0.0
         shard_lease.lease = None
@@ -224,7 +229,7 @@
 
     def _write(self, shard_lease: _ShardLease, lease: Lease, version: int) -> bool:
         """Write a lease; its duration starts when the write is sent, so that it never ends late."""
-        requested_at = time.monotonic()
+        requested_at = clock.now()
         put = self._object_api.put("lease", shard_lease.name, lease, version, LEASE_CALL_TIMEOUT_S)
         if isinstance(put, Err):
             conflict = put.err_value
@@ -248,7 +253,7 @@
         so afterwards wrote it in the present era.
         """
         era = era_of(conflict.revision)
-        if era <= era_of(shard_lease.version) or time.monotonic() >= shard_lease.held_until:
+        if era <= era_of(shard_lease.version) or clock.now() >= shard_lease.held_until:
             return False
         is_stored = bytes(conflict.value) != bytes(REMOVED)
         return not is_stored or decode(conflict.value, Lease).era < era
@@ -264,5 +269,6 @@
             shard_lease.held_until = 0.0
             shard_lease.lease = None
             return False
+        shard_lease.published_epoch = lease.epoch
         shard_lease.epoch_revision = put.ok_value.revision
         return True
