--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -87,7 +87,6 @@
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.ports import BoundStatement, LinkSpec
 from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX
-from wagtailloft.host_process import HostProcess
 from wagtailloft.json_parts import split_array, split_object
 from wagtailloft.models import Member, Mode, Position, Team
 from wagtailloft.operators import OperatorService
@@ -498,8 +497,7 @@
     cache = StoreCache(
         store=record_store, hosts=hosts, mesh=mesh, max_age=3.3, assignment_max_age=2.4
     )
-    process = SimpleNamespace(hosts=hosts)
-    cache.on_change(Topic.FLEET, lambda e: HostProcess._fleet_changed(process, e))
+    cache.on_change(Topic.FLEET, hosts.follow_register)
     return cache, hosts
 
 
@@ -556,11 +554,14 @@
     run_fleet(context, act)
 
 
+async def never_ends(process_name):
+    """Return False: no process is known to have ended."""
+    return False
+
+
 async def take_lease(cache):
     """Take the lease at a host; return the seconds that it took."""
-    lease = promotion_lease.PromotionLease(
-        own=make_host(0, 1), cache=cache, has_ended=lambda name, incarnation: False
-    )
+    lease = promotion_lease.PromotionLease(own=make_host(0, 1), cache=cache, has_ended=never_ends)
     cache.on_change(Topic.FLEET, lease.observe)
     started = clock.now()
     assert await lease.acquire()
--- a/features/steps/statements.py
+++ b/features/steps/statements.py
@@ -247,6 +247,7 @@
         controls=lambda member: control,
         heartbeat_interval=lambda: 1.0,
         clock=lambda: control.now,
+        supervisor=Supervisor(),
     )
     requested_at = control.now
     monitor.fetch_progress(MEMBER.name)
