--- a/features/restored_store.py
+++ b/features/restored_store.py
@@ -20,10 +20,12 @@
     Changes,
     Configuration,
     Entry,
+    HostRecord,
     PrimaryAssignment,
     Target,
     TeamRule,
     Topic,
+    host_record_name,
 )
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.groups.directory import GroupDirectory
@@ -148,7 +150,7 @@
 
 
 class ModelMesh(InProcessMesh):
-    """A mesh whose host may be cut off from all others, or frozen."""
+    """A mesh whose host may be cut off from all others, with or without resets, or frozen."""
 
     def __init__(self, meshes, host):
         """Connect a host to the others."""
@@ -164,6 +166,8 @@
         await asyncio.sleep(CALL_S)
         await self.host.thawed.wait()
         other = self.meshes[address[0]].host
+        if self.host.resets or other.resets:
+            raise NotSent("[Errno 111] Connect call failed")
         if self.host.cut or other.cut or not other.thawed.is_set():
             await asyncio.sleep(limit)
             raise NotSent("no connection")
@@ -176,7 +180,7 @@
     def __init__(self, *, fleet, number):
         """Start the host's first process."""
         self.fleet, self.number = fleet, number
-        self.cut = self.refused = False
+        self.cut = self.refused = self.resets = False
         self.thawed = asyncio.Event()
         self.thawed.set()
         self.incarnation, self.tasks = 0, []
@@ -207,6 +211,7 @@
         self.cache._rng = self.cache._pulls._rng = random.Random(record.process_name)
         self.lease = PromotionLease(own=record, cache=self.cache, has_ended=self.hosts.has_ended)
         self.cache.on_change(Topic.FLEET, self.lease.observe)
+        self.cache.on_change(Topic.FLEET, self.hosts.follow_register)
         self.directory = GroupDirectory(cache=self.cache)
         self.fence = FenceService(
             hosts=self.hosts,
@@ -260,10 +265,15 @@
         if await self.cache.write(Topic.FLEET, name, claim) is None:
             return
         await self.fence.fence(claim, planned=False)
-        if not self.lease.is_held() and not await self.lease.acquire():
-            return
+        if not self.lease.is_held():
+            if not await self.lease.acquire():
+                return
+            await self.cache.read_now(Topic.FLEET)
         if self.cache.assignment(GROUP) != claim or not self.lease.is_held():
             return
+        if claim.era != self.cache.era.era:
+            await self._try_failover()
+            return
         await self.thawed.wait()
         if not self.lease.is_held():
             return
@@ -292,6 +302,7 @@
         self.operator_busy = False
         self._write_settings()
         self._write_members()
+        self._register_hosts()
         self.store.copies.clear()
         self.hosts = []
         self.run(self._start())
@@ -339,6 +350,7 @@
             await asyncio.sleep(self.rng.uniform(0.0, MAX_REWRITE_S))
             self._write_settings()
             self._write_members()
+            self._register_hosts()
             self.operator_busy = False
 
         if not self.operator_busy:
@@ -363,6 +375,12 @@
         self.hosts[host].cut = True
         self._loop.call_later(seconds, setattr, self.hosts[host], "cut", False)
 
+    def reset(self, host, seconds):
+        """Cut a host that goes on running off from the others and the store, with resets."""
+        self.refuse(host, seconds)
+        self.hosts[host].resets = True
+        self._loop.call_later(seconds, setattr, self.hosts[host], "resets", False)
+
     def pause(self, host, seconds):
         """Freeze a host for a time."""
         self.hosts[host].thawed.clear()
@@ -384,7 +402,7 @@
         """End all faults; return what the hosts and the store disagree on after a while."""
         self.lost_answers = self.late_writes = 0
         for host in self.hosts:
-            host.cut = host.refused = False
+            host.cut = host.refused = host.resets = False
             host.thawed.set()
         self.advance(CONVERGE_S)
         wrong = []
@@ -425,6 +443,11 @@
             )
             self.store.write(Topic.TARGETS, name, report)
 
+    def _register_hosts(self):
+        for number in range(HOSTS):
+            host = make_host(number, ZONES, incarnation=0)
+            self.store.write(Topic.FLEET, host_record_name(host.name), HostRecord(host=host))
+
     async def _observe(self):
         while True:
             running = [h for h in self.hosts if h.thawed.is_set()]
--- a/src/wagtailloft/fleet/peer_pulls.py
+++ b/src/wagtailloft/fleet/peer_pulls.py
@@ -76,8 +76,8 @@
     def accept_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration from another host in force if it is later; return whether it was."""
 
-    def is_verified(self) -> bool:
-        """Tell whether the cache was current at some time since this process started."""
+    def may_report(self) -> bool:
+        """Tell whether this host's assignments count towards a majority of the hosts."""
 
 
 class PeerPulls:
@@ -204,7 +204,8 @@
         for topic, age in ages.items():
             if topic is OUTAGE_PROBE_TOPIC or len(topics) == 1:
                 self._update_freshest_source(name, sent_at - age)
-        if response.verified:
+        # Another host may answer at the address of one that was removed.
+        if response.verified and response.host == name:
             self._reports.add_host(name, sent_at)
         if response.zone_report:
             self._reports.add_zone(response.zone_report, sent_at)
@@ -284,16 +285,17 @@
                 changes = self._cache.changes_since(topic, known.revision)
                 topic_changes.append(AgedChanges(changes=changes, age=age))
         same = message.assignments_digest == self._cache.assignments_digest
-        verified = self._cache.is_verified()
+        counts = self._cache.may_report()
         return PullResponse(
             topic_changes=tuple(topic_changes),
             assignments=() if same else self._cache.assignments(),
-            verified=verified,
+            verified=counts,
             store_unreachable=self._cache.store_unreachable,
             newer=tuple(newer),
-            zone_report=self._zone_report(verified) if self._collects() else None,
+            zone_report=self._zone_report(counts) if self._collects() else None,
             configuration_version=self._configuration_version(),
             configuration=self._later_configuration(message, topic_changes),
+            host=self._hosts.own.name,
         )
 
     def _configuration_version(self) -> int:
@@ -317,11 +319,11 @@
             else configuration
         )
 
-    def _zone_report(self, own_is_current: bool) -> ZoneReport:
+    def _zone_report(self, own_counts: bool) -> ZoneReport:
         reader = self._reader(self._hosts.own.zone)
         if self._unreachable_until.get(reader, 0.0) > now():
             reader = ""
-        return self._reports.zone_report(reader=reader, own_is_current=own_is_current)
+        return self._reports.zone_report(reader=reader, own_counts=own_counts)
 
 
 def _newest_sources(
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -147,7 +147,10 @@
         majority and then waits until earlier reports have expired.
         """
         age = self.assignments_age()
-        if age <= self.assignment_max_age:
+        # Without that, the earlier process of this host may have confirmed a fence that ended the
+        # wait for whoever this one has its cache from.
+        was_current = self._known_complete_at[Topic.FLEET] >= self._started
+        if was_current and age <= self.assignment_max_age:
             return True
         if age > OUTAGE_ASSIGNMENT_MAX_AGE_S:
             return False
@@ -158,11 +161,26 @@
 
         Reports older than assignment_max_age don't count.
         """
-        return self._reports.from_majority(self.assignment_max_age)
+        return self._reports.from_majority(self.assignment_max_age, own_counts=self.may_report())
 
     def is_registered(self) -> bool:
-        """Tell whether this host's registration is cached, so that coordinators count it."""
-        return self.get(Topic.FLEET, host_record_name(self._hosts.own.name)) is not None
+        """Tell whether coordinators count this host, in every failover that it does not know of.
+
+        A coordinator counts the hosts that are registered once it has stored its claim. All claims
+        before this host's registration are known once the cache is as new as that.
+        """
+        entry = self.get(Topic.FLEET, host_record_name(self._hosts.own.name))
+        if entry is None or not isinstance(entry.value, HostRecord) or entry.value.withdrawn:
+            return False
+        return self.revision(Topic.FLEET) >= entry.revision
+
+    @property
+    def assignment_use_limit(self) -> float:
+        """Return the seconds for which a host may use an assignment that it knows, at most.
+
+        They count from when the assignment changed, or the host's registration was withdrawn.
+        """
+        return OUTAGE_ASSIGNMENT_MAX_AGE_S + self.assignment_max_age + EXPIRY_MARGIN_S
 
     def assignments(self) -> tuple[PrimaryAssignment, ...]:
         """Return every known primary assignment."""
@@ -248,9 +266,16 @@
         poll = LONG_POLL_S[topic] if topic in FRESHNESS_TOPICS else 0.0
         return self.topic_age(topic) + poll > OLD_CACHE_AGE_S
 
-    def is_verified(self) -> bool:
-        """Tell whether the cache was current at some time since this process started."""
-        return all(at >= self._started for at in self._known_complete_at.values())
+    def may_report(self) -> bool:
+        """Tell whether this host's assignments count towards a majority of the hosts.
+
+        Its cache was current since this process started, so that it knows what earlier processes
+        confirmed; and it is registered, as far as it can tell for as long as a deleted registration
+        may be unknown to it, so that coordinators count it too.
+        """
+        was_current = all(at >= self._started for at in self._known_complete_at.values())
+        is_recent = self.assignments_age() <= OUTAGE_ASSIGNMENT_MAX_AGE_S
+        return was_current and is_recent and self.is_registered()
 
     async def join_through_seeds(self, ips: tuple[str, ...]) -> None:
         """Learn the fleet's hosts from the first seed that answers, unless the store lists them."""
@@ -305,6 +330,7 @@
                 self._entry_changed(changes.topic, entry)
         if changes.topic is Topic.FLEET:
             self.era.observe_fleet_read()
+            self._hosts.observe_register_read()
         self._update_known_complete()
         return True
 
