--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -48,6 +48,7 @@
 )
 from wagtailloft.fleet.ports import Conflict, StoreDown
 from wagtailloft.fleet.records import (
+    PROMOTION_LEASE_OBJECT,
     Changes,
     Entry,
     EraRecord,
@@ -422,7 +423,7 @@
     "host": (host_record_name(OTHER.name), HostRecord(host=OTHER)),
     "assignment": (ASSIGNMENT_PREFIX + "g", ASSIGNMENT),
     "era": (ERA_OBJECT, EraRecord(era=1)),
-    "lease": (promotion_lease.LEASE_OBJECT, PromotionLeaseRecord(holder="h01/1", era=1)),
+    "lease": (PROMOTION_LEASE_OBJECT, PromotionLeaseRecord(holder="h01/1", era=1)),
 }
 
 
--- a/src/wagtailloft/groups/promotion_lease.py
+++ b/src/wagtailloft/groups/promotion_lease.py
@@ -14,13 +14,17 @@
 
 from wagtailloft import logs
 from wagtailloft.clock import now
-from wagtailloft.fleet.records import Entry, PromotionLeaseRecord, Topic
+from wagtailloft.fleet.records import (
+    PROMOTION_LEASE_OBJECT,
+    Entry,
+    PromotionLeaseRecord,
+    Topic,
+)
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.fleet.store_era import LEASE_EXPIRY_S
 from wagtailloft.models import Host
 from wagtailloft.revisions import era_of
 
-LEASE_OBJECT = "duty"
 LEASE_S = 1.5  # covers the conditional write and the promotion order, even at a slow store
 # For this long after a process has ended, its requests may still arrive, also when retransmitted.
 ENDED_HOLDER_WAIT_S = 0.6
@@ -63,7 +67,7 @@
             taken=entry.value.taken + 1 if entry else 1,
         )
         sent_at = now()
-        written = await self._cache.write(Topic.FLEET, LEASE_OBJECT, new_record)
+        written = await self._cache.write(Topic.FLEET, PROMOTION_LEASE_OBJECT, new_record)
         if written is None:
             logs.event("promotion_lease_lost", holder=self._process_name)
             return False
@@ -128,7 +132,7 @@
 
     def observe(self, entry: Entry) -> None:
         """Record when the current revision of the lease was first seen."""
-        if entry.name == LEASE_OBJECT and self._observed[0] != entry.revision:
+        if entry.name == PROMOTION_LEASE_OBJECT and self._observed[0] != entry.revision:
             self._observed = (entry.revision, now())
 
     def _is_own(self, entry: Entry) -> bool:
@@ -137,5 +141,5 @@
         return record.holder == self._process_name and record.era == era_of(entry.revision)
 
     def _lease_entry(self) -> Entry | None:
-        entry = self._cache.get(Topic.FLEET, LEASE_OBJECT)
+        entry = self._cache.get(Topic.FLEET, PROMOTION_LEASE_OBJECT)
         return entry if entry and isinstance(entry.value, PromotionLeaseRecord) else None
