--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -22,6 +22,7 @@
 from wagtailloft.models import Change, Host, Lease, LeaseEpoch
 from wagtailloft.platform_watcher import PlatformWatcher
 from wagtailloft.revisions import make_revision
+from wagtailloft.supervision import Supervisor
 
 SHARD = "shard-0"
 
@@ -257,6 +258,7 @@
         objects=objects,
         freshness=freshness,
         gossip=context.settings,
+        supervisor=Supervisor(),
     ).refresh()
     assert context.settings.settings_state() is SettingsState.FRESH
 
