Bound what a host keeps of vanished members, and names in the list of hosts

A host kept the name of each member whose entry had vanished for good, since only a failover with synchronous replicas looked at it; names of long ago are dropped at each new one now. The list of counted hosts accepted texts of any length, unlike the other records.

--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -142,7 +142,7 @@
 class CountedHostsRecord(Record, tag="counted"):
     """The hosts whose confirmations of a fence count towards a majority of all hosts."""
 
-    hosts: tuple[str, ...]
+    hosts: tuple[Text, ...]
 
 
 def host_record_name(host: str) -> str:
--- a/src/wagtailloft/groups/directory.py
+++ b/src/wagtailloft/groups/directory.py
@@ -15,6 +15,8 @@
 from wagtailloft.groups.samples import PositionSamples
 from wagtailloft.models import Role
 
+ENTRY_RETURN_S = 2.2  # entries of members that live are back within 2 s
+
 
 class GroupDirectory:
     """Look up the members of a group, its primary and its rule."""
@@ -39,12 +41,12 @@
         """Return the listed members of a group except one."""
         return tuple(t for t in self.targets(group) if t.name != excluded)
 
-    def lately_unlisted(self, group: str, seconds: float) -> tuple[str, ...]:
-        """Return the members whose entries vanished within so many seconds, and did not return.
+    def lately_unlisted(self, group: str) -> tuple[str, ...]:
+        """Return the members whose entries vanished within ENTRY_RETURN_S, and did not return.
 
         One that reported that it is leaving is not among them.
         """
-        since = now() - seconds
+        since = now() - ENTRY_RETURN_S
         recent = {n: at for n, at in self._unlisted_at.get(group, {}).items() if at >= since}
         self._unlisted_at[group] = recent
         return tuple(recent)
@@ -109,6 +111,7 @@
         for group, members in self._targets.items():
             removed = members.pop(entry.name, None)
             if removed is not None and not removed.leaving:
+                self.lately_unlisted(group)  # drops those of long ago
                 self._unlisted_at.setdefault(group, {})[entry.name] = now()
         target = entry.value
         if not isinstance(target, Target):
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -12,7 +12,6 @@
 from wagtailloft.groups.target_queries import QUERY_TIMEOUT_S, TargetQueries, wait_until_primary
 from wagtailloft.models import Position, Role
 
-ENTRY_RETURN_S = 2.2  # entries of members that live are back within 2 s
 CATCH_UP_LIMIT_S = 1.0  # longest wait for a replica in a planned or synchronous failover
 POLL_INTERVAL_S = 0.04  # between checks for a candidate and for the new primary
 PROMOTION_TIMEOUT_S = 4.0  # the slowest promotion in any deployment takes 1 s
@@ -63,7 +62,7 @@
             if sync:
                 # The position that hosts report is a lower bound: a killed host lost its own.
                 replies = sum(s.role is Role.REPLICA for s in statuses)
-                lost = self._directory.lately_unlisted(assignment.group, ENTRY_RETURN_S)
+                lost = self._directory.lately_unlisted(assignment.group)
                 others = len(targets) + sum(n != assignment.replaced for n in lost)
                 caught_up = caught_up and covers_all_commits(replies, others, sync)
             if candidate and (caught_up or not (sync or planned)):
