Log the group and epoch of a promotion order, and that a failover gives up on one

New event promotion_unfinished; promotion_done tells whether the primary was ordered in this run. No decision is changed.

--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -368,6 +368,8 @@
             group=group,
             primary=status.target,
             term=status.term,
+            replaced=replaced,
+            ordered=candidate.role is not Role.PRIMARY,
             fence=self._lease.fencing_token,
             fence_ms=round((fenced_at - started) * 1000),
             total_ms=round((now() - started) * 1000),
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -120,7 +120,14 @@
                     holder=self._lease.host_name,
                     fencing_token=self._lease.fencing_token,
                 )
-                logs.event("promotion_ordered", target=candidate.target, accepted=accepted)
+                logs.event(
+                    "promotion_ordered",
+                    group=assignment.group,
+                    target=candidate.target,
+                    accepted=accepted,
+                    epoch=assignment.epoch,
+                    fence=self._lease.fencing_token,
+                )
                 if accepted is False:
                     return None
             status = await self._queries.query(
@@ -129,6 +136,13 @@
             if status and status.role is Role.PRIMARY:
                 return status
             await asyncio.sleep(POLL_INTERVAL_S)
+        logs.warn(
+            "promotion_unfinished",
+            group=assignment.group,
+            target=candidate.target,
+            accepted=accepted,
+            epoch=assignment.epoch,
+        )
         return None
 
     async def _may_order(self, assignment: PrimaryAssignment) -> bool:
--- a/src/wagtailloft/operations/logbook.py
+++ b/src/wagtailloft/operations/logbook.py
@@ -24,6 +24,8 @@
         "promotion_began",
         "promotion_done",
         "promotion_failed",
+        "promotion_ordered",
+        "promotion_unfinished",
         "token_owner_changed",
         "reloaded",
         "started",
