--- /dev/null
+++ b/features/orders.feature
@@ -0,0 +1,27 @@
+Feature: Nothing but an ordered member becomes primary while its order may take effect
+
+  Scenario: The ordered member goes dark as its promotion takes effect, and the old primary is back
+    Given a model of hosts and of a group whose promotions take 1 s
+    When the primary is cut off for 1.6 s, and the replicas go dark for 8 s as one is promoted
+    Then no host may use a replaced primary in the next 24 s, and all use one primary in the end
+
+  Scenario: All hosts are killed after an order, and the ordered member goes dark as it is promoted
+    Given a model of hosts and of a group whose promotions take 1 s
+    When the primary is cut off for 1.6 s, all hosts restart 0.5 s after an order was accepted
+    And the replicas go dark for 8 s as one is promoted
+    Then no host may use a replaced primary in the next 24 s, and all use one primary in the end
+
+  Scenario: An order that was not answered is done after another member was promoted
+    Given a model of hosts and of a group whose promotions take 1 s
+    When an order takes 7 s and is not answered, and its member is cut off from the hosts for 20 s
+    Then no host may use a replaced primary in the next 30 s, and all use one primary in the end
+
+  Scenario: Two members go dark in turn as their promotions take effect, and the old primary is back
+    Given a model of hosts and of a group whose promotions take 1 s
+    When the primary is cut off for 1.6 s, and each replica goes dark for 16 s as it is promoted
+    Then no host may use a replaced primary in the next 40 s, and all use one primary in the end
+
+  Scenario: A repeated order that was not answered is done after its member was replaced
+    Given a model of hosts and of a group whose promotions take 1 s
+    When an order takes 8 s and is not answered, a second one is done, and its member goes dark for 2 s
+    Then no host may use a replaced primary in the next 24 s, and all use one primary in the end
