Record a promotion order before it is sent, and settle nothing else while it may take effect

Cause: a failover ordered a promotion, which the platform accepted and carried out a second later. The member went dark before the coordinator asked it, the failover gave up after 4 s and was run anew, and nothing there knew of the order: with no replica in sight it settled the old primary again, in its old term. The same with an order without an answer that is done late, with two candidates, and with a successor: nothing outside the process knew of the order. Class of fault: an order that may still take effect when something else is settled, or when its sender has ended.

Why this works: PrimaryAssignment names the ordered members and the epoch of the record that was stored, by a conditional write, before the latest order was sent. Orders are sent within 1 s of their record. Whoever runs the failover reads from it until when the order may take effect (2 s after it was accepted; 10 s without an answer; 11 s after first sight for another process), and until then only the ordered member is ordered again or settled. After that another member is ordered, and the old primary too has to be ordered: it leads the next term if the other one had taken over, and nothing changes if not. A settled assignment keeps the name if an order for its primary may take effect once more. A claimant that was replaced can't store a record, so it sends no order.

An order without an answer is repeated after 1 s instead of 4 s, and members that were ordered unseen are demoted as well. `promotion_done` names the ordered members. The fixture of `robustness: The store fails when a completed failover is recorded` returns what promote_and_wait returns now; its check is as before.

--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -42,6 +42,7 @@
 from wagtailloft.groups import failover, promotion_lease
 from wagtailloft.groups.failover import FailoverCoordinator
 from wagtailloft.groups.local_executor import LocalExecutor
+from wagtailloft.groups.member_promotion import Promotion
 from wagtailloft.groups.ports import BoundStatement, LinkSpec, TargetStatus
 from wagtailloft.models import (
     Host,
@@ -420,6 +421,9 @@
     async def answer(*args, **kwargs):
         return status
 
+    async def promote(claim, candidate):
+        return Promotion(claim=claim, status=candidate)
+
     async def fence(assignment, planned):
         return None
 
@@ -439,7 +443,7 @@
     coordinator._store_assignment = store_assignment
     coordinator._fence_service = SimpleNamespace(fence=fence)
     promotion = coordinator._promotion
-    promotion.wait_for_candidate = promotion.promote_and_wait = answer
+    promotion.wait_for_candidate, promotion.promote_and_wait = answer, promote
     coordinator._queries = promotion._queries = SimpleNamespace(query=query)
     context.coordinator = coordinator
 
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -94,7 +94,10 @@
     """The primary of a group. Epochs order the assignments of a group within an era of the store.
 
     While an assignment is not settled, a failover is in progress and no member may be used as
-    primary. claimant is the process that replaces the primary.
+    primary. claimant is the process that replaces the primary. ordered names the members whose
+    promotion was ordered since a primary was last settled, the latest last, and order_epoch is the
+    epoch of the record that was stored before the latest order was sent. In a settled assignment,
+    ordered names the primary if an order for it may still take effect once more.
     """
 
     group: Text
@@ -105,6 +108,8 @@
     replaced: Text = ""
     claimant: Text = ""
     era: Count = NO_ERA
+    ordered: tuple[Text, ...] = ()
+    order_epoch: Count = 0
 
     @property
     def sort_key(self) -> tuple[int, int, bool]:
--- a/src/wagtailloft/groups/candidates.py
+++ b/src/wagtailloft/groups/candidates.py
@@ -12,6 +12,36 @@
     return status.term > assignment.term
 
 
+def another_was_ordered(claim: PrimaryAssignment) -> bool:
+    """Tell whether a member other than the replaced one may have been promoted unseen."""
+    return any(name != claim.replaced for name in claim.ordered)
+
+
+def has_taken_over(status: TargetStatus, claim: PrimaryAssignment) -> bool:
+    """Tell whether a member leads in place of the primary that is being replaced.
+
+    Of several that were ordered, only the latest does: one that leads by an earlier order may have
+    been replaced since.
+    """
+    if not another_was_ordered(claim):
+        return is_newer_primary(status, claim)
+    is_latest = status.target == claim.ordered[-1]
+    return is_latest and status.role is Role.PRIMARY and status.term > claim.term
+
+
+def still_leads(status: TargetStatus, claim: PrimaryAssignment) -> bool:
+    """Tell whether the replaced primary is primary and nobody can have been promoted since."""
+    is_primary = status.role is Role.PRIMARY and status.target == claim.replaced
+    return is_primary and not another_was_ordered(claim)
+
+
+def may_be_ordered(status: TargetStatus, claim: PrimaryAssignment) -> bool:
+    """Tell whether a member is a replica, or leads by an order that is not the latest."""
+    if status.role is Role.REPLICA:
+        return True
+    return status.target in claim.ordered or status.term > claim.term
+
+
 def covers_all_commits(replies: int, other_members: int, sync_replicas: int) -> bool:
     """Tell whether every acknowledged commit is in the log of at least one replica that replied.
 
@@ -29,9 +59,9 @@
     *,
     longest_log: bool,
 ) -> TargetStatus | None:
-    """Return the best replica to promote, or None if there is none.
+    """Return the best member to promote, or None if there is none.
 
-    Replicas that have the last acknowledged position come first, then those that are not leaving,
+    Members that have the last acknowledged position come first, then those that are not leaving,
     then those with the longest log. With longest_log, only the log counts: that position is a lower
     bound, since a host that is lost does not report its own.
     """
@@ -43,5 +73,4 @@
         staying = longest_log or (target is not None and not target.leaving)
         return caught_up, staying, status.received, status.target
 
-    replicas = [s for s in statuses if s.role is Role.REPLICA]
-    return max(replicas, key=rank, default=None)
+    return max(statuses, key=rank, default=None)
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -84,6 +84,7 @@
         self._rng = random.Random()
         mesh.register_handler(SuspectReport, self._handle_suspect_report)
         cache.on_change(Topic.FLEET, lease.observe)
+        cache.on_change(Topic.FLEET, self._promotion.orders.observe)
         local_executor.on_unresponsive = self.report
 
     def report(self, group: str, target: str, reason: str) -> None:
@@ -149,6 +150,8 @@
                 )
             return
         self._primary_missing_since.pop(group, None)
+        if assignment and self._promotion.orders.is_pending(assignment):
+            return  # a planned replacement would wait with the primary fenced
         if primary.leaving and any(
             not t.leaving for t in self._directory.other_targets(group, primary.name)
         ):
@@ -349,34 +352,26 @@
             logs.warn("promotion_failed", group=group, why="no replica is eligible")
             await asyncio.sleep(CHECK_INTERVAL_S)
             return
-        status = await self._promotion.promote_and_wait(assignment, candidate)
-        if status is None:
+        promotion = await self._promotion.promote_and_wait(assignment, candidate)
+        if promotion is None:
             return
-        settled = PrimaryAssignment(
-            group=group,
-            epoch=assignment.epoch,
-            settled=True,
-            primary=status.target,
-            term=status.term,
-            replaced=replaced,
-            era=assignment.era,
-        )
+        settled = self._promotion.settle(promotion)
         self._cache.accept_assignment(settled)
         self._announce(settled)
         logs.event(
             "promotion_done",
             group=group,
-            primary=status.target,
-            term=status.term,
+            primary=settled.primary,
+            term=settled.term,
             replaced=replaced,
-            ordered=candidate.role is not Role.PRIMARY,
+            ordered=",".join(promotion.claim.ordered),
             fence=self._lease.fencing_token,
             fence_ms=round((fenced_at - started) * 1000),
             total_ms=round((now() - started) * 1000),
         )
-        if status.target != replaced:
-            _spawn(self._promotion.demote_old_primary(group, replaced, status.term))
-        for target in self._directory.other_targets(group, status.target):
+        for name in {replaced, *promotion.claim.ordered} - {settled.primary}:
+            _spawn(self._promotion.demote_old_primary(group, name, settled.term))
+        for target in self._directory.other_targets(group, settled.primary):
             _spawn(self._queries.query(target, lambda link: link.resume(QUERY_TIMEOUT_S)))
         await self._store_assignment(settled)
 
@@ -392,6 +387,8 @@
             replaced=replaced,
             claimant=self._hosts.own.process_name,
             era=self._cache.era.era,
+            ordered=previous.ordered,
+            order_epoch=previous.order_epoch,
         )
         return assignment if await self._store_assignment(assignment) else None
 
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -5,20 +5,36 @@
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.fleet.records import PrimaryAssignment, Target, Topic
-from wagtailloft.groups.candidates import best_candidate, covers_all_commits, is_newer_primary
+from wagtailloft.groups.candidates import (
+    another_was_ordered,
+    best_candidate,
+    covers_all_commits,
+    has_taken_over,
+    may_be_ordered,
+    still_leads,
+)
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.ports import Link, PromotionApi, TargetStatus
 from wagtailloft.groups.promotion_lease import PromotionLease
-from wagtailloft.groups.target_queries import QUERY_TIMEOUT_S, TargetQueries, wait_until_primary
-from wagtailloft.models import Position, Role
+from wagtailloft.groups.promotion_orders import ORDER_EFFECT_S, PromotionOrders
+from wagtailloft.groups.target_queries import QUERY_TIMEOUT_S, TargetQueries, wait_for_status
+from wagtailloft.models import Position, Record, Role
 
 CATCH_UP_LIMIT_S = 1.0  # longest wait for a replica in a planned or synchronous failover
 POLL_INTERVAL_S = 0.04  # between checks for a candidate and for the new primary
-PROMOTION_TIMEOUT_S = 4.0  # the slowest promotion in any deployment takes 1 s
+PROMOTION_TIMEOUT_S = 4.0  # until another member is considered
+ORDER_RETRY_S = 1.0  # an order that was lost is repeated; one that was not changes nothing
 # With pauses from POLL_INTERVAL_S to 0.5 s, reaches an old primary that returns within 10 s.
 DEMOTE_ATTEMPTS = 20
 
 
+class Promotion(Record):
+    """A member that leads, and the claim under which it was promoted."""
+
+    claim: PrimaryAssignment
+    status: TargetStatus
+
+
 class MemberPromotion:
     """Promote a member of a group whose old primary has been fenced."""
 
@@ -32,59 +48,76 @@
     ) -> None:
         self._directory = directory
         self._queries = queries
-        self._promotion_api = promotion_api
         self._lease = lease
+        self.orders = PromotionOrders(directory=directory, lease=lease, promotion_api=promotion_api)
 
     async def wait_for_candidate(
-        self, assignment: PrimaryAssignment, last_acknowledged: Position | None, planned: bool
+        self, claim: PrimaryAssignment, last_acknowledged: Position | None, planned: bool
     ) -> TargetStatus | None:
         """Return the member to promote, or None if no member is eligible.
 
-        Wait for one that is caught up in a planned failover or a group with synchronous replicas.
-        After CATCH_UP_LIMIT_S, return the best replica as it is or, with synchronous replicas or
-        without an eligible replica, the old primary if it still is primary. A member that is
-        already primary in a newer term is returned as it is.
+        While an order may still take effect, only its member is eligible. Wait for one that is
+        caught up in a planned failover or a group with synchronous replicas. After
+        CATCH_UP_LIMIT_S, return the best replica as it is or, with synchronous replicas or without
+        an eligible replica, the old primary if it still is primary. A member that has already taken
+        over is returned as it is.
         """
-        sync = self._directory.rule(assignment.group).sync_replicas
+        sync = self._directory.rule(claim.group).sync_replicas
         deadline = now() + CATCH_UP_LIMIT_S
         while True:
-            targets = self._directory.other_targets(assignment.group, assignment.replaced)
-            statuses = await self._query_statuses(
-                assignment, targets, pause=sync > 0 and not planned
+            pending = claim.ordered[-1] if self.orders.is_pending(claim) else ""
+            if pending and self._directory.cache.assignment(claim.group) != claim:
+                return None
+            targets = self._directory.other_targets(claim.group, claim.replaced)
+            statuses = await self._query_statuses(claim, targets, pause=sync > 0 and not planned)
+            replies = sum(s.role is Role.REPLICA for s in statuses)
+            if pending == claim.replaced:
+                statuses.extend(await self._query_replaced(claim, sync))
+            eligible = [s for s in statuses if not pending or s.target == pending]
+            leading = [s for s in eligible if has_taken_over(s, claim) or still_leads(s, claim)]
+            if leading:
+                return max(leading, key=lambda s: s.term)
+            candidate = best_candidate(
+                [s for s in (statuses if sync else eligible) if may_be_ordered(s, claim)],
+                targets,
+                last_acknowledged,
+                longest_log=sync > 0,
             )
-            newer_primaries = [s for s in statuses if is_newer_primary(s, assignment)]
-            if newer_primaries:
-                return max(newer_primaries, key=lambda s: s.term)
-            candidate = best_candidate(statuses, targets, last_acknowledged, longest_log=sync > 0)
+            if candidate not in eligible:
+                candidate = None  # with synchronous replicas, only the longest log will do
             caught_up = candidate and (
                 last_acknowledged is None or candidate.received >= last_acknowledged
             )
             if sync:
                 # The position that hosts report is a lower bound: a killed host lost its own.
-                replies = sum(s.role is Role.REPLICA for s in statuses)
-                lost = self._directory.lately_unlisted(assignment.group)
-                others = len(targets) + sum(n != assignment.replaced for n in lost)
+                lost = self._directory.lately_unlisted(claim.group)
+                others = len(targets) + sum(n != claim.replaced for n in lost)
                 caught_up = caught_up and covers_all_commits(replies, others, sync)
             if candidate and (caught_up or not (sync or planned)):
                 return candidate
-            if now() > deadline:
-                return (
-                    candidate
-                    if candidate and not sync
-                    else await self._fallback_to_old_primary(assignment)
-                )
+            if now() > deadline and not pending:
+                if candidate and not sync:
+                    return candidate
+                return next(iter(await self._query_replaced(claim, sync)), None)
             await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def _fallback_to_old_primary(self, assignment: PrimaryAssignment) -> TargetStatus | None:
-        """Return the replaced primary if it still is primary; used if no replica is eligible."""
-        target = self._directory.target(assignment.group, assignment.replaced)
+    async def _query_replaced(self, claim: PrimaryAssignment, sync: int) -> list[TargetStatus]:
+        """Return the replaced primary's status, if it answers and may lead again.
+
+        It may have become a replica of a member that took over unseen. Then it is not known to have
+        every commit that synchronous replicas acknowledged.
+        """
+        target = self._directory.target(claim.group, claim.replaced)
         if target is None:
-            return None
+            return []
         status = await self._queries.query(target, lambda link: link.status(QUERY_TIMEOUT_S))
-        return status if status and status.role is Role.PRIMARY else None
+        if status is None:
+            return []
+        may_lead = status.role is Role.PRIMARY or (another_was_ordered(claim) and not sync)
+        return [status] if may_lead else []
 
     async def _query_statuses(
-        self, assignment: PrimaryAssignment, targets: tuple[Target, ...], *, pause: bool
+        self, claim: PrimaryAssignment, targets: tuple[Target, ...], *, pause: bool
     ) -> list[TargetStatus]:
         async def query_status(link: Link) -> TargetStatus | None:
             status = await link.status(QUERY_TIMEOUT_S)
@@ -92,60 +125,95 @@
                 return None
             if pause and status.role is Role.REPLICA:
                 return await link.pause(status.term + 1, QUERY_TIMEOUT_S) or status
-            if status.role is Role.PRIMARY and status.term < assignment.term:
-                return await link.demote(assignment.term, QUERY_TIMEOUT_S) or status
+            if status.role is Role.PRIMARY and status.term < claim.term:
+                return await link.demote(claim.term, QUERY_TIMEOUT_S) or status
             return status
 
         statuses = await asyncio.gather(*(self._queries.query(t, query_status) for t in targets))
         return [s for s in statuses if s]
 
     async def promote_and_wait(
-        self, assignment: PrimaryAssignment, candidate: TargetStatus
-    ) -> TargetStatus | None:
-        """Order the promotion; return the status once the member is primary, None if it is not."""
-        if candidate.role is Role.PRIMARY:
-            return candidate
-        target = self._directory.target(assignment.group, candidate.target)
+        self, claim: PrimaryAssignment, candidate: TargetStatus
+    ) -> Promotion | None:
+        """Order the promotion unless the member leads; return None if it does not lead then."""
+        if has_taken_over(candidate, claim) or still_leads(candidate, claim):
+            return Promotion(claim=claim, status=candidate)
+        target = self._directory.target(claim.group, candidate.target)
         if target is None:
             return None
         deadline = now() + PROMOTION_TIMEOUT_S
-        accepted: bool | None = None
         while now() < deadline:
-            if not accepted:
-                if not await self._may_order(assignment):
-                    return None
-                accepted = await self._promotion_api.promote(
-                    group=assignment.group,
-                    target=candidate.target,
-                    holder=self._lease.host_name,
-                    fencing_token=self._lease.fencing_token,
-                )
-                logs.event(
-                    "promotion_ordered",
-                    group=assignment.group,
-                    target=candidate.target,
-                    accepted=accepted,
-                    epoch=assignment.epoch,
-                    fence=self._lease.fencing_token,
-                )
-                if accepted is False:
-                    return None
-            status = await self._queries.query(
-                target, lambda link: wait_until_primary(link, deadline)
-            )
-            if status and status.role is Role.PRIMARY:
-                return status
-            await asyncio.sleep(POLL_INTERVAL_S)
+            ready = await self._prepare_order(claim, candidate)
+            if ready is None:
+                return None
+            claim = ready
+            accepted = await self.orders.send(claim)
+            if accepted is False:
+                return None
+            status = await self._wait_for_effect(claim, target, accepted=bool(accepted))
+            if status and has_taken_over(status, claim):
+                return Promotion(claim=claim, status=status)
+            if status is None:
+                break
+            if accepted and status.role is Role.PRIMARY:
+                # The platform changed nothing: the member is the primary that it knows.
+                return Promotion(claim=claim, status=status)
         logs.warn(
             "promotion_unfinished",
-            group=assignment.group,
+            group=claim.group,
             target=candidate.target,
             accepted=accepted,
-            epoch=assignment.epoch,
+            epoch=claim.epoch,
         )
         return None
 
-    async def _may_order(self, assignment: PrimaryAssignment) -> bool:
+    async def _prepare_order(
+        self, claim: PrimaryAssignment, candidate: TargetStatus
+    ) -> PrimaryAssignment | None:
+        """Store a record of the order; return None unless this process may send the order now."""
+        while await self._may_order(claim):
+            if self.orders.is_recorded(claim, candidate.target):
+                return claim
+            recorded = await self.orders.record(claim, candidate)
+            if recorded is None:
+                return None
+            claim = recorded
+        return None
+
+    async def _wait_for_effect(
+        self, claim: PrimaryAssignment, target: Target, *, accepted: bool
+    ) -> TargetStatus | None:
+        """Return the member's status once it leads, or when the order should have taken effect.
+
+        That of an accepted order is then asked for after the order can still take effect.
+        """
+        until = now() + (ORDER_EFFECT_S if accepted else ORDER_RETRY_S)
+        while True:
+            is_last = now() >= until
+            status = await self._queries.query(
+                target,
+                lambda link: wait_for_status(link, lambda s: has_taken_over(s, claim), until),
+            )
+            if is_last or (status and has_taken_over(status, claim)):
+                return status
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    def settle(self, promotion: Promotion) -> PrimaryAssignment:
+        """Return the assignment that makes the promoted member the group's primary."""
+        claim, status = promotion.claim, promotion.status
+        return PrimaryAssignment(
+            group=claim.group,
+            epoch=claim.epoch,
+            settled=True,
+            primary=status.target,
+            term=status.term,
+            replaced=claim.replaced,
+            era=claim.era,
+            ordered=self.orders.remaining(claim),
+            order_epoch=claim.order_epoch,
+        )
+
+    async def _may_order(self, claim: PrimaryAssignment) -> bool:
         """Tell whether this process holds the lease, and its claim is still in force everywhere.
 
         While it did not hold the lease, another may have taken it and replaced the claim. A store
@@ -157,10 +225,10 @@
             if not await self._lease.acquire():
                 return False
             await cache.read_now(Topic.FLEET)
-        if assignment.era != cache.era.era:
-            logs.warn("claim_outdated", group=assignment.group, era=assignment.era)
+        if claim.era != cache.era.era:
+            logs.warn("claim_outdated", group=claim.group, era=claim.era)
             return False
-        return self._lease.is_held() and cache.assignment(assignment.group) == assignment
+        return self._lease.is_held() and cache.assignment(claim.group) == claim
 
     async def demote_old_primary(self, group: str, name: str, term: int) -> None:
         """Turn the old primary into a replica as soon as it can be reached."""
--- a/src/wagtailloft/groups/target_queries.py
+++ b/src/wagtailloft/groups/target_queries.py
@@ -8,7 +8,6 @@
 from wagtailloft.errors import NoResponse, NotSent
 from wagtailloft.fleet.records import Target
 from wagtailloft.groups.ports import Link, LinkFactory, LinkSpec, TargetStatus
-from wagtailloft.models import Role
 
 QUERY_TIMEOUT_S = 0.35  # covers a connect (12 ms), a wait for a slot and a round trip across zones
 PROMOTION_POLL_S = 0.04  # between checks whether a member has become primary
@@ -43,11 +42,13 @@
             link.close()
 
 
-async def wait_until_primary(link: Link, deadline: float) -> TargetStatus | None:
-    """Poll a member until it is primary; return its last status, None if it gives none."""
+async def wait_for_status(
+    link: Link, is_awaited: Callable[[TargetStatus], bool], deadline: float
+) -> TargetStatus | None:
+    """Poll a member until its status is the awaited one; return the last, None if it gives none."""
     while True:
         status = await link.status(QUERY_TIMEOUT_S)
-        done = status is None or status.role is Role.PRIMARY
+        done = status is None or is_awaited(status)
         if done or now() > deadline:
             return status
         await asyncio.sleep(PROMOTION_POLL_S)
