Demote members that lead in an earlier term, whichever process replaced them

The failover coordinator now demotes any member that the store lists as primary beside the settled one. DEMOTE acts only on a lower term, so a stale entry does no harm.

`orders: All hosts are killed before the old primary ... is demoted` failed before: the old primary was still primary 4 s later. In the model, a process that has ended sends nothing any more.

--- a/features/ordered_group.py
+++ b/features/ordered_group.py
@@ -32,7 +32,10 @@
 
 @dataclass(kw_only=True)
 class ModelMember:
-    """A member; a dark one reaches nobody, one that is cut off reaches all but the hosts."""
+    """A member; a dark one reaches nobody, one that is cut off reaches all but the hosts.
+
+    One that is split off reaches the hosts, but no other member.
+    """
 
     name: str
     role: Role = Role.REPLICA
@@ -41,6 +44,7 @@
     awaited_term: int = 0
     dark: bool = False
     cut: bool = False
+    split: bool = False
 
     def status(self):
         """Return the member's status."""
@@ -96,14 +100,16 @@
 
 
 class ModelLinks:
-    """Open a host's links."""
+    """Open the links of one process of a host."""
 
-    def __init__(self, *, fleet):
+    def __init__(self, *, fleet, host):
         """Open links to the members of a fleet."""
-        self._fleet = fleet
+        self._fleet, self._host, self._incarnation = fleet, host, host.incarnation
 
     async def open(self, spec):
         """Open a link; raise NotSent if the member can't be reached."""
+        if self._host.incarnation != self._incarnation:
+            raise asyncio.CancelledError  # the process has ended
         member = self._fleet.members[spec.target]
         if member.dark or member.cut:
             await asyncio.sleep(CONNECT_TIMEOUT_S)
@@ -153,7 +159,7 @@
             directory=self.directory,
             local_executor=SimpleNamespace(fence=self._fence),
             store=SimpleNamespace(remove=_refuse),
-            link_factory=ModelLinks(fleet=self.fleet),
+            link_factory=ModelLinks(fleet=self.fleet, host=self),
             promotion_api=OrderClient(fleet=self.fleet, host=self),
             lease=self.lease,
             count_failover=lambda group, why: None,
@@ -283,7 +289,7 @@
         primary = self.members[self.primary]
         if member is primary or member.term >= primary.term:
             return
-        if member.dark or primary.dark:
+        if member.dark or member.split or primary.dark:
             self._follow(member)
             return
         self.demote(member, primary.term)
--- a/features/orders.feature
+++ b/features/orders.feature
@@ -25,3 +25,8 @@
     Given a model of hosts and of a group whose promotions take 1 s
     When an order takes 8 s and is not answered, a second one is done, and its member goes dark for 2 s
     Then no host may use a replaced primary in the next 24 s, and all use one primary in the end
+
+  Scenario: All hosts are killed before the old primary, which reaches no other member, is demoted
+    Given a model of hosts and of a group whose promotions take 1 s
+    When the primary is split off from the members, and cut off until all hosts restart after its replacement
+    Then the old primary is a replica 4 s later
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -4,6 +4,7 @@
 
 from features.ordered_group import OrderedFleet
 from features.restored_store import MEMBERS
+from wagtailloft.models import Role
 
 OLD_PRIMARY, REPLICAS = MEMBERS[0], MEMBERS[1:]
 MAX_ORDER_WAIT_S = 4.0  # until a coordinator has ordered a promotion
@@ -96,6 +97,28 @@
     raise AssertionError("no order")
 
 
+@when(
+    "the primary is split off from the members, and cut off until all hosts restart after its"
+    " replacement"
+)
+def step_split(context):
+    fleet = context.fleet
+    fleet.members[OLD_PRIMARY].split = True
+    cut_primary(fleet, 30.0)
+    fleet.advance(2.0)
+    assert fleet.agree() == fleet.primary != OLD_PRIMARY
+    for number in range(len(fleet.hosts)):
+        fleet.restart(number)
+    fleet.members[OLD_PRIMARY].cut = False
+
+
+@then("the old primary is a replica 4 s later")
+def step_demoted(context):
+    context.fleet.advance(4.0)
+    assert context.fleet.members[OLD_PRIMARY].role is Role.REPLICA
+    assert not context.fleet.violations, context.fleet.violations[:3]
+
+
 @then(
     "no host may use a replaced primary in the next {seconds:d} s, and all use one primary in the"
     " end"
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -78,6 +78,7 @@
         )
         self._count_failover = count_failover
         self._failovers: dict[str, asyncio.Task] = {}
+        self._demotions: set[tuple[str, str]] = set()  # group and member
         self._reported_at: dict[str, float] = {}
         self._primary_missing_since: dict[str, float] = {}
         self._claim_seen_at: dict[str, tuple[int, float]] = {}  # epoch and time, by group
@@ -150,6 +151,8 @@
                 )
             return
         self._primary_missing_since.pop(group, None)
+        if assignment:
+            self._demote_others(group, primary.name, assignment.term)
         if assignment and self._promotion.orders.is_pending(assignment):
             return  # a planned replacement would wait with the primary fenced
         if primary.leaving and any(
@@ -370,11 +373,24 @@
             total_ms=round((now() - started) * 1000),
         )
         for name in {replaced, *promotion.claim.ordered} - {settled.primary}:
-            _spawn(self._promotion.demote_old_primary(group, name, settled.term))
+            self._demote(group, name, settled.term)
         for target in self._directory.other_targets(group, settled.primary):
             _spawn(self._queries.query(target, lambda link: link.resume(QUERY_TIMEOUT_S)))
         await self._store_assignment(settled)
 
+    def _demote_others(self, group: str, primary: str, term: int) -> None:
+        """Demote members that lead in an earlier term, whoever should have done so before."""
+        for target in self._directory.other_targets(group, primary):
+            if target.role is Role.PRIMARY:
+                self._demote(group, target.name, term)
+
+    def _demote(self, group: str, name: str, term: int) -> None:
+        if (group, name) in self._demotions:
+            return
+        self._demotions.add((group, name))
+        task = _spawn(self._promotion.demote_old_primary(group, name, term))
+        task.add_done_callback(lambda _: self._demotions.discard((group, name)))
+
     async def _record_failover(self, group: str, replaced: str) -> PrimaryAssignment | None:
         """Store an unsettled assignment; return None if another host has changed the record."""
         previous = self._directory.assignment_or_initial(group)
