Reset the connection of a promotion order that was given up

Connections to the promotion API are now closed with a reset, by the process or by its end, which drops what was not received. What the platform has received stays covered by the record of the order.

`robustness: A promotion order gets no answer in time` failed before: the connection was closed after all its data.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -80,6 +80,11 @@
   Scenario: The platform answers a promotion order with an error of its own
     Then a promotion order that is answered with 500 or 502 counts as unanswered
 
+  Scenario: A promotion order gets no answer in time
+    Given a promotion API that reads an order and does not answer
+    When a promotion is ordered
+    Then the order counts as unanswered, and its connection is reset, so that it is not sent again
+
   Scenario: A caller connects to a host that is stopping and stays silent
     Then a drain of at most 3 s ends within 1.5 s
 
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import random
+import socket
 import sys
+import threading
 import time
 from pathlib import Path
 from types import SimpleNamespace
@@ -707,6 +709,41 @@
         assert asyncio.run(order(status)) is accepted, status
 
 
+@given("a promotion API that reads an order and does not answer")
+def step_silent_promotion_api(context):
+    context.listener = context.stack.enter_context(socket.create_server((LOOPBACK, 0)))
+    context.received, context.ending = [], []
+
+    def serve():
+        conn, _ = context.listener.accept()
+        with conn:
+            conn.settimeout(5.0)
+            try:
+                while data := conn.recv(1 << 16):
+                    context.received.append(data)
+                context.ending.append("closed")
+            except OSError as exc:
+                context.ending.append(exc)
+
+    context.server = threading.Thread(target=serve, daemon=True)
+    context.server.start()
+
+
+@when("a promotion is ordered")
+def step_order_promotion(context):
+    ip, port = context.listener.getsockname()
+    api = platform_store.CloudPromotionApi(address=f"{ip}:{port}", source=LOOPBACK)
+    order = api.promote(group="g", target="m", holder="h", fencing_token=1)
+    context.accepted = asyncio.run(order)
+
+
+@then("the order counts as unanswered, and its connection is reset, so that it is not sent again")
+def step_order_reset(context):
+    context.server.join(5.0)
+    assert context.accepted is None and b"/promote" in b"".join(context.received)
+    assert isinstance(context.ending[0], ConnectionResetError), context.ending
+
+
 @then("a drain of at most {longest:g} s ends within {limit:g} s")
 def step_drain_with_silent_caller(context, longest, limit):
     async def check():
--- a/src/wagtailloft/adapters/http_pool.py
+++ b/src/wagtailloft/adapters/http_pool.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from wagtailloft.adapters.sockets import TCP_OPTIONS
+from wagtailloft.adapters.sockets import DISCARD_UNSENT, TCP_OPTIONS
 
 MAX_RESPONSE_BYTES = 32 << 20  # several times the largest list or batch of changes
 
@@ -21,13 +21,17 @@
 
 
 class HttpPool:
-    """Send requests over pooled connections from a local IP address."""
+    """Send requests over pooled connections from a local IP address.
 
-    def __init__(self, *, source: str, maxsize: int) -> None:
+    With discard_unsent, a request that was given up, or whose process has ended, is not sent again.
+    """
+
+    def __init__(self, *, source: str, maxsize: int, discard_unsent: bool = False) -> None:
+        options = (*TCP_OPTIONS, DISCARD_UNSENT) if discard_unsent else TCP_OPTIONS
         self._pool = urllib3.PoolManager(
             maxsize=maxsize,
             retries=False,
-            socket_options=list(TCP_OPTIONS),
+            socket_options=list(options),
             source_address=(source, 0),
         )
 
--- a/src/wagtailloft/adapters/sockets.py
+++ b/src/wagtailloft/adapters/sockets.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+import struct
 
 USER_TIMEOUT_MS = 5_000
 KEEPALIVE_IDLE_S = 5
@@ -20,6 +21,10 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
 )
 
+# Resets the connection when it is closed, also by the end of the process: what was not received by
+# then is never sent again.
+DISCARD_UNSENT = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
 
 def set_tcp_options(sock: socket.socket) -> None:
     """Apply TCP_OPTIONS to a connected socket."""
