--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -38,6 +38,7 @@
 REPORT_INTERVAL_S = 0.3  # least time between two reports of a suspicion in one group
 # Longer than a restart or a usual network cut; a removed host that is alive registers itself again.
 HOST_REMOVAL_S = 6.0
+ROLE_REPORT_S = 2.2  # until the store lists a demoted member as replica
 PRIMARY_MISSING_S = 2.2  # entries that expired during a store outage are back within 2 s
 
 
@@ -389,7 +390,10 @@
             return
         self._demotions.add((group, name))
         task = _spawn(self._promotion.demote_old_primary(group, name, term))
-        task.add_done_callback(lambda _: self._demotions.discard((group, name)))
+        loop = asyncio.get_running_loop()
+        task.add_done_callback(
+            lambda _: loop.call_later(ROLE_REPORT_S, self._demotions.discard, (group, name))
+        )
 
     async def _record_failover(self, group: str, replaced: str) -> PrimaryAssignment | None:
         """Store an unsettled assignment; return None if another host has changed the record."""
