--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import random
+import socket
 import sys
+import threading
 import time
 from pathlib import Path
 from types import SimpleNamespace
@@ -42,6 +44,7 @@
 from wagtailloft.groups import failover, promotion_lease
 from wagtailloft.groups.failover import FailoverCoordinator
 from wagtailloft.groups.local_executor import LocalExecutor
+from wagtailloft.groups.member_promotion import Promotion
 from wagtailloft.groups.ports import BoundStatement, LinkSpec, TargetStatus
 from wagtailloft.models import (
     Host,
@@ -420,6 +423,9 @@
     async def answer(*args, **kwargs):
         return status
 
+    async def promote(claim, candidate):
+        return Promotion(claim=claim, status=candidate)
+
     async def fence(assignment, planned):
         return None
 
@@ -439,7 +445,7 @@
     coordinator._store_assignment = store_assignment
     coordinator._fence_service = SimpleNamespace(fence=fence)
     promotion = coordinator._promotion
-    promotion.wait_for_candidate = promotion.promote_and_wait = answer
+    promotion.wait_for_candidate, promotion.promote_and_wait = answer, promote
     coordinator._queries = promotion._queries = SimpleNamespace(query=query)
     context.coordinator = coordinator
 
@@ -703,6 +709,41 @@
         assert asyncio.run(order(status)) is accepted, status
 
 
+@given("a promotion API that reads an order and does not answer")
+def step_silent_promotion_api(context):
+    context.listener = context.stack.enter_context(socket.create_server((LOOPBACK, 0)))
+    context.received, context.ending = [], []
+
+    def serve():
+        conn, _ = context.listener.accept()
+        with conn:
+            conn.settimeout(5.0)
+            try:
+                while data := conn.recv(1 << 16):
+                    context.received.append(data)
+                context.ending.append("closed")
+            except OSError as exc:
+                context.ending.append(exc)
+
+    context.server = threading.Thread(target=serve, daemon=True)
+    context.server.start()
+
+
+@when("a promotion is ordered")
+def step_order_promotion(context):
+    ip, port = context.listener.getsockname()
+    api = platform_store.CloudPromotionApi(address=f"{ip}:{port}", source=LOOPBACK)
+    order = api.promote(group="g", target="m", holder="h", fencing_token=1)
+    context.accepted = asyncio.run(order)
+
+
+@then("the order counts as unanswered, and its connection is reset, so that it is not sent again")
+def step_order_reset(context):
+    context.server.join(5.0)
+    assert context.accepted is None and b"/promote" in b"".join(context.received)
+    assert isinstance(context.ending[0], ConnectionResetError), context.ending
+
+
 @then("a drain of at most {longest:g} s ends within {limit:g} s")
 def step_drain_with_silent_caller(context, longest, limit):
     async def check():
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -38,6 +38,7 @@
 REPORT_INTERVAL_S = 0.3  # least time between two reports of a suspicion in one group
 # Longer than a restart or a usual network cut; a removed host that is alive registers itself again.
 HOST_REMOVAL_S = 6.0
+ROLE_REPORT_S = 2.2  # until the store lists a demoted member as replica
 PRIMARY_MISSING_S = 2.2  # entries that expired during a store outage are back within 2 s
 
 
@@ -78,12 +79,14 @@
         )
         self._count_failover = count_failover
         self._failovers: dict[str, asyncio.Task] = {}
+        self._demotions: set[tuple[str, str]] = set()  # group and member
         self._reported_at: dict[str, float] = {}
         self._primary_missing_since: dict[str, float] = {}
         self._claim_seen_at: dict[str, tuple[int, float]] = {}  # epoch and time, by group
         self._rng = random.Random()
         mesh.register_handler(SuspectReport, self._handle_suspect_report)
         cache.on_change(Topic.FLEET, lease.observe)
+        cache.on_change(Topic.FLEET, self._promotion.orders.observe)
         local_executor.on_unresponsive = self.report
 
     def report(self, group: str, target: str, reason: str) -> None:
@@ -149,6 +152,10 @@
                 )
             return
         self._primary_missing_since.pop(group, None)
+        if assignment:
+            self._demote_others(group, primary.name, assignment.term)
+        if assignment and self._promotion.orders.is_pending(assignment):
+            return  # a planned replacement would wait with the primary fenced
         if primary.leaving and any(
             not t.leaving for t in self._directory.other_targets(group, primary.name)
         ):
@@ -349,37 +356,45 @@
             logs.warn("promotion_failed", group=group, why="no replica is eligible")
             await asyncio.sleep(CHECK_INTERVAL_S)
             return
-        status = await self._promotion.promote_and_wait(assignment, candidate)
-        if status is None:
+        promotion = await self._promotion.promote_and_wait(assignment, candidate)
+        if promotion is None:
             return
-        settled = PrimaryAssignment(
-            group=group,
-            epoch=assignment.epoch,
-            settled=True,
-            primary=status.target,
-            term=status.term,
-            replaced=replaced,
-            era=assignment.era,
-        )
+        settled = self._promotion.settle(promotion)
         self._cache.accept_assignment(settled)
         self._announce(settled)
         logs.event(
             "promotion_done",
             group=group,
-            primary=status.target,
-            term=status.term,
+            primary=settled.primary,
+            term=settled.term,
             replaced=replaced,
-            ordered=candidate.role is not Role.PRIMARY,
+            ordered=",".join(promotion.claim.ordered),
             fence=self._lease.fencing_token,
             fence_ms=round((fenced_at - started) * 1000),
             total_ms=round((now() - started) * 1000),
         )
-        if status.target != replaced:
-            _spawn(self._promotion.demote_old_primary(group, replaced, status.term))
-        for target in self._directory.other_targets(group, status.target):
+        for name in {replaced, *promotion.claim.ordered} - {settled.primary}:
+            self._demote(group, name, settled.term)
+        for target in self._directory.other_targets(group, settled.primary):
             _spawn(self._queries.query(target, lambda link: link.resume(QUERY_TIMEOUT_S)))
         await self._store_assignment(settled)
 
+    def _demote_others(self, group: str, primary: str, term: int) -> None:
+        """Demote members that lead in an earlier term, whoever should have done so before."""
+        for target in self._directory.other_targets(group, primary):
+            if target.role is Role.PRIMARY:
+                self._demote(group, target.name, term)
+
+    def _demote(self, group: str, name: str, term: int) -> None:
+        if (group, name) in self._demotions:
+            return
+        self._demotions.add((group, name))
+        task = _spawn(self._promotion.demote_old_primary(group, name, term))
+        loop = asyncio.get_running_loop()
+        task.add_done_callback(
+            lambda _: loop.call_later(ROLE_REPORT_S, self._demotions.discard, (group, name))
+        )
+
     async def _record_failover(self, group: str, replaced: str) -> PrimaryAssignment | None:
         """Store an unsettled assignment; return None if another host has changed the record."""
         previous = self._directory.assignment_or_initial(group)
@@ -392,6 +407,8 @@
             replaced=replaced,
             claimant=self._hosts.own.process_name,
             era=self._cache.era.era,
+            ordered=previous.ordered,
+            order_epoch=previous.order_epoch,
         )
         return assignment if await self._store_assignment(assignment) else None
 
