Send no promotion order under the record of an earlier one

What callers would see: writes acknowledged at a primary after another member was promoted by a late order that no other process knew of.

Cause: record() notes the time of a record before it is written, and is_recorded() took that time for whichever record the claim names. If the store refused the record of an order for the same member, and the process claimed the failover anew within a second, it sent the order under the earlier record. The other hosts had waited for that one already.

Why this works: an order is sent only if the record that the claim names is the one that this process has written within the last second.

--- a/src/wagtailloft/groups/promotion_orders.py
+++ b/src/wagtailloft/groups/promotion_orders.py
@@ -72,9 +72,10 @@
 
     def is_recorded(self, claim: PrimaryAssignment, target: str) -> bool:
         """Tell whether this process may send an order for a member under the claim's record."""
-        if claim.ordered[-1:] != (target,):
+        latest = self._latest_order(claim)
+        if claim.ordered[-1:] != (target,) or latest.key != _key(claim):
             return False
-        return now() < self._latest_order(claim).recorded_at + ORDER_WINDOW_S
+        return now() < latest.recorded_at + ORDER_WINDOW_S
 
     async def record(
         self, claim: PrimaryAssignment, member: TargetStatus
