Show that a claimant which missed a primary orders the one before it, without its commits

What callers would see: with a synchronous replica, acknowledged commits are lost (LOST). The settled primary was announced but not stored, a host that did not hear of it claims the failover under the older record, and when only the old primary answers it is ordered, whatever position the hosts report as acknowledged.

--- a/features/orders_review.feature
+++ b/features/orders_review.feature
@@ -23,6 +23,12 @@
     And the old primary comes back as a replica, while the other replica lacks a commit
     Then all hosts use the old primary within 30 s
 
+  Scenario: A claimant that has not heard of the last primary orders the one before it
+    Given a model of a group with a synchronous replica
+    When a settled primary can't be stored, a host does not hear of it, and the coordinator freezes
+    And the replicas go dark for 60 s with commits that were acknowledged, and the old primary is back
+    Then only a member with every acknowledged commit is ordered in the next 40 s
+
   Scenario: A store comes back from a copy without the record of an order, and its sender has ended
     Given a model of a group whose hosts have long known each other
     When the store loses the record of an accepted order, whose sender ends
--- a/features/steps/orders_review.py
+++ b/features/steps/orders_review.py
@@ -10,6 +10,7 @@
 from wagtailloft import clock
 from wagtailloft.fleet.ports import StoreDown
 from wagtailloft.fleet.records import Configuration, GroupRule, PrimaryAssignment, TeamRule, Topic
+from wagtailloft.groups.failover import COORDINATOR_KEY
 from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX
 from wagtailloft.models import Position, Role
 
@@ -31,8 +32,13 @@
             super()._follow_now(member)
 
 
-class SynchronousFleet(OrderedFleet):
-    """A fleet whose group acknowledges a commit once a replica has it."""
+class SynchronousFleet(PartedFleet):
+    """A fleet whose group acknowledges a commit once a replica has it.
+
+    acknowledged is the last position that was acknowledged, which the hosts report.
+    """
+
+    acknowledged = Position(term=1, index=7)
 
     def _write_settings(self):
         team = TeamRule(name="t", rate=1.0, burst=1.0, keys=tuple(self.keys), priority=1)
@@ -42,13 +48,16 @@
 
 
 class RefusingClient(restored_store.StoreClient):
-    """Access to a store that refuses the records of some orders."""
+    """Access to a store that refuses the records of some orders, or of all settled primaries."""
 
     refusals = 0
+    refuses_settled = False
 
     async def put(self, topic, name, value, revision):
         """Write an object at a revision, unless it is to be refused."""
-        if isinstance(value, PrimaryAssignment) and not value.settled:
+        if isinstance(value, PrimaryAssignment):
+            if value.settled and RefusingClient.refuses_settled:
+                raise StoreDown("refused")
             if RefusingClient.refusals and value.order_epoch == value.epoch:
                 RefusingClient.refusals -= 1
                 raise StoreDown("refused")
@@ -85,25 +94,28 @@
     return [v for v in fleet.violations if " may use " in v]
 
 
-@given("a model of a group whose hosts have long known each other")
-def step_known(context):
-    RefusingClient.refusals = 0
+def start(context, fleet_type):
+    """Start a fleet, and wait until its hosts count in majorities."""
+    RefusingClient.refusals, RefusingClient.refuses_settled = 0, False
     context.stack.enter_context(patch.object(restored_store, "StoreClient", RefusingClient))
-    context.fleet = PartedFleet(seed=1)
+    context.fleet = fleet_type(seed=1)
     context.stack.callback(context.fleet.close)
     context.fleet.advance(KNOWN_S)
     assert context.fleet.agree() == OLD_PRIMARY
 
 
+@given("a model of a group whose hosts have long known each other")
+def step_known(context):
+    start(context, PartedFleet)
+
+
 @given("a model of a group with a synchronous replica")
 def step_synchronous(context):
     async def fence(host, assignment, immediate):
-        return Position(term=1, index=7)
+        return host.fleet.acknowledged
 
     context.stack.enter_context(patch.object(OrderingHost, "_fence", fence))
-    context.fleet = SynchronousFleet(seed=1)
-    context.stack.callback(context.fleet.close)
-    context.fleet.advance(KNOWN_S)
+    start(context, SynchronousFleet)
 
 
 @when("the coordinator is cut off from the other hosts, and a successor promotes another member")
@@ -189,6 +201,38 @@
     context.fleet.advance(12.0)
 
 
+@when("a settled primary can't be stored, a host does not hear of it, and the coordinator freezes")
+def step_not_stored(context):
+    fleet = context.fleet
+    names = [h.hosts.own.name for h in fleet.hosts]
+    ranked = fleet.hosts[0].hosts.rank_owners(COORDINATOR_KEY)
+    coordinator, deaf = (names.index(h.name) for h in ranked[:2])
+    RefusingClient.refuses_settled = fleet.parted = True
+    fleet.cut_member(OLD_PRIMARY, 20.0)  # longer than the frozen coordinator demotes it
+    fleet.suspect(coordinator)
+    wait_until(fleet, lambda: fleet.orders)
+    fleet.cut(deaf, 8.0)
+    others = [h for n, h in enumerate(fleet.hosts) if n != deaf]
+    wait_until(fleet, lambda: all(h.uses(fleet.primary) for h in others))
+    assert fleet.primary in REPLICAS and not stored(fleet).settled
+    fleet.pause(coordinator, 60.0)
+
+
+@when(
+    "the replicas go dark for 60 s with commits that were acknowledged, and the old primary is back"
+)
+def step_replicas_lost(context):
+    fleet = context.fleet
+    for name in REPLICAS:
+        fleet.members[name].term, fleet.members[name].index = fleet.term, 9
+    fleet.acknowledged = Position(term=fleet.term, index=9)
+    ordered_at = stored(fleet).epoch
+    wait_until(fleet, lambda: stored(fleet).epoch > ordered_at)
+    RefusingClient.refuses_settled = False
+    for name in REPLICAS:
+        fleet.darken(name, 60.0)
+
+
 @when("the store loses the record of an accepted order, whose sender ends")
 def step_lost_record(context):
     fleet = context.fleet
@@ -216,6 +260,15 @@
     assert not context.fleet.violations, context.fleet.violations[:3]
 
 
+@then("only a member with every acknowledged commit is ordered in the next 40 s")
+def step_all_commits(context):
+    fleet = context.fleet
+    earlier = len(fleet.orders)
+    fleet.advance(40.0)
+    late = [(at, target) for at, target, _, _ in fleet.orders[earlier:] if target == OLD_PRIMARY]
+    assert not late, (late, fleet.acknowledged, stored(fleet))
+
+
 @then("all hosts use the old primary within 30 s")
 def step_old_primary_used(context):
     fleet = context.fleet
