Drop the result of a failover whose claim was replaced, and store it first in synchronous groups

Cause: a settled assignment was written whether or not a later one was known; the condition of the write was the cached revision, which was that of the later one. The result is now dropped unless it is later than what is known, and no assignment is written over a later one.

In groups with synchronous replicas the settled assignment is stored before anybody uses it: a claimant that had not heard of it could choose the primary before it, without its commits (LOST).

A fixture of `robustness` gets the rule of its group.

--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -34,6 +34,7 @@
     Changes,
     Configuration,
     Entry,
+    GroupRule,
     PrimaryAssignment,
     PromotionLeaseRecord,
     Target,
@@ -403,6 +404,7 @@
     targets = tuple(Target(name=n, group="g", address="1.1.1.1:1") for n in ("old", "b", "c"))
     coordinator = make_coordinator(
         directory=SimpleNamespace(
+            rule=lambda group: GroupRule(name=group),
             targets=lambda group: targets,
             other_targets=lambda group, name: tuple(t for t in targets if t.name != name),
             target=lambda group, name: next(t for t in targets if t.name == name),
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -360,7 +360,13 @@
         if promotion is None:
             return
         settled = self._promotion.settle(promotion)
-        self._cache.accept_assignment(settled)
+        # What a synchronous replica has acknowledged must not depend on who heard of its primary.
+        stored_first = self._directory.rule(group).sync_replicas > 0
+        if stored_first and not await self._store_assignment(settled):
+            return
+        if not stored_first and not self._cache.accept_assignment(settled):
+            logs.warn("claim_replaced", group=group, epoch=settled.epoch)
+            return
         self._announce(settled)
         logs.event(
             "promotion_done",
@@ -377,7 +383,8 @@
             self._demote(group, name, settled.term)
         for target in self._directory.other_targets(group, settled.primary):
             _spawn(self._queries.query(target, lambda link: link.resume(QUERY_TIMEOUT_S)))
-        await self._store_assignment(settled)
+        if not stored_first:
+            await self._store_assignment(settled)
 
     def _demote_others(self, group: str, primary: str, term: int) -> None:
         """Demote members that lead in an earlier term, whoever should have done so before."""
@@ -413,6 +420,11 @@
         return assignment if await self._store_assignment(assignment) else None
 
     async def _store_assignment(self, assignment: PrimaryAssignment) -> bool:
+        """Store an assignment; return False if a later one is known, or the store has another."""
+        known = self._cache.assignment(assignment.group)
+        if known is not None and known.sort_key > assignment.sort_key:
+            logs.warn("claim_replaced", group=assignment.group, epoch=assignment.epoch)
+            return False
         entry = await self._cache.write(
             Topic.FLEET, ASSIGNMENT_PREFIX + assignment.group, assignment
         )
