Count the replaced primary among the members once another was ordered, and after a restore

- A group with a synchronous replica whose ordered member is lost for good had no primary any more: the old one, back as a replica, was never a candidate.
It is now one of the members that had each acknowledged commit, so any two of three will do.
- With a synchronous replica, the old primary could be ordered although hosts had reported commits that it lacks.
It has to have the reported position.
- A store that comes back from a copy may lack the record of an order whose sender has ended.
The first claim on a group in a new era says so (may_lack_orders), and the old primary, if nothing else answers, is ordered before it is settled.

"A claimant that has not heard of the last primary ..." began with hosts that use a primary whose assignment isn't stored, which no longer occurs in such groups: one scenario shows that, another the position. "An order of a process that has ended arrives after its successor's" let an order arrive 3 s after its sender's end; since its connection is reset by that end, it now arrives within the 0.5 s that a successor waits, and `robustness: A process ends with a promotion order under way` shows the reset with a real process.

--- a/features/orders_review.feature
+++ b/features/orders_review.feature
@@ -14,7 +14,7 @@
 
   Scenario: An order of a process that has ended arrives after its successor's
     Given a model of a group whose hosts have long known each other
-    When an order takes 3 s and is not answered, and the process that sent it ends
+    When an order takes 0.5 s and is not answered, and the process that sent it ends
     Then the platform sees no lower token than before in the next 20 s
 
   Scenario: A group with a synchronous replica has lost the ordered member, and the old primary is back
@@ -23,10 +23,14 @@
     And the old primary comes back as a replica, while the other replica lacks a commit
     Then all hosts use the old primary within 30 s
 
-  Scenario: A claimant that has not heard of the last primary orders the one before it
+  Scenario: A member of a group with a synchronous replica is used before its promotion is stored
     Given a model of a group with a synchronous replica
-    When a settled primary can't be stored, a host does not hear of it, and the coordinator freezes
-    And the replicas go dark for 60 s with commits that were acknowledged, and the old primary is back
+    When a member is promoted, but the store refuses its settled assignment for 10 s
+    Then no host uses it before the store has the assignment, and all do 30 s later
+
+  Scenario: Only the primary that was replaced answers, and lacks commits that hosts report
+    Given a model of a group with a synchronous replica
+    When hosts report a commit that the old primary lacks, and the replicas go dark for 60 s
     Then only a member with every acknowledged commit is ordered in the next 40 s
 
   Scenario: A store comes back from a copy without the record of an order, and its sender has ended
--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -85,6 +85,11 @@
     When a promotion is ordered
     Then the order counts as unanswered, and its connection is reset, so that it is not sent again
 
+  Scenario: A process ends with a promotion order under way
+    Given a promotion API that reads an order and does not answer
+    When a process orders a promotion and is killed
+    Then its connection is reset, so that the order is not sent again
+
   Scenario: A caller connects to a host that is stopping and stays silent
     Then a drain of at most 3 s ends within 1.5 s
 
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+import subprocess
 import sys
 import threading
 import time
@@ -739,6 +740,33 @@
     context.accepted = asyncio.run(order)
 
 
+ORDERING_PROCESS = """
+import asyncio, sys
+sys.path.append(sys.argv[1])
+import store
+api = store.CloudPromotionApi(address=sys.argv[2], source="127.0.0.1")
+asyncio.run(api.promote(group="g", target="m", holder="h", fencing_token=1))
+"""
+
+
+@when("a process orders a promotion and is killed")
+def step_kill_ordering_process(context):
+    ip, port = context.listener.getsockname()
+    command = [sys.executable, "-c", ORDERING_PROCESS, str(PLATFORM), f"{ip}:{port}"]
+    process = subprocess.Popen(command)
+    while not context.received:
+        assert process.poll() is None
+        time.sleep(0.005)
+    process.kill()
+    process.wait()
+
+
+@then("its connection is reset, so that the order is not sent again")
+def step_killed_order_reset(context):
+    context.server.join(5.0)
+    assert isinstance(context.ending[0], ConnectionResetError), context.ending
+
+
 @then("the order counts as unanswered, and its connection is reset, so that it is not sent again")
 def step_order_reset(context):
     context.server.join(5.0)
--- a/src/wagtailloft/eras.py
+++ b/src/wagtailloft/eras.py
@@ -18,13 +18,12 @@
 from wagtailloft import logs
 from wagtailloft.models import Change, EraMark, Record
 from wagtailloft.ranges import Count, Era
-from wagtailloft.revisions import NO_ERA, era_of, make_revision, number_of
+from wagtailloft.revisions import FIRST_ERA, NO_ERA, era_of, make_revision, number_of
 
 ERA_KIND = "era"
 SETTLED = "settled"  # name of the settled mark; a start mark's name is the era
 ORIGIN_FIELD = "rewritten_from"
 ERA_FIELD = "written_in"
-FIRST_ERA = 1  # of a store that was never restored
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -97,7 +97,8 @@
     primary. claimant is the process that replaces the primary. ordered names the members whose
     promotion was ordered since a primary was last settled, the latest last, and order_epoch is the
     epoch of the record that was stored before the latest order was sent. In a settled assignment,
-    ordered names the primary if an order for it may still take effect once more.
+    ordered names the primary if an order for it may still take effect once more. may_lack_orders
+    tells that the store came back from an older copy since, and a record may be lost.
     """
 
     group: Text
@@ -110,6 +111,7 @@
     era: Count = NO_ERA
     ordered: tuple[Text, ...] = ()
     order_epoch: Count = 0
+    may_lack_orders: bool = False
 
     @property
     def sort_key(self) -> tuple[int, int, bool]:
--- a/src/wagtailloft/groups/candidates.py
+++ b/src/wagtailloft/groups/candidates.py
@@ -13,10 +13,15 @@
 
 
 def another_was_ordered(claim: PrimaryAssignment) -> bool:
-    """Tell whether a member other than the replaced one may have been promoted unseen."""
+    """Tell whether a member other than the replaced one was ordered since that one was settled."""
     return any(name != claim.replaced for name in claim.ordered)
 
 
+def may_lead_unseen(claim: PrimaryAssignment) -> bool:
+    """Tell whether a member other than the replaced one may have been promoted unseen."""
+    return claim.may_lack_orders or another_was_ordered(claim)
+
+
 def has_taken_over(status: TargetStatus, claim: PrimaryAssignment) -> bool:
     """Tell whether a member leads in place of the primary that is being replaced.
 
@@ -32,7 +37,7 @@
 def still_leads(status: TargetStatus, claim: PrimaryAssignment) -> bool:
     """Tell whether the replaced primary is primary and nobody can have been promoted since."""
     is_primary = status.role is Role.PRIMARY and status.target == claim.replaced
-    return is_primary and not another_was_ordered(claim)
+    return is_primary and not may_lead_unseen(claim)
 
 
 def may_be_ordered(status: TargetStatus, claim: PrimaryAssignment) -> bool:
@@ -52,6 +57,21 @@
     return replies >= max(1, other_members - sync_replicas + 1)
 
 
+def have_all_commits(
+    statuses: list[TargetStatus], claim: PrimaryAssignment, other_members: int, sync_replicas: int
+) -> bool:
+    """Tell whether every acknowledged commit is in the log of at least one member that replied.
+
+    The replaced primary has them all, unless it has become a replica of a member that took over
+    unseen: then it is one of the members that had each commit.
+    """
+    replies = sum(s.role is Role.REPLICA for s in statuses)
+    roles = [s.role for s in statuses if s.target == claim.replaced]
+    if Role.REPLICA in roles:
+        return covers_all_commits(replies, other_members + 1, sync_replicas + 1)
+    return Role.PRIMARY in roles or covers_all_commits(replies, other_members, sync_replicas)
+
+
 def best_candidate(
     statuses: list[TargetStatus],
     targets: tuple[Target, ...],
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -32,6 +32,7 @@
 from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX, RecordRepair
 from wagtailloft.groups.target_queries import QUERY_TIMEOUT_S, TargetQueries
 from wagtailloft.models import HostState, Role
+from wagtailloft.revisions import FIRST_ERA
 
 COORDINATOR_KEY = "promoter"  # hashed with the host names; must be the same on all hosts
 CHECK_INTERVAL_S = 0.2  # checks read the cached member entries, which show a change at once
@@ -416,9 +417,13 @@
             era=self._cache.era.era,
             ordered=previous.ordered,
             order_epoch=previous.order_epoch,
+            may_lack_orders=previous.may_lack_orders or self._is_from_earlier_era(previous),
         )
         return assignment if await self._store_assignment(assignment) else None
 
+    def _is_from_earlier_era(self, assignment: PrimaryAssignment) -> bool:
+        return assignment.era < self._cache.era.era and self._cache.era.era > FIRST_ERA
+
     async def _store_assignment(self, assignment: PrimaryAssignment) -> bool:
         """Store an assignment; return False if a later one is known, or the store has another."""
         known = self._cache.assignment(assignment.group)
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -6,11 +6,11 @@
 from wagtailloft.clock import now
 from wagtailloft.fleet.records import PrimaryAssignment, Target, Topic
 from wagtailloft.groups.candidates import (
-    another_was_ordered,
     best_candidate,
-    covers_all_commits,
     has_taken_over,
+    have_all_commits,
     may_be_ordered,
+    may_lead_unseen,
     still_leads,
 )
 from wagtailloft.groups.directory import GroupDirectory
@@ -70,9 +70,8 @@
                 return None
             targets = self._directory.other_targets(claim.group, claim.replaced)
             statuses = await self._query_statuses(claim, targets, pause=sync > 0 and not planned)
-            replies = sum(s.role is Role.REPLICA for s in statuses)
-            if pending == claim.replaced:
-                statuses.extend(await self._query_replaced(claim, sync))
+            if pending == claim.replaced or (may_lead_unseen(claim) and not planned):
+                statuses.extend(await self._query_replaced(claim))
             eligible = [s for s in statuses if not pending or s.target == pending]
             leading = [s for s in eligible if has_taken_over(s, claim) or still_leads(s, claim)]
             if leading:
@@ -92,29 +91,37 @@
                 # The position that hosts report is a lower bound: a killed host lost its own.
                 lost = self._directory.lately_unlisted(claim.group)
                 others = len(targets) + sum(n != claim.replaced for n in lost)
-                caught_up = caught_up and covers_all_commits(replies, others, sync)
+                caught_up = caught_up and have_all_commits(statuses, claim, others, sync)
             if candidate and (caught_up or not (sync or planned)):
                 return candidate
             if now() > deadline and not pending:
                 if candidate and not sync:
                     return candidate
-                return next(iter(await self._query_replaced(claim, sync)), None)
+                return await self._fall_back(claim, last_acknowledged, sync)
             await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def _query_replaced(self, claim: PrimaryAssignment, sync: int) -> list[TargetStatus]:
-        """Return the replaced primary's status, if it answers and may lead again.
+    async def _fall_back(
+        self, claim: PrimaryAssignment, last_acknowledged: Position | None, sync: int
+    ) -> TargetStatus | None:
+        """Return the replaced primary if it may lead again; used if no replica is eligible.
 
-        It may have become a replica of a member that took over unseen. Then it is not known to have
-        every commit that synchronous replicas acknowledged.
+        It may have become a replica of a member that took over unseen. With synchronous replicas,
+        it is not known to have every acknowledged commit then.
         """
+        for status in await self._query_replaced(claim):
+            has_all = last_acknowledged is None or status.received >= last_acknowledged
+            if status.role is Role.PRIMARY and (has_all or not sync):
+                return status
+            if may_lead_unseen(claim) and not sync:
+                return status
+        return None
+
+    async def _query_replaced(self, claim: PrimaryAssignment) -> list[TargetStatus]:
         target = self._directory.target(claim.group, claim.replaced)
         if target is None:
             return []
         status = await self._queries.query(target, lambda link: link.status(QUERY_TIMEOUT_S))
-        if status is None:
-            return []
-        may_lead = status.role is Role.PRIMARY or (another_was_ordered(claim) and not sync)
-        return [status] if may_lead else []
+        return [status] if status else []
 
     async def _query_statuses(
         self, claim: PrimaryAssignment, targets: tuple[Target, ...], *, pause: bool
--- a/src/wagtailloft/revisions.py
+++ b/src/wagtailloft/revisions.py
@@ -11,6 +11,7 @@
 NUMBERS_PER_ERA = 10**12
 MAX_ERA = (2**63 - 1) // NUMBERS_PER_ERA - 1  # its revisions fit into 64 bits
 NO_ERA = 0  # of a store that names no era and never comes back from a copy
+FIRST_ERA = 1  # of a store that was never restored
 
 
 def make_revision(era: int, number: int) -> int:
