Count a host towards a fence's majority from its present registration on

Seen by callers: after a long cut, a host could go on using a replaced primary for 6 s, since the fence had ended 10 s too early.

Cause: Hosts.registered_for counted from the first record that this process saw of a host. A coordinator that was cut off for longer than a withdrawal and deletion take (18.7 s) does not see them: it pulls, or lists, only the record that was written when the host registered again. It then listed the returned hosts, itself among them, as counted at once. Hosts that are cut off at that moment may not know them and take a majority of a smaller register for a majority of all.

Why it works: every record that replaces another one starts the time anew. Hosts that are listed stay listed, so a restart or a new era of the store, which also write records, cost nothing; one that is rewritten before it was ever listed counts 10.3 s after that.

--- a/features/stale_views.feature
+++ b/features/stale_views.feature
@@ -24,6 +24,12 @@
     And they return as hosts 2 and 3 are cut off, and host 4 restarts and replaces the primary
     Then no host may use a replaced primary in the next 16 s
 
+  Scenario: A host that missed the deletion of its registration takes itself for long registered
+    Given a model of 5 hosts that may be cut off from each other in part
+    When hosts 0 and 1 are cut off for 25 s, and the register no longer has them
+    And they read of their new registrations, and hosts 2 and 3 are cut off
+    Then their confirmations count 10.3 s later at the earliest, and 11 s later
+
   Scenario: A host registers itself after a fence has read the register
     Given a model of 4 hosts that may be cut off from each other in part
     When host 3 is not registered, and is cut off from the other hosts
--- a/features/steps/stale_views.py
+++ b/features/steps/stale_views.py
@@ -26,6 +26,7 @@
     host_record_name,
 )
 from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.groups.counted_hosts import COUNTED_HOSTS_OBJECT
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.failover import HOST_REMOVAL_S
 from wagtailloft.groups.local_executor import LocalExecutor
@@ -191,6 +192,29 @@
     fleet.fail_over(4)
 
 
+@when("they read of their new registrations, and hosts 2 and 3 are cut off")
+def step_read_registrations(context):
+    fleet = context.fleet
+    for number in (0, 1):
+        fleet.register(fleet.hosts[number])
+    for number, other in ((2, 3), (3, 2)):
+        fleet.isolate(number, cut=True, but=(other,))
+    for number in (0, 1):
+        fleet.hosts[number].refused = False
+
+
+@then("their confirmations count {earliest:g} s later at the earliest, and {latest:g} s later")
+def step_count_later(context, earliest, latest):
+    fleet, seconds = context.fleet, 0.0
+    while seconds < latest:
+        entry = fleet.store.objects[(Topic.FLEET, COUNTED_HOSTS_OBJECT)]
+        counted = {"h00", "h01"} & set(entry.value.hosts)
+        assert not counted or seconds >= earliest, (counted, seconds)
+        fleet.advance(0.1)
+        seconds = round(seconds + 0.1, 1)
+    assert counted == {"h00", "h01"}, counted
+
+
 @when("host 3 is not registered, and is cut off from the other hosts")
 def step_not_registered(context):
     fleet = context.fleet
--- a/src/wagtailloft/fleet/hosts.py
+++ b/src/wagtailloft/fleet/hosts.py
@@ -102,7 +102,8 @@
         name = entry.name.removeprefix(HOST_RECORD_PREFIX)
         if isinstance(entry.value, HostRecord) and not entry.value.withdrawn:
             self._withdrawn_since.pop(name, None)
-            self._registered_since.setdefault(name, now())
+            # Between two records, a registration may have been deleted without this host knowing.
+            self._registered_since[name] = now()
             return
         self._registered_since.pop(name, None)
         if entry.value is None:
@@ -115,7 +116,7 @@
         return name in self._registered_since
 
     def registered_for(self, name: str) -> float:
-        """Return for how many seconds this process has known a host to be registered."""
+        """Return for how many seconds this process has known a host's present registration."""
         return now() - self._registered_since.get(name, now())
 
     def withdrawn_for(self, name: str) -> float:
