Count the fleet's cache as current only from when the store was asked

Seen by callers: with a watch that the store answers early (or that misses changes, as when history is dropped) and whose answer is late, a host that is cut off behind it goes on using a replaced primary for up to 0.7 s after the promotion.

Cause: StoreCache._read_store counted an answer without changes as current at the sending of the poll plus its whole wait. The store promises linearizable answers, and events as soon as there are any; it does not promise that a watch lasts its wait. So the answer proves that nothing had changed when the poll was sent. The fence leaves 0.3 s for the rest, not 1 s.

Why it works: polls of the fleet count from their sending, and last 0.5 s instead of 1 s. Two polls of 0.5 s age the cache as far as one of 1 s did, so all limits (1.5, 1.9 and 2.4 s, the fence's 2.7 s) stay.

Weighed: - polls of 1 s counted from their sending: caches of 2.45 s, beyond the limit of assignments; - polls of 0.8 s and a second, proved age beside the expected one: 0.25 calls a second and zone more instead of 1, but 0.6 s less for a slow store until assignments are refused, and two ages in messages between hosts; - a fence that waits 1 s longer for hosts that don't answer: no call more, each such failover 1 s longer; - the answer's own revision: an answer of any topic with a revision up to the cached one proves the topic as of that answer's sending. It costs no call, but proves nothing while anything changes, which is when it matters; - the duration of a watch tells an early answer only if it isn't late as well.

Settings keep the whole wait: keys are used for 66% of revoke_ms, and the rest (1.7 s of 5 s) covers a poll.

Not mended, since a client can't tell: an answer that leaves out changes up to the revision that it names, so that the next watch passes over them. Linearizable answers rule it out.

--- a/features/stale_views.feature
+++ b/features/stale_views.feature
@@ -48,6 +48,12 @@
     And the store comes back 0.75 s later from a copy that is older than the claim
     Then no host may use a replaced primary in the next 20 s
 
+  Scenario: A watch that saw the fleet before a claim is answered late at a host that is cut off then
+    Given a model of 4 hosts that may be cut off from each other in part
+    When a watch of host 1 is answered without changes at once, and its answer comes as its wait ends
+    And host 1 is cut off behind that answer, and host 0 replaces the primary
+    Then no host may use a replaced primary in the next 16 s
+
   Scenario: The entry of the only replica that has a commit expires before the primary is replaced
     Given a group of a primary and 2 replicas in which a commit waits for 1 replica
     When the entry of the replica that has the last commit is removed, and its link's host is lost
--- a/features/steps/stale_views.py
+++ b/features/steps/stale_views.py
@@ -9,7 +9,15 @@
 
 from features import restored_store
 from features.fake_mesh import FakeMesh, make_host
-from features.restored_store import GROUP, MEMBERS, ZONES, ModelFleet, ModelHost, ModelMesh
+from features.restored_store import (
+    GROUP,
+    MEMBERS,
+    ZONES,
+    ModelFleet,
+    ModelHost,
+    ModelMesh,
+    StoreClient,
+)
 from features.virtual_time import run_virtual
 from wagtailloft import clock
 from wagtailloft.errors import Kind, NotSent
@@ -55,6 +63,22 @@
         return self.directory.may_use_as_primary(GROUP, target)
 
 
+class EarlyAnswers(StoreClient):
+    """One host's access to a store that answers some watches at once, over a slow connection."""
+
+    early_host, answered_at = None, None
+
+    async def changes(self, topic, after, wait):
+        """Return the changes of a watch; of the fleet's, as they were when it was sent."""
+        if self._host.number != self.early_host or topic is not Topic.FLEET or not wait:
+            return await super().changes(topic, after, wait)
+        sent_at = clock.now()
+        changes = await super().changes(topic, after, 0.0)
+        type(self).answered_at = clock.now()
+        await asyncio.sleep(sent_at + wait - clock.now())
+        return changes
+
+
 class RegisteredFleet(ModelFleet):
     """A fleet whose register changes, with cuts between pairs of hosts."""
 
@@ -118,6 +142,7 @@
     context.stack.enter_context(patch.object(restored_store, "HOSTS", number))
     context.stack.enter_context(patch.object(restored_store, "ModelMesh", PartlyCutMesh))
     context.stack.enter_context(patch.object(restored_store, "ModelHost", RegisteredHost))
+    context.stack.enter_context(patch.object(restored_store, "StoreClient", EarlyAnswers))
     context.fleet = RegisteredFleet(seed=1)
     context.stack.callback(context.fleet.close)
 
@@ -283,6 +308,29 @@
     context.fleet.restore(age=1.0, outage=outage, restarted=())
 
 
+@when(
+    "a watch of host 1 is answered without changes at once, and its answer comes as its wait ends"
+)
+def step_early_answer(context):
+    fleet = context.fleet
+    context.stack.enter_context(patch.object(EarlyAnswers, "early_host", 1))
+    context.stack.enter_context(patch.object(EarlyAnswers, "answered_at", None))
+    fleet.advance(fleet.hosts[0].cache.assignment_use_limit)  # until all hosts count
+    EarlyAnswers.answered_at = None
+    while EarlyAnswers.answered_at is None:
+        fleet.advance(0.001)
+
+
+@when("host 1 is cut off behind that answer, and host 0 replaces the primary")
+def step_cut_behind_answer(context):
+    fleet = context.fleet
+    fleet.isolate(1, cut=True)
+    fleet.fail_over(0)
+    fleet.advance(0.05)
+    claim = fleet.hosts[0].cache.assignment(GROUP)
+    assert claim is not None and fleet.hosts[1].cache.assignment(GROUP) is None, claim
+
+
 @then("no host may use a replaced primary in the next {seconds:g} s")
 def step_none_uses(context, seconds):
     context.fleet.advance(seconds)
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -39,11 +39,16 @@
 from wagtailloft.revisions import era_of, make_revision
 
 # Each call to the store has a price; longer polls need fewer calls.
-LONG_POLL_S = {Topic.SETTINGS: 1.0, Topic.FLEET: 1.0, Topic.TARGETS: 2.0}
+LONG_POLL_S = {Topic.SETTINGS: 1.0, Topic.FLEET: 0.5, Topic.TARGETS: 2.0}
+# A poll may be answered early, or miss changes, and its answer be late. Without changes it only
+# proves that there were none when the poll was sent, and so counts as of then for assignments,
+# which are used almost until a fence gives a host up. Keys are used so much shorter than their
+# bound that a poll's wait is covered, and nothing depends on the age of the members' reports.
+COUNTED_FROM_SENDING = (Topic.FLEET,)
 # For the store to answer a new host; a seed's answer names every host of the fleet.
 SEED_WAIT_S = 0.5
-# A long poll, a pull interval and a slow answer. Above it, the cache counts as old: this host reads
-# the store itself, and retries an unreachable store sooner.
+# A long poll (two if they count from their sending), a pull interval and a slow answer. Above it,
+# the cache counts as old: this host reads the store itself, and retries an unreachable one sooner.
 OLD_CACHE_AGE_S = 1.9
 # Between attempts to reach an unreachable store, at a host whose cache others keep fresh.
 STORE_PROBE_INTERVAL_S = 2.0
@@ -314,10 +319,9 @@
         started_at = now()
         cache = self._topics[topic]
         changes = await self._store.changes(topic, cache.revision, wait if cache.revision else 0.0)
-        # A long poll without changes is answered when its wait ends, so the cache is current then.
         unchanged = not changes.is_snapshot and not changes.entries
-        confirmed_at = started_at + (wait if unchanged else 0.0)
-        return self.apply(changes, min(confirmed_at, now()))
+        counted_wait = wait if unchanged and topic not in COUNTED_FROM_SENDING else 0.0
+        return self.apply(changes, min(started_at + counted_wait, now()))
 
     def apply(self, changes: Changes, confirmed_at: float) -> bool:
         """Cache changes that were current at a time; return False if they are older than cached."""
