Bound a planned drain by when its claim can have been made

Seen by callers: in a planned replacement, a write that the old primary commits after another member may have been promoted is acknowledged.

Cause: a host that is told of a planned fence passes on answers of running statements for 1 s from when the message arrives. The message may be late (retransmitted, with a cut in one direction, so that no answer gets back), and the coordinator gives the host up 2.7 s after a majority has confirmed. A drain that began 2.6 s after the claim passed answers on until 3.6 s: the host's cache was fresh again, and had the claim, which was all that LocalExecutor asked for.

Evidence: the new scenario of late_answers failed before (the write was reported as done 0.2 s after the fence's deadline) and passes now. The second one, a write that ends 0.9 s into the drain of a host whose cache was 1.4 s old at the claim, passed before and passes now.

Why it works: a host remembers when it last knew all assignments and the group's present one was not among them. The claim was stored after that, and the fence began after the claim, so that its deadline is at least 2.7 s later; answers are passed on for 2.4 s. A host that learns of the claim without delay has a cache of 1.45 s at most, which leaves at least 0.95 s of the drain's 1 s; with a store that takes 0.4 s to answer it may be 0.3 s, and a write that runs for longer is reported as unknown.

Weighed: the age of the claim in the message says how old it was when the message was sent, not when it arrived; a deadline that covers the drain makes each planned failover with a silent host 1 s longer.

--- a/features/late_answers.feature
+++ b/features/late_answers.feature
@@ -14,3 +14,13 @@
     Given a host with a primary that answers a write after 0.2 s
     When a planned replacement of the primary begins in the meantime
     Then the write is done, and the fence reports its position
+
+  Scenario: A planned fence reaches a host just before the coordinator gives it up
+    Given a host with a cache of the store and a primary that answers a write after 3 s
+    When a planned replacement begins 0.1 s later, and its fence reaches the host after 2.6 s more
+    Then the primary answered after the fence gave the host up, and the outcome is unknown
+
+  Scenario: A write ends late in a planned replacement whose fence reaches the host at once
+    Given a host with a cache of the store and a primary that answers a write after 2.3 s
+    When a planned replacement begins 1.4 s later, and its fence reaches the host after 0.01 s more
+    Then the primary answered while the fence waited, and the write is done
--- a/features/steps/late_answers.py
+++ b/features/steps/late_answers.py
@@ -5,10 +5,24 @@
 
 from behave import given, then, when
 
+from features.fake_mesh import FakeMesh, make_host
 from features.virtual_time import run_virtual
+from wagtailloft.clock import now
 from wagtailloft.errors import Kind
+from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.messages import StatementRequest
-from wagtailloft.fleet.records import PrimaryAssignment, Target
+from wagtailloft.fleet.records import (
+    Changes,
+    Entry,
+    HostRecord,
+    PrimaryAssignment,
+    Target,
+    Topic,
+    host_record_name,
+)
+from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.groups.directory import GroupDirectory
+from wagtailloft.groups.fencing import FenceProgress
 from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.models import Position, Role
@@ -16,6 +30,7 @@
 
 POSITION = Position(term=1, index=8)
 PAUSE_S = 0.05
+MAX_AGE_S = 2.4
 
 
 class SlowLink:
@@ -47,6 +62,7 @@
         self.cache = SimpleNamespace(
             assignment=lambda group: self.current,
             assignments_valid=lambda: self.valid,
+            may_finish_at_replaced=lambda group: self.valid,
             assignments_age=lambda: 0.1,
         )
 
@@ -78,17 +94,99 @@
     context.executor = LocalExecutor(
         directory=context.directory, link_factory=SimpleNamespace(open=open_link)
     )
+    context.request = make_request(verb, budget=1.0)
+
+
+def make_request(verb, budget):
+    """Return a request to the primary m."""
     statement = Statement(verb=Verb(verb), text=f"{verb.upper()} 1")
-    context.request = StatementRequest(
+    return StatementRequest(
         group="g",
         target="m",
         team="t",
         bound=BoundStatement(request_id="r", statement=statement),
-        budget=1.0,
+        budget=budget,
         require_primary=True,
     )
 
 
+class CachingHost:
+    """A host whose cache of the store is current whenever it is told so."""
+
+    def __init__(self, *, seconds):
+        """Know a primary that answers after so many seconds."""
+
+        async def open_link(spec):
+            return SlowLink(spec, seconds)
+
+        own = make_host(0, 1)
+        self.cache = StoreCache(
+            store=None,
+            hosts=Hosts(own=own, mesh=FakeMesh()),
+            mesh=FakeMesh(),
+            max_age=3.3,
+            assignment_max_age=MAX_AGE_S,
+        )
+        self.executor = LocalExecutor(
+            directory=GroupDirectory(cache=self.cache),
+            link_factory=SimpleNamespace(open=open_link),
+        )
+        primary = Target(name="", group="g", address="1.1.1.1:1", role=Role.PRIMARY)
+        self.read(Topic.TARGETS, 1, Entry(name="m", revision=1, value=primary))
+        record = HostRecord(host=own)
+        self.read(Topic.FLEET, 1, Entry(name=host_record_name(own.name), revision=1, value=record))
+
+    def read(self, topic, revision, *entries):
+        """Read the changes of a topic."""
+        changes = Changes(topic=topic, revision=revision, is_snapshot=False, entries=entries)
+        self.cache.apply(changes, now())
+
+
+@given("a host with a cache of the store and a primary that answers a write after {seconds:g} s")
+def step_caching_host(context, seconds):
+    context.answer_s = seconds
+
+
+@when(
+    "a planned replacement begins {begin:g} s later, and its fence reaches the host after"
+    " {delay:g} s more"
+)
+def step_planned_fence(context, begin, delay):
+    claim = PrimaryAssignment(group="g", epoch=1, settled=False, primary="", replaced="m")
+
+    async def run():
+        host = CachingHost(seconds=context.answer_s)
+        running = asyncio.create_task(host.executor.run(make_request("write", budget=4.0)))
+        await asyncio.sleep(begin)
+        progress = FenceProgress(assignment=claim, planned=True, host_count=3, started_at=now())
+        for _ in range(2):  # the other hosts answer at once
+            progress.confirm(counts=True)
+        reached_at = now() + delay
+        while now() + PAUSE_S < reached_at:
+            await asyncio.sleep(PAUSE_S)
+            host.read(Topic.FLEET, 2, Entry(name="lead-g", revision=2, value=claim))
+        await asyncio.sleep(reached_at - now())
+        host.cache.accept_assignment(claim)
+        fencing = asyncio.create_task(host.executor.fence(claim, False))
+        context.outcome = (await running).outcome
+        context.was_given_up = now() > progress.deadline(MAX_AGE_S)
+        await fencing
+
+    run_virtual(run())
+
+
+@then("the primary answered after the fence gave the host up, and the outcome is unknown")
+def step_given_up(context):
+    assert context.was_given_up
+    assert context.outcome.kind is Kind.OUTCOME_UNKNOWN, context.outcome
+
+
+@then("the primary answered while the fence waited, and the write is done")
+def step_waited_for(context):
+    assert not context.was_given_up
+    assert context.outcome.ok, context.outcome
+
+
 def run_beside(context, change):
     """Run the statement, and a change while its answer is awaited; keep the outcome."""
 
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -98,6 +98,8 @@
             is_stored=lambda topic, name: self.get(topic, name) is not None,
         )
         self._known_complete_at = dict.fromkeys(FRESHNESS_TOPICS, NEVER)
+        # When all assignments were last known, and a group's present one was not among them.
+        self._known_without: dict[str, float] = {}
         self._on_failure = on_failure
         # Entries that a listener could not handle, by topic, the listener's number and name.
         self._unapplied: dict[tuple[Topic, int, str], Entry] = {}
@@ -170,6 +172,17 @@
             return False
         return self.heard_from_majority()
 
+    def may_finish_at_replaced(self, group: str) -> bool:
+        """Tell whether no fence of a group's present assignment can have given this host up.
+
+        The assignment was stored after this host last knew all others without it, and a fence waits
+        for longer than assignment_max_age after that. When the fence's message arrived proves
+        nothing, since it may have been delayed.
+        """
+        known_without = self._known_without.get(group, NEVER)
+        is_recent = now() - known_without <= self.assignment_max_age
+        return is_recent and known_without >= self._started
+
     def heard_from_majority(self) -> bool:
         """Tell whether a majority of hosts, this one included, has reported its assignments.
 
@@ -383,6 +396,8 @@
         self._in_force.accept(topic, entry)
 
     def _notify(self, topic: Topic, entry: Entry) -> None:
+        if isinstance(entry.value, PrimaryAssignment):
+            self._known_without[entry.value.group] = self._known_complete_at[Topic.FLEET]
         for number in range(len(self._listeners[topic])):
             self._notify_listener(topic, number, entry)
 
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -289,7 +289,8 @@
     def _may_pass_on(self, request: StatementRequest) -> bool:
         """Tell whether no other member can have been promoted before the primary answered.
 
-        A planned replacement waits for statements that run when it begins.
+        A planned replacement waits for statements that run when it begins, though not longer for
+        a host that does not answer than until its assignment has expired.
         """
         if self._directory.may_use_as_primary(request.group, request.target):
             return True
@@ -298,7 +299,7 @@
         return (
             fence is not None
             and cache.assignment(request.group) == fence
-            and cache.assignments_valid()
+            and cache.may_finish_at_replaced(request.group)
         )
 
     def _log_aged_assignment(self, request: StatementRequest) -> None:
