Count a zone's report only for hosts that its receiver knows to be registered

Seen by callers: in an outage of the store, a host may take hosts that it does not know for a part of a majority of those that it knows, and go on using a replaced primary for up to 10 s.

Cause: a zone's report is a list of ages without names, and its receiver counted as many of the hosts that it knows in the zone. A reporter that knows of later registrations counts those hosts too. With 7 hosts known everywhere and 2 new ones, the claim's fence needs 5 of 9 confirmations; the asking host, its reporter and the 2 new hosts can be the rest, and made 4 of the 7 that the asking host knew. The reporter also counted hosts that it only knew by their hello.

Evidence: both new scenarios of stale_views failed before (a majority heard from until the asking host had read of the 2 hosts, and, with hosts known by their hello, also after that) and pass now.

Why it works: a report counts hosts that are registered at its sender's revision of the register, which it names, and its receiver uses it from when it knows the register as of then; it pulls that in the same round. A majority of known hosts and a majority that counts for a fence then overlap. A host of an earlier version names no revision, and its report counts as before.

--- a/features/stale_views.feature
+++ b/features/stale_views.feature
@@ -73,3 +73,13 @@
     Given a host of a fleet of 3, of which another two are known at one address
     When it pulls from both while one process answers
     Then it has not heard from a majority
+
+  Scenario: A zone's report counts hosts that the receiver does not know
+    Given two hosts of a fleet of 7, of which one also knows 2 hosts that registered later
+    When the other asks it which hosts it hears from, and it hears from the 2 and from the other
+    Then the other has not heard from a majority, also after it has read of the 2
+
+  Scenario: A zone's report counts hosts that are known by their hello and not yet registered
+    Given two hosts of a fleet of 7, of which one also knows 2 hosts by their hello
+    When the other asks it which hosts it hears from, and it hears from the 2 and from the other
+    Then the other has not heard from a majority, also after it has read of the 2
--- a/features/steps/stale_views.py
+++ b/features/steps/stale_views.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from features import restored_store
-from features.fake_mesh import FakeMesh, make_host
+from features.fake_mesh import FakeMesh, InProcessMesh, make_host
 from features.restored_store import (
     GROUP,
     MEMBERS,
@@ -475,3 +475,63 @@
 @then("it has not heard from a majority")
 def step_no_majority(context):
     assert not context.cache.heard_from_majority()
+
+
+@given("two hosts of a fleet of {size:d}, of which one also knows {new:d} hosts {how}")
+def step_two_hosts(context, size, new, how):
+    # The other hosts answer no hello.
+    context.stack.enter_context(patch.object(Hosts, "_schedule_hello", lambda self, host: None))
+    meshes, context.caches = {}, []
+    records = [
+        Entry(name=host_record_name(h.name), revision=1 + (n >= size), value=HostRecord(host=h))
+        for n, h in enumerate(make_host(n, 1) for n in range(size + new))
+    ]
+    context.new_hosts = [r.value.host for r in records[size:]]
+    for number in (0, 1):
+        own = make_host(number, 1)
+        mesh = meshes[own.ip] = InProcessMesh(meshes)
+        cache = StoreCache(
+            store=None,
+            hosts=Hosts(own=own, mesh=mesh),
+            mesh=mesh,
+            max_age=3.3,
+            assignment_max_age=2.4,
+        )
+        cache._started -= 10.0
+        context.caches.append(cache)
+        read_registrations(cache, 1, records[:size])
+    if how == "by their hello":
+        for host in context.new_hosts:
+            context.caches[1]._hosts._put(host)
+    else:
+        read_registrations(context.caches[1], 2, records[size:])
+
+
+def read_registrations(cache, revision, records):
+    """Let a host's cache have registrations, and nothing else."""
+    for topic in Topic:
+        entries = tuple(records) if topic is Topic.FLEET else ()
+        cache.apply(
+            Changes(topic=topic, revision=revision, is_snapshot=False, entries=entries),
+            clock.now(),
+        )
+
+
+@when("the other asks it which hosts it hears from, and it hears from the 2 and from the other")
+def step_ask_reporter(context):
+    asking, reporter = context.caches
+    for host in (asking._hosts.own, *context.new_hosts):
+        reporter._reports.add_host(host.name, clock.now())
+    context.majorities = []
+
+    async def ask():
+        for names_only in (True, False):
+            await asking._pulls.pull("h01", (Topic.FLEET,), names_only=names_only, collect=True)
+            context.majorities.append(asking.heard_from_majority())
+
+    asyncio.run(ask())
+
+
+@then("the other has not heard from a majority, also after it has read of the 2")
+def step_no_majority_by_report(context):
+    assert context.majorities == [False, False], context.majorities
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -69,12 +69,13 @@
     """The ages at which a zone's hosts reported their assignments, one byte each.
 
     The unit of ages is AGE_UNIT_S. reader is a host of the zone that is not known to find the store
-    unreachable, or empty.
+    unreachable, or empty. All of the hosts are registered at the revision, which is the sender's.
     """
 
     zone: str
     ages: bytes
     reader: str = ""
+    revision: Count = 0
 
 
 class PullResponse(Record, tag="news", array_like=True):
--- a/src/wagtailloft/fleet/peer_pulls.py
+++ b/src/wagtailloft/fleet/peer_pulls.py
@@ -323,7 +323,8 @@
         reader = self._reader(self._hosts.own.zone)
         if self._unreachable_until.get(reader, 0.0) > now():
             reader = ""
-        return self._reports.zone_report(reader=reader, own_counts=own_counts)
+        revision = self._cache.revision(Topic.FLEET)
+        return self._reports.zone_report(reader=reader, own_counts=own_counts, revision=revision)
 
 
 def _newest_sources(
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -105,7 +105,7 @@
         self._unapplied: dict[tuple[Topic, int, str], Entry] = {}
         self._listeners: dict[Topic, list[Callable[[Entry], None]]] = {t: [] for t in Topic}
         self._rng = random.Random()
-        self._reports = HostReports(hosts=hosts)
+        self._reports = HostReports(hosts=hosts, is_registered=self._is_registered)
         self._pulls = PeerPulls(cache=self, hosts=hosts, mesh=mesh, reports=self._reports)
         self._started = now()
         self.store_unreachable = False
@@ -188,7 +188,11 @@
 
         Reports older than assignment_max_age don't count.
         """
-        return self._reports.from_majority(self.assignment_max_age, own_counts=self.may_report())
+        return self._reports.from_majority(
+            self.assignment_max_age,
+            own_counts=self.may_report(),
+            revision=self.revision(Topic.FLEET),
+        )
 
     def is_registered(self) -> bool:
         """Tell whether coordinators count this host, in every failover that it does not know of.
@@ -196,7 +200,10 @@
         A coordinator counts the hosts that are registered once it has stored its claim. All claims
         before this host's registration are known once the cache is as new as that.
         """
-        entry = self.get(Topic.FLEET, host_record_name(self._hosts.own.name))
+        return self._is_registered(self._hosts.own.name)
+
+    def _is_registered(self, host: str) -> bool:
+        entry = self.get(Topic.FLEET, host_record_name(host))
         if entry is None or not isinstance(entry.value, HostRecord) or entry.value.withdrawn:
             return False
         return self.revision(Topic.FLEET) >= entry.revision
