Play random promotion orders that are late, lost or unanswered against the model of a group

The machine 'orders' plays late, lost and unanswered orders, members that are cut off, dark or leaving, also right as they are promoted, and processes that end at their n-th store write, order or member query. A process now belongs to a context of the loop: one that ended runs no callback more, one that is frozen runs none until it is thawed, while what it has sent arrives. Requests of other hosts are handled by the process that they reach, so they outlive their sender.

--- a/features/check.feature
+++ b/features/check.feature
@@ -6,6 +6,9 @@
   Scenario: Daemons keep their promises in random runs with restores of the platform
     Then 40 random runs of daemons from seed 1 break no promise, and all agree in the end
 
+  Scenario: No member is used after another was promoted in random runs with late and lost orders
+    Then 40 random runs of orders from seed 1 break no promise, and all agree in the end
+
   Scenario: A key withdrawn through a daemon that was away while an era was settled stays withdrawn
     Given a model of daemons that know a key
     When one withdraws the key, is frozen, and the platform comes back from a copy that has the key
--- a/features/check.py
+++ b/features/check.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from functools import partial
 
 import fire
 from absl import logging
@@ -15,12 +16,26 @@
     run_state_machine_as_test,
 )
 
+from features.ordered_group import (
+    LOST,
+    MAX_ORDER_DELAY_S,
+    STEPS_OF_FAILOVERS,
+    Kill,
+    OrderedFleet,
+)
 from features.restored_objects import FIRST_INCARNATION, ModelDaemons
-from features.restored_store import HOSTS, ModelFleet
+from features.restored_store import HOSTS, MEMBERS, ModelFleet
+from wagtailloft.models import Role
 
 STEPS = 50
 EXAMPLES_PER_SEED = 20
 hosts = st.integers(0, HOSTS - 1)
+members = st.sampled_from(MEMBERS)
+ways_of_losing = st.sampled_from(("cut_member", "darken", "leave"))
+waits = st.sampled_from((0.1, 0.6, 1.2, 4.0))
+order_faults = st.tuples(
+    st.sampled_from((0.0, 0.3, 1.5, 4.0, MAX_ORDER_DELAY_S, LOST)), st.booleans()
+)
 durations = st.sampled_from((0.4, 1.5, 4.0, 8.0))
 
 
@@ -142,7 +157,66 @@
         self.fleet.restart(host, incarnation=incarnation)
 
 
-MACHINES = {"hosts": HostMachine, "daemons": DaemonMachine}
+class OrderMachine(FaultMachine):
+    """The faults, but for restores, beside lost and late orders and members that are away."""
+
+    restore = None
+
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed):
+        """Start the fleet."""
+        self.fleet = OrderedFleet(seed=seed, hosts_report=True)
+
+    @rule(
+        way=ways_of_losing,
+        seconds=durations,
+        order=st.one_of(st.none(), order_faults),
+        then=st.one_of(st.none(), ways_of_losing),
+        others=st.booleans(),
+        wait=waits,
+    )
+    def lose_primary(self, way, seconds, order, then, others, wait):
+        """Lose the primary, and the member that is promoted instead, perhaps with the others."""
+        fleet = self.fleet
+        if then is not None:
+            fleet.on_promoted.append(partial(self._lose_promoted, then, seconds, others))
+        fleet.order_faults[:] = [order] if order else []
+        getattr(fleet, way)(fleet.primary, seconds)
+        fleet.advance(wait)
+
+    @rule(way=ways_of_losing, member=members, seconds=durations)
+    def lose_member(self, way, member, seconds):
+        """Lose a member for a time."""
+        getattr(self.fleet, way)(member, seconds)
+
+    @rule(host=hosts, wait=waits)
+    def suspect(self, host, wait):
+        """Let a host report that the primary does not answer it."""
+        self.fleet.suspect(host)
+        self.fleet.advance(wait)
+
+    @rule(order=order_faults)
+    def delay_order(self, order):
+        """Let an order be late or lost, or its answer, after those that are to be already."""
+        self.fleet.order_faults.append(order)
+
+    @rule(
+        step=st.sampled_from(STEPS_OF_FAILOVERS),
+        count=st.integers(1, 4),
+        seconds=st.sampled_from((0.0, 0.5, 4.0)),
+        all_hosts=st.booleans(),
+    )
+    def kill_at_step(self, step, count, seconds, all_hosts):
+        """End the process that is the next to take a step of a failover, or all at that moment."""
+        self.fleet.kills.append(Kill(step=step, count=count, seconds=seconds, all_hosts=all_hosts))
+
+    def _lose_promoted(self, way, seconds, others, promoted):
+        for member in MEMBERS if others else (promoted,):
+            if member == promoted or self.fleet.members[member].role is Role.REPLICA:
+                getattr(self.fleet, way)(member, seconds)
+
+
+MACHINES = {"hosts": HostMachine, "daemons": DaemonMachine, "orders": OrderMachine}
 
 
 def play(machine, examples, first_seed, *, shrink=False):
--- a/features/ordered_group.py
+++ b/features/ordered_group.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 from collections import defaultdict
 from dataclasses import dataclass
 from types import SimpleNamespace
@@ -12,22 +13,63 @@
 
 from features import restored_store
 from features.fake_mesh import make_host
-from features.restored_store import CALL_S, GROUP, MEMBERS, ZONES, ModelFleet, ModelHost
+from features.model_process import Process, ProcessLoop
+from features.restored_store import (
+    CALL_S,
+    GROUP,
+    MEMBERS,
+    ZONES,
+    ModelFleet,
+    ModelHost,
+    ModelMesh,
+    StoreClient,
+)
 from wagtailloft import clock
 from wagtailloft.errors import NoResponse, NotSent
-from wagtailloft.fleet.ports import StoreDown
-from wagtailloft.fleet.records import HostRecord, Target, Topic, host_record_name
-from wagtailloft.groups.failover import FailoverCoordinator
+from wagtailloft.fleet.ports import Conflict, EraChanged, StoreDown
+from wagtailloft.fleet.records import (
+    PROMOTION_LEASE_OBJECT,
+    HostRecord,
+    PrimaryAssignment,
+    Target,
+    Topic,
+    host_record_name,
+)
+from wagtailloft.groups.claims import CLAIM_TIMEOUT_S
+from wagtailloft.groups.failover import PRIMARY_MISSING_S, FailoverCoordinator
+from wagtailloft.groups.member_promotion import CATCH_UP_LIMIT_S, PROMOTION_TIMEOUT_S
 from wagtailloft.groups.ports import TargetStatus
+from wagtailloft.groups.promotion_lease import TAKEOVER_WAIT_S
+from wagtailloft.groups.record_repair import ASSIGNMENT_PREFIX
 from wagtailloft.models import Position, Role
+from wagtailloft.revisions import era_of, number_of
 
 PROMOTION_S = 1.0  # from an order until it takes effect
 ORDER_TIMEOUT_S = 0.8  # of a host that waits for the answer to an order
+MAX_ORDER_DELAY_S = 6.0  # the user time-out of an order's socket, and a slow platform
+LOST = None  # the delay of an order that never arrives
+LATE_WRITE_S = 3.0
 CONNECT_TIMEOUT_S = 0.2
 ENTRY_EXPIRY_S = 3.6  # of a dark member
 SUSPECT_S = 0.2
 SELF_DEMOTION_S = 1.0  # of an old primary that reaches the new one
 REGISTER_INTERVAL_S = 0.5
+MEMBER_INTERVAL_S = 0.2  # between two looks of the members at their entries
+ORDER_WAIT_S = 12.0  # until an order that was not answered can't take effect any more
+FENCE_S = 12.7  # of a host that does not answer
+# All after one another: an entry is missed, the claim of a process that ended is given up, the
+# lease is taken, the fence, a candidate, an unanswered order, and a promotion.
+AGREE_S = (
+    PRIMARY_MISSING_S
+    + CLAIM_TIMEOUT_S
+    + TAKEOVER_WAIT_S
+    + FENCE_S
+    + CATCH_UP_LIMIT_S
+    + ORDER_WAIT_S
+    + PROMOTION_TIMEOUT_S
+)
+QUIET_S = 5  # of a fleet that agrees
+STEPS_OF_FAILOVERS = ("write", "written", "order", "ordered", "query", "answered")
 
 
 @dataclass(kw_only=True)
@@ -41,6 +83,11 @@
     awaited_term: int = 0
     dark: bool = False
     cut: bool = False
+    leaving: bool = False
+    dark_since: float = 0.0
+    dark_until: float = 0.0
+    cut_until: float = 0.0
+    leaving_until: float = 0.0
 
     def status(self):
         """Return the member's status."""
@@ -54,97 +101,215 @@
         )
 
 
+@dataclass(kw_only=True, eq=False)
+class Order:
+    """An order that a host has sent."""
+
+    target: str
+    process: str
+    token: int
+    may_take_effect: bool = True
+
+
+@dataclass(kw_only=True)
+class Kill:
+    """The end of the process that is the count-th to take a step; `seconds` until the next one."""
+
+    step: str
+    count: int
+    seconds: float
+    all_hosts: bool
+
+
 class ModelLink:
     """A host's link to a member."""
 
-    def __init__(self, *, fleet, member):
+    def __init__(self, *, host, member):
         """Open a link."""
-        self._fleet, self._member = fleet, member
+        self._host, self._fleet, self._member = host, host.fleet, member
 
     async def status(self, timeout):
         """Return the member's status."""
-        await self._call(timeout)
-        return self._member.status()
+        return await self._call(timeout, lambda: None)
 
     async def pause(self, term, timeout):
         """Stop a replica from receiving until a term."""
-        await self._call(timeout)
-        self._member.awaited_term = term
-        return self._member.status()
+        return await self._call(timeout, lambda: setattr(self._member, "awaited_term", term))
 
     async def resume(self, timeout):
         """Let a replica receive again."""
-        await self._call(timeout)
-        self._member.awaited_term = 0
-        return self._member.status()
+        return await self._call(timeout, lambda: setattr(self._member, "awaited_term", 0))
 
     async def demote(self, term, timeout):
         """Make a primary of a lower term a replica."""
-        await self._call(timeout)
-        if self._member.role is Role.PRIMARY and self._member.term < term:
-            self._fleet.demote(self._member, term)
-        return self._member.status()
+
+        def demote():
+            if self._member.role is Role.PRIMARY and self._member.term < term:
+                self._fleet.demote(self._member, term)
+
+        return await self._call(timeout, demote)
 
     def close(self):
         """Close the link."""
 
-    async def _call(self, timeout):
+    async def _call(self, timeout, action):
+        await self._fleet.pass_step(self._host, "query")
         await asyncio.sleep(CALL_S)
         if self._member.dark or self._member.cut:
             await asyncio.sleep(timeout)
             raise NoResponse("no answer")
+        action()
+        status = self._member.status()
+        await self._fleet.pass_step(self._host, "answered")
+        return status
 
 
 class ModelLinks:
     """Open a host's links."""
 
-    def __init__(self, *, fleet):
-        """Open links to the members of a fleet."""
-        self._fleet = fleet
+    def __init__(self, *, host):
+        """Open links to the members of a host's fleet."""
+        self._host = host
 
     async def open(self, spec):
         """Open a link; raise NotSent if the member can't be reached."""
-        member = self._fleet.members[spec.target]
+        member = self._host.fleet.members[spec.target]
         if member.dark or member.cut:
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise NotSent("connect timed out")
         await asyncio.sleep(CALL_S)
-        return ModelLink(fleet=self._fleet, member=member)
+        return ModelLink(host=self._host, member=member)
 
 
 class OrderClient:
     """One host's access to the promotion API."""
 
-    def __init__(self, *, fleet, host):
+    def __init__(self, *, host):
         """Let a host order promotions."""
-        self._fleet, self._host = fleet, host
+        self._host, self._fleet = host, host.fleet
 
     async def promote(self, *, group, target, holder, fencing_token):
         """Order a promotion; return whether it was accepted, None if no answer came."""
-        faults = self._fleet.order_faults
-        self._fleet.last_ordered = target
+        fleet, loop = self._fleet, asyncio.get_running_loop()
+        await fleet.pass_step(self._host, "order")
+        faults = fleet.order_faults
+        fleet.last_ordered = target
         delay, is_answered = faults.pop(0) if faults else (0.0, True)
         process = self._host.hosts.own.process_name
-        answer = asyncio.get_running_loop().create_future()
-        asyncio.get_running_loop().call_later(
-            CALL_S + delay, self._fleet.take_order, target, process, fencing_token, answer
-        )
+        answer = loop.create_future()
+        if delay is not LOST:
+            order = Order(target=target, process=process, token=fencing_token)
+            fleet.send_order(order)
+            to = answer if is_answered else None
+            loop.call_outside(CALL_S + delay, fleet.take_order, order, to)
+        await asyncio.wait({answer}, timeout=CALL_S + ORDER_TIMEOUT_S)
+        await fleet.pass_step(self._host, "ordered")
+        return answer.result() if answer.done() else None
+
+
+class OrderingStore(StoreClient):
+    """One host's access to the store, which takes what it was sent although the host has ended."""
+
+    async def put(self, topic, name, value, revision):
+        """Write an object at a revision; the answer may be lost, or the write done later."""
+        host, fleet, loop = self._host, self._host.fleet, asyncio.get_running_loop()
+        is_step = name.startswith(ASSIGNMENT_PREFIX) or name == PROMOTION_LEASE_OBJECT
+        if is_step:
+            await fleet.pass_step(host, "write")
+        delay, is_answered = 0.0, True
+        if fleet.late_writes:
+            fleet.late_writes -= 1
+            delay, is_answered = LATE_WRITE_S, False
+        elif fleet.lost_answers:
+            fleet.lost_answers -= 1
+            is_answered = False
+        answer = loop.create_future()
+        loop.call_outside(CALL_S + delay, self._take, topic, name, value, revision, answer)
+        if not is_answered:
+            await asyncio.sleep(2 * CALL_S)
+            raise StoreDown("no answer")
+        outcome = await answer
+        if is_step:
+            await fleet.pass_step(host, "written")
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+    def _take(self, topic, name, value, revision, answer):
+        outcome = self._write(topic, name, value, revision)
+        if not answer.done():
+            answer.set_result(outcome)
+
+    def _write(self, topic, name, value, revision):
+        if self._store.down or self._host.refused:
+            return StoreDown("refused")
+        written = self._store.write_if(topic, name, value, number_of(revision))
+        if era_of(revision) != self._store.era:
+            return EraChanged("another era")
+        if written is None:
+            known = [e for e in self._entries(topic) if e.name == name]
+            return Conflict(known[0] if known else None)
+        return self._with_era(written)
+
+
+class OrderingMesh(ModelMesh):
+    """A mesh whose messages are handled by the process that they reach, whoever sent them."""
+
+    async def call(self, address, message, limit):
+        """Call another host; raise NotSent or NoResponse."""
         await asyncio.sleep(CALL_S)
-        if not is_answered or delay:
-            await asyncio.sleep(ORDER_TIMEOUT_S)
-            return None
-        await self._host.thawed.wait()
-        return await answer
+        other = self.meshes[address[0]]
+        if self.host.resets or other.host.resets or other.host.process.ended:
+            raise NotSent("[Errno 111] Connect call failed")
+        if self.host.cut or other.host.cut:
+            await asyncio.sleep(limit)
+            raise NotSent("no connection")
+        task = other.host.process.spawn(other.handlers[type(message)](None, message))
+        await asyncio.wait({task}, timeout=limit)
+        if not task.done():
+            raise NoResponse("no answer")
+        return task.result()
 
 
 class OrderingHost(ModelHost):
     """A host with the real failover coordinator."""
 
+    process = None
+
     def restart(self):
-        """Replace the host's process by one that knows nothing."""
-        if self.incarnation:
-            for task in list(self.coordinator._failovers.values()):
-                task.cancel()
+        """Replace the host's process by one that knows nothing; the earlier runs no step more."""
+        if self.process is not None:
+            self.process.ended = True
+        self.thawed.set()
+        self.process = Process()
+        self.fleet.processes.append(self.process)
+        self.process.call(self._start)
+
+    def kill(self, seconds):
+        """End the host's process; the next one starts after a time."""
+        self.process.ended = True
+        self.fleet.call_later(seconds, self.restart)
+
+    def is_running(self):
+        """Tell whether the host's process runs."""
+        return not self.process.ended and not self.process.frozen
+
+    def freeze(self, seconds):
+        """Freeze the host's process for a time."""
+        self.process.frozen = True
+        self.fleet.call_later(seconds, self.process.thaw)
+
+    def report(self):
+        """Report that the primary does not answer this host."""
+        primary = self.directory.primary(GROUP)
+        if primary is not None and self.is_running():
+            self.process.call(lambda: self.coordinator.report(GROUP, primary.name, "no response"))
+
+    def uses(self, target):
+        """Tell whether this host would send statements to a target as primary."""
+        return self.directory.may_use_as_primary(GROUP, target)
+
+    def _start(self):
         super().restart()
         self.coordinator = FailoverCoordinator(
             hosts=self.hosts,
@@ -153,16 +318,19 @@
             directory=self.directory,
             local_executor=SimpleNamespace(fence=self._fence),
             store=SimpleNamespace(remove=_refuse),
-            link_factory=ModelLinks(fleet=self.fleet),
-            promotion_api=OrderClient(fleet=self.fleet, host=self),
+            link_factory=ModelLinks(host=self),
+            promotion_api=OrderClient(host=self),
             lease=self.lease,
             count_failover=lambda group, why: None,
         )
+        self.coordinator._rng = random.Random(self.hosts.own.process_name)
         self.tasks.append(asyncio.create_task(self._keep_registered()))
 
-    def uses(self, target):
-        """Tell whether this host would send statements to a target as primary."""
-        return self.directory.may_use_as_primary(GROUP, target)
+    def _open_mesh(self):
+        return OrderingMesh(self.fleet.meshes, self)
+
+    def _open_store(self):
+        return OrderingStore(store=self.fleet.store, host=self)
 
     async def _fence(self, assignment, immediate):
         """Report no position: the model has no statements."""
@@ -187,56 +355,112 @@
     """The hosts, the store, the platform and the members.
 
     primary is the member that the platform regards as primary. Each of order_faults applies to one
-    order: for how many seconds it is late, and whether it is answered.
+    order: for how many seconds it is late, or LOST, and whether it is answered.
     """
 
-    def __init__(self, *, seed):
-        """Start the fleet and let it settle."""
+    loop_class = ProcessLoop
+
+    def __init__(self, *, seed, hosts_report=False):
+        """Start the fleet and let it settle.
+
+        If hosts_report, hosts report by themselves that the primary that they use does not answer.
+        """
         self.members = {n: ModelMember(name=n) for n in MEMBERS}
         self.members[MEMBERS[0]].role = Role.PRIMARY
-        self.term, self.order_faults, self.orders = 1, [], []
+        self.term, self.order_faults, self.orders, self.kills = 1, [], [], []
+        self.sent_orders, self.processes = [], []
         self.last_ordered = ""
         self.replaced_at, self.on_promoted = {}, []
+        self._hosts_report = hosts_report
         self._reports = defaultdict(int)
         with patch.object(restored_store, "ModelHost", OrderingHost):
             super().__init__(seed=seed)
 
+    def close(self):
+        """Stop all processes, those too that have ended, and give the clock back."""
+        for process in self.processes:
+            self._loop._ready.extend(process.held)
+        self._loop.release()
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        super().close()
+
+    def call_later(self, seconds, function, *args):
+        """Call a function after a time, whatever becomes of the process that asks for it."""
+        self._loop.call_outside(seconds, function, *args)
+
     def suspect(self, host):
         """Let a host report that the group's primary does not answer it."""
+        self.run(_call(self.hosts[host].report))
 
-        async def report():
-            self._suspect_now(host)
-
-        self.run(report())
+    def pause(self, host, seconds):
+        """Freeze a host for a time."""
+        self.run(_call(lambda: self.hosts[host].freeze(seconds)))
 
     def cut_member(self, name, seconds):
         """Cut a member off from the hosts for a time."""
         member = self.members[name]
-        member.cut = True
-        self._loop.call_later(seconds, setattr, member, "cut", False)
+        member.cut, member.cut_until = True, max(member.cut_until, clock.now() + seconds)
+        self.call_later(seconds, self._end_cut, member)
+
+    def leave(self, name, seconds):
+        """Let a member report for a time that it is leaving."""
+        member = self.members[name]
+        member.leaving = True
+        member.leaving_until = max(member.leaving_until, clock.now() + seconds)
+        self._report(member)
+        self.call_later(seconds, self._end_leaving, member)
 
     def darken(self, name, seconds):
         """Let a member lose power for a time; it keeps its log and role."""
         member = self.members[name]
-        member.dark = True
-        self._loop.call_later(ENTRY_EXPIRY_S, self._expire_entry, member)
-        self._loop.call_later(seconds, self._bring_back, member)
+        if not member.dark:
+            member.dark, member.dark_since = True, clock.now()
+        member.dark_until = max(member.dark_until, clock.now() + seconds)
+        self.call_later(seconds, self._bring_back, member)
 
     def darken_and_suspect(self, name, seconds):
         """Let a member lose power for a time, and a host report it."""
         self.darken(name, seconds)
-        self._loop.call_later(SUSPECT_S, self._suspect_now, 0)
-
-    def take_order(self, target, process, token, answer):
+        self.call_later(SUSPECT_S, self.hosts[0].report)
+
+    async def pass_step(self, host, step):
+        """End a host's process if it is to end at this step."""
+        due = [k for k in self.kills if k.step == step]
+        for kill in due:
+            kill.count -= 1
+            if kill.count > 0:
+                continue
+            self.kills.remove(kill)
+            for other in self.hosts if kill.all_hosts else [host]:
+                other.kill(kill.seconds)
+        if host.process.ended:
+            await asyncio.get_running_loop().create_future()
+
+    def send_order(self, order):
+        """Note an order that is under way to the platform."""
+        for other in self.sent_orders:
+            if other.may_take_effect and other.target != order.target:
+                self.violations.append(
+                    f"{order.process} orders {order.target} while {other.process}'s order for"
+                    f" {other.target} may take effect"
+                )
+        self.sent_orders.append(order)
+
+    def take_order(self, order, answer):
         """Take an order at the platform."""
+        target, process, token = order.target, order.process, order.token
         self.orders.append((clock.now(), target, process, token))
         for _, _, other, earlier in self.orders:
             if token < earlier or (token == earlier and other != process):
                 self.violations.append(f"token {token} of {process} after {earlier} of {other}")
+        self._check_record(order)
         member = self.members[target]
-        if not member.dark and target != self.primary:
-            self._loop.call_later(PROMOTION_S, self._complete, member)
-        if not answer.done():
+        if member.dark or target == self.primary:
+            order.may_take_effect = False
+        else:
+            self.call_later(PROMOTION_S, self._complete, order)
+        if answer is not None:
             answer.set_result(not member.dark)
 
     def demote(self, member, term):
@@ -250,17 +474,79 @@
         all_use = [m for m in used if all(h.uses(m) for h in self.hosts)]
         return all_use[0] if len(used) == 1 and all_use else None
 
-    def _suspect_now(self, host):
-        process = self.hosts[host]
-        primary = process.directory.primary(GROUP)
-        if primary is not None:
-            process.coordinator.report(GROUP, primary.name, "no response")
+    def converge(self):
+        """End all faults; return what the hosts, the store and the platform disagree on."""
+        self.run(_call(self._end_faults))
+        self.advance(MAX_ORDER_DELAY_S + PROMOTION_S)  # orders that were under way
+        until, quiet = clock.now() + AGREE_S, 0
+        while clock.now() < until and quiet < QUIET_S and not self.violations:
+            self.advance(1.0)
+            quiet = quiet + 1 if self.agree() == self.primary else 0
+        if quiet < QUIET_S and not self.violations:
+            used = {h.hosts.own.name: [m for m in MEMBERS if h.uses(m)] for h in self.hosts}
+            known = self.hosts[0].cache.assignment(GROUP)
+            return [f"the platform has {self.primary}, the hosts use {used}: {known}"]
+        return super().converge()
+
+    def _end_faults(self):
+        self.order_faults.clear()
+        self.kills.clear()
+        self.on_promoted.clear()
+        self.lost_answers = self.late_writes = 0
+        for host in self.hosts:
+            host.cut = host.refused = host.resets = False
+            if host.process.ended:
+                host.restart()
+            elif host.process.frozen:
+                host.process.thaw()
+        for member in self.members.values():
+            member.cut = member.leaving = member.dark = False
+            self._report(member)
+
+    async def _start(self):
+        await super()._start()
+        self._keeper = asyncio.create_task(self._keep_members())
 
-    def _complete(self, member):
+    async def _keep_members(self):
+        """Keep the members' entries as the members are, and let hosts report the primary."""
+        while True:
+            await asyncio.sleep(MEMBER_INTERVAL_S)
+            for member in self.members.values():
+                self._keep_entry(member)
+            for host in self.hosts if self._hosts_report else ():
+                primary = host.directory.primary(GROUP)
+                member = self.members[primary.name] if primary else None
+                if member and (member.dark or member.cut) and host.uses(member.name):
+                    host.report()
+
+    def _keep_entry(self, member):
+        entry = self.store.objects.get((Topic.TARGETS, member.name))
+        reported = entry.value if entry else None
+        if member.dark:
+            if reported and clock.now() > member.dark_since + ENTRY_EXPIRY_S:
+                if not self.store.down:
+                    self.store.write(Topic.TARGETS, member.name, None)
+        elif not reported or (reported.role, reported.leaving) != (member.role, member.leaving):
+            self._report(member)
+
+    def _check_record(self, order):
+        """Check that the store tells every process of an order that changes the primary."""
+        if order.target == self.primary or "ordered" not in PrimaryAssignment.__struct_fields__:
+            return
+        entry = self.store.objects.get((Topic.FLEET, ASSIGNMENT_PREFIX + GROUP))
+        record = entry.value if entry else None
+        if record is None or record.settled or record.ordered != order.target:
+            self.violations.append(f"{order} arrives, but the store has {record}")
+
+    def _complete(self, order):
         """Let an order take effect."""
+        order.may_take_effect = False
+        member = self.members[order.target]
         if member.dark or member.name == self.primary:
             return
-        users = [h.hosts.own.process_name for h in self.hosts if h.uses(self.primary)]
+        users = [
+            h.hosts.own.process_name for h in self.hosts if h.is_running() and h.uses(self.primary)
+        ]
         if users:
             self.violations.append(f"{users} may use {self.primary} as {member.name} is promoted")
         self.replaced_at[self.primary] = clock.now()
@@ -277,7 +563,7 @@
 
     def _follow(self, member):
         """Let a member follow the primary a while after both can reach each other."""
-        self._loop.call_later(SELF_DEMOTION_S, self._follow_now, member)
+        self.call_later(SELF_DEMOTION_S, self._follow_now, member)
 
     def _follow_now(self, member):
         primary = self.members[self.primary]
@@ -288,13 +574,19 @@
             return
         self.demote(member, primary.term)
 
-    def _bring_back(self, member):
-        member.dark = False
-        self._report(member)
+    def _end_cut(self, member):
+        if clock.now() >= member.cut_until:
+            member.cut = False
 
-    def _expire_entry(self, member):
-        if member.dark and not self.store.down:
-            self.store.write(Topic.TARGETS, member.name, None)
+    def _end_leaving(self, member):
+        if clock.now() >= member.leaving_until:
+            member.leaving = False
+            self._report(member)
+
+    def _bring_back(self, member):
+        if clock.now() >= member.dark_until:
+            member.dark = False
+            self._report(member)
 
     def _report(self, member):
         if member.dark or self.store.down:
@@ -305,6 +597,7 @@
             group=GROUP,
             address="1.1.1.1:1",
             role=member.role,
+            leaving=member.leaving,
             sequence=self._reports[member.name],
         )
         self.store.write(Topic.TARGETS, member.name, report)
@@ -321,5 +614,9 @@
                 self.violations.append(f"{name} may use {member} {at} s after it was replaced")
 
 
+async def _call(function):
+    function()
+
+
 async def _refuse(topic, name, revision):
     raise StoreDown("not modelled")
--- a/features/restored_store.py
+++ b/features/restored_store.py
@@ -195,12 +195,12 @@
         members = [make_host(n, ZONES) for n in range(HOSTS)]
         own = members[self.number]
         record = make_host(self.number, ZONES, incarnation=self.incarnation)
-        self.mesh = self.fleet.meshes[own.ip] = ModelMesh(self.fleet.meshes, self)
+        self.mesh = self.fleet.meshes[own.ip] = self._open_mesh()
         self.hosts = Hosts(own=record, mesh=self.mesh)
         for member in members:
             if member.name != own.name:
                 self.hosts._put(member)
-        client = StoreClient(store=self.fleet.store, host=self)
+        client = self._open_store()
         self.cache = StoreCache(
             store=client,
             hosts=self.hosts,
@@ -228,10 +228,20 @@
         self.tasks.append(asyncio.create_task(self.hosts.retry_suspected()))
         self.tasks.append(asyncio.create_task(self._run_repair()))
 
+    def is_running(self):
+        """Tell whether the host's process runs."""
+        return self.thawed.is_set()
+
     def start_failover(self):
         """Replace the group's primary."""
         self.tasks.append(asyncio.create_task(self._fail_over()))
 
+    def _open_mesh(self):
+        return ModelMesh(self.fleet.meshes, self)
+
+    def _open_store(self):
+        return StoreClient(store=self.fleet.store, host=self)
+
     async def _run_repair(self):
         while True:
             await asyncio.sleep(0.2)
@@ -291,9 +301,11 @@
 class ModelFleet:
     """The hosts, the store, the operator and the platform, in virtual time."""
 
+    loop_class = VirtualTimeLoop
+
     def __init__(self, *, seed):
         """Start the fleet and let it settle."""
-        self._loop = VirtualTimeLoop()
+        self._loop = self.loop_class()
         asyncio.set_event_loop(self._loop)
         self._real_time = clock.time
         clock.time = SimpleNamespace(clock_gettime=lambda _: self._loop.time(), CLOCK_BOOTTIME=None)
@@ -453,7 +465,7 @@
 
     async def _observe(self):
         while True:
-            running = [h for h in self.hosts if h.thawed.is_set()]
+            running = [h for h in self.hosts if h.is_running()]
             holders = [h.hosts.own.process_name for h in running if h.lease.is_held()]
             if len(holders) > 1:
                 self.violations.append(f"{holders} hold the lease")
