--- a/features/check.py
+++ b/features/check.py
@@ -32,7 +32,7 @@
 EXAMPLES_PER_SEED = 20
 hosts = st.integers(0, HOSTS - 1)
 members = st.sampled_from(MEMBERS)
-ways_of_losing = st.sampled_from(("cut_member", "darken", "leave"))
+ways_of_losing = st.sampled_from(("cut_member", "darken", "leave", "split_member"))
 waits = st.sampled_from((0.1, 0.6, 1.2, 4.0, 9.0))
 order_faults = st.tuples(
     st.sampled_from((0.0, 0.3, 1.5, 4.0, MAX_ORDER_DELAY_S, LOST)), st.booleans()
--- a/features/ordered_group.py
+++ b/features/ordered_group.py
@@ -77,7 +77,10 @@
 
 @dataclass(kw_only=True)
 class ModelMember:
-    """A member; a dark one reaches nobody, one that is cut off reaches all but the hosts."""
+    """A member; a dark one reaches nobody, one that is cut off reaches all but the hosts.
+
+    One that is split off reaches the hosts, but no other member.
+    """
 
     name: str
     role: Role = Role.REPLICA
@@ -86,11 +89,13 @@
     awaited_term: int = 0
     dark: bool = False
     cut: bool = False
+    split: bool = False
     leaving: bool = False
     dark_since: float = 0.0
     dark_until: float = 0.0
     cut_until: float = 0.0
     leaving_until: float = 0.0
+    split_until: float = 0.0
 
     def status(self):
         """Return the member's status."""
@@ -172,7 +177,7 @@
 
 
 class ModelLinks:
-    """Open a host's links."""
+    """Open the links of one process of a host."""
 
     def __init__(self, *, host):
         """Open links to the members of a host's fleet."""
@@ -411,6 +416,12 @@
         member.cut, member.cut_until = True, max(member.cut_until, clock.now() + seconds)
         self.call_later(seconds, self._end_cut, member)
 
+    def split_member(self, name, seconds):
+        """Cut a member off from the other members for a time."""
+        member = self.members[name]
+        member.split, member.split_until = True, max(member.split_until, clock.now() + seconds)
+        self.call_later(seconds, self._end_split, member)
+
     def leave(self, name, seconds):
         """Let a member report for a time that it is leaving."""
         member = self.members[name]
@@ -509,7 +520,7 @@
             elif host.process.frozen:
                 host.process.thaw()
         for member in self.members.values():
-            member.cut = member.leaving = member.dark = False
+            member.cut = member.split = member.leaving = member.dark = False
             self._report(member)
 
     async def _start(self):
@@ -578,7 +589,7 @@
         primary = self.members[self.primary]
         if member is primary or member.term >= primary.term:
             return
-        if member.dark or primary.dark:
+        if member.dark or member.split or primary.dark:
             self._follow(member)
             return
         self.demote(member, primary.term)
@@ -587,6 +598,10 @@
         if clock.now() >= member.cut_until:
             member.cut = False
 
+    def _end_split(self, member):
+        if clock.now() >= member.split_until:
+            member.split = False
+
     def _end_leaving(self, member):
         if clock.now() >= member.leaving_until:
             member.leaving = False
