--- a/features/steps/orders_review.py
+++ b/features/steps/orders_review.py
@@ -4,8 +4,8 @@
 
 from behave import given, then, when
 
-from features import restored_store
-from features.ordered_group import OrderedFleet, OrderingHost
+from features import ordered_group
+from features.ordered_group import OrderedFleet, OrderingHost, OrderingStore
 from features.restored_store import GROUP, MEMBERS
 from wagtailloft import clock
 from wagtailloft.fleet.ports import StoreDown
@@ -46,7 +46,7 @@
         self.store.write(Topic.SETTINGS, "main", value)
 
 
-class RefusingClient(restored_store.StoreClient):
+class RefusingStore(OrderingStore):
     """Access to a store that refuses the records of some orders, or of all settled primaries."""
 
     refusals = 0
@@ -55,10 +55,10 @@
     async def put(self, topic, name, value, revision):
         """Write an object at a revision, unless it is to be refused."""
         if isinstance(value, PrimaryAssignment):
-            if value.settled and RefusingClient.refuses_settled:
+            if value.settled and RefusingStore.refuses_settled:
                 raise StoreDown("refused")
-            if RefusingClient.refusals and value.order_epoch == value.epoch:
-                RefusingClient.refusals -= 1
+            if RefusingStore.refusals and value.order_epoch == value.epoch:
+                RefusingStore.refusals -= 1
                 raise StoreDown("refused")
         return await super().put(topic, name, value, revision)
 
@@ -95,8 +95,8 @@
 
 def start(context, fleet_type):
     """Start a fleet, and wait until its hosts count in majorities."""
-    RefusingClient.refusals, RefusingClient.refuses_settled = 0, False
-    context.stack.enter_context(patch.object(restored_store, "StoreClient", RefusingClient))
+    RefusingStore.refusals, RefusingStore.refuses_settled = 0, False
+    context.stack.enter_context(patch.object(ordered_group, "OrderingStore", RefusingStore))
     context.fleet = fleet_type(seed=1)
     context.stack.callback(context.fleet.close)
     context.fleet.advance(KNOWN_S)
@@ -163,14 +163,14 @@
     fleet.advance(12.0)
     fleet.members[context.target].dark = False
     fleet.order_faults.append((6.0, False))
-    RefusingClient.refusals = 1
+    RefusingStore.refusals = 1
 
 
 @when("the order after that takes 6 s and is not answered, and its sender freezes")
 def step_frozen_sender(context):
     fleet = context.fleet
     sender = wait_for_order(fleet)
-    assert not RefusingClient.refusals and fleet.last_ordered == context.target
+    assert not RefusingStore.refusals and fleet.last_ordered == context.target
     fleet.cut_member(context.target, 30.0)
     fleet.pause(sender, 60.0)
 
@@ -203,7 +203,7 @@
 @when("a member is promoted, but the store refuses its settled assignment for 10 s")
 def step_not_stored(context):
     fleet = context.fleet
-    RefusingClient.refuses_settled = fleet.parted = True
+    RefusingStore.refuses_settled = fleet.parted = True
     fleet.cut_member(OLD_PRIMARY, 60.0)
     fleet.suspect(0)
     wait_until(fleet, lambda: fleet.primary != OLD_PRIMARY)
@@ -216,7 +216,7 @@
     while clock.now() < until:
         fleet.advance(STEP_S)
         assert not any(h.uses(fleet.primary) for h in fleet.hosts), stored(fleet)
-    RefusingClient.refuses_settled = False
+    RefusingStore.refuses_settled = False
     fleet.advance(30.0)
     assert fleet.agree() == fleet.primary != OLD_PRIMARY and stored(fleet).settled
     assert not fleet.violations, fleet.violations[:3]
@@ -260,6 +260,7 @@
 @then("the platform sees no lower token than before in the next 20 s")
 def step_tokens(context):
     context.fleet.advance(20.0)
+    assert not context.fleet.fallen_tokens, context.fleet.fallen_tokens[:3]
     assert not context.fleet.violations, context.fleet.violations[:3]
 
 
