--- a/src/wagtailloft/groups/candidates.py
+++ b/src/wagtailloft/groups/candidates.py
@@ -41,8 +41,8 @@
 
 
 def may_be_ordered(status: TargetStatus, claim: PrimaryAssignment) -> bool:
-    """Tell whether a member is a replica, or leads by an order that is not the latest."""
-    if status.role is Role.REPLICA:
+    """Tell whether a member is a replica, or leads by an order that may not be the latest."""
+    if status.role is Role.REPLICA or status.target == claim.replaced:
         return True
     return status.target in claim.ordered or status.term > claim.term
 
