--- a/features/check.feature
+++ b/features/check.feature
@@ -9,6 +9,9 @@
   Scenario: No member is used after another was promoted in random runs with late and lost orders
     Then 25 random runs of orders from seed 1 break no promise, and all agree in the end
 
+  Scenario: No late order arrives with a lower token than its successor's in random runs
+    Then 25 random runs of tokens from seed 1 break no promise, and all agree in the end
+
   Scenario: A key withdrawn through a daemon that was away while an era was settled stays withdrawn
     Given a model of daemons that know a key
     When one withdraws the key, is frozen, and the platform comes back from a copy that has the key
--- a/features/check.py
+++ b/features/check.py
@@ -163,8 +163,10 @@
 
 
 class OrderMachine(FaultMachine):
-    """The faults, but for restores, beside lost and late orders and members that are away."""
+    """The faults, beside lost and late orders and members that are away."""
 
+    # A copy from before a promotion, all hosts restarted and the promoted member away leave nothing
+    # that tells of it.
     restore = None
 
     @initialize(seed=st.integers(0, 2**16))
@@ -256,18 +258,11 @@
         return self.fleet.violations + self.fleet.fallen_tokens
 
 
-class RestoreMachine(OrderMachine):
-    """Orders beside restores of the store."""
-
-    restore = FaultMachine.restore
-
-
 MACHINES = {
     "hosts": HostMachine,
     "daemons": DaemonMachine,
     "orders": OrderMachine,
     "tokens": TokenMachine,
-    "orders in eras": RestoreMachine,
 }
 
 
