Pass on a primary's answer though its entry vanished while it was awaited

Seen by callers: writes in flight are reported as unknown, and reads are repeated, if the entry of the primary is removed from the store while they run (a member that can't reach the store, but hosts can).

Cause: LocalExecutor passed an answer on only if the directory still named the target as primary, and a member without an entry is none. Only a promotion replaces a primary, and a promotion begins with a claim.

Evidence: the first of the four new scenarios of late_answers failed before. The others hold before and after, and fail if the mend leaves out its conditions (tried one by one): a failover that begins, a store that comes back in a new era, another member that reports to be primary.

Why it works: what the use of a primary rests on, the group's assignment and the store's era, is kept while a statement runs. If both are the same when it is answered, the assignments are still valid and nobody else reports to be primary, no other member can have been promoted. New statements still go only to listed members.

--- a/features/late_answers.feature
+++ b/features/late_answers.feature
@@ -24,3 +24,23 @@
     Given a host with a cache of the store and a primary that answers a write after 2.3 s
     When a planned replacement begins 1.4 s later, and its fence reaches the host after 0.01 s more
     Then the primary answered while the fence waited, and the write is done
+
+  Scenario: A primary's entry vanishes while its answer is awaited
+    Given a host with a cache of the store and a primary that answers a write after 0.3 s
+    When the entry of the primary vanishes in the meantime, and no member reports that it is primary
+    Then the write is done
+
+  Scenario: A primary's entry vanishes while its answer is awaited, and another reports to be primary
+    Given a host with a cache of the store and a primary that answers a write after 0.3 s
+    When the entry of the primary vanishes in the meantime, and another member reports that it is primary
+    Then the outcome of the write is unknown
+
+  Scenario: A primary's entry vanishes while its answer is awaited, and a failover begins
+    Given a host with a cache of the store and a primary that answers a write after 0.3 s
+    When the entry of the primary vanishes in the meantime, and a failover begins
+    Then the outcome of the write is unknown
+
+  Scenario: A primary's entry vanishes while its answer is awaited, and the store is restored
+    Given a host with a cache of the store and a primary that answers a write after 0.3 s
+    When the entry of the primary vanishes in the meantime, and the store comes back in a new era
+    Then the outcome of the write is unknown
--- a/features/steps/late_answers.py
+++ b/features/steps/late_answers.py
@@ -84,6 +84,14 @@
         """Tell whether the target is the primary under a valid assignment."""
         return self.valid and self.current.settled and self.current.primary == target
 
+    def basis(self, group):
+        """Return the assignment."""
+        return self.current, 0
+
+    def was_primary_throughout(self, group, target, basis):
+        """Tell whether the listed target is still the primary."""
+        return self.may_use_as_primary(group, target)
+
 
 @given("a host with a primary that answers a {verb} after {seconds:g} s")
 def step_slow_primary(context, verb, seconds):
@@ -242,3 +250,31 @@
 def step_done(context):
     assert context.outcome.ok, context.outcome
     assert context.fenced == POSITION, context.fenced
+
+
+@when("the entry of the primary vanishes in the meantime, and {event}")
+def step_entry_vanishes(context, event):
+    claim = PrimaryAssignment(group="g", epoch=1, settled=False, primary="", replaced="m")
+    other = Target(name="", group="g", address="1.1.1.1:2", role=Role.PRIMARY)
+
+    async def run():
+        host = CachingHost(seconds=context.answer_s)
+        running = asyncio.create_task(host.executor.run(make_request("write", budget=4.0)))
+        await asyncio.sleep(PAUSE_S)
+        host.read(Topic.TARGETS, 2, Entry(name="m", revision=2, value=None))
+        if event == "another member reports that it is primary":
+            host.read(Topic.TARGETS, 3, Entry(name="n", revision=3, value=other))
+        elif event == "a failover begins":
+            host.cache.accept_assignment(claim)
+        elif event == "the store comes back in a new era":
+            host.cache.era.observe(host.cache.era.era + 1)
+        else:
+            assert event == "no member reports that it is primary", event
+        context.outcome = (await running).outcome
+
+    run_virtual(run())
+
+
+@then("the write is done")
+def step_write_done(context):
+    assert context.outcome.ok, context.outcome
--- a/src/wagtailloft/groups/directory.py
+++ b/src/wagtailloft/groups/directory.py
@@ -82,6 +82,25 @@
         primary = self.primary(group)
         return primary is not None and primary.name == target
 
+    def basis(self, group: str) -> tuple[PrimaryAssignment | None, int]:
+        """Return what the use of a group's primary rests on: the assignment, the store's era."""
+        return self.cache.assignment(group), self.cache.era.era
+
+    def was_primary_throughout(
+        self, group: str, target: str, basis: tuple[PrimaryAssignment | None, int] | None
+    ) -> bool:
+        """Tell whether no other member can have been promoted since a target was used on a basis.
+
+        Its entry may have vanished meanwhile, which by itself replaces nobody.
+        """
+        if self.may_use_as_primary(group, target):
+            return True
+        if self.target(group, target) is not None or basis != self.basis(group):
+            return False
+        if any(t.role is Role.PRIMARY for t in self.targets(group)):
+            return False
+        return self.cache.assignments_valid() and self.cache.is_registered()
+
     def assignment_or_initial(self, group: str) -> PrimaryAssignment:
         """Return a group's primary assignment, or one of epoch 0 from reported roles."""
         assignment = self.cache.assignment(group)
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -249,6 +249,7 @@
         )
         samples = self._directory.samples(request.group)
         at_primary = link_use.request.require_primary
+        basis = self._directory.basis(request.group) if at_primary else None
         if at_primary:
             samples.statement_sent()
         try:
@@ -265,7 +266,7 @@
             timer.cancel()
             if at_primary:
                 samples.statement_returned()
-        if at_primary and outcome.ok and not self._may_pass_on(request):
+        if at_primary and outcome.ok and not self._may_pass_on(request, basis):
             link.close()
             detail = "the primary may have been replaced before it answered"
             logs.event(
@@ -286,13 +287,17 @@
                 self._acknowledged_positions[request.group] = outcome.position
         return outcome
 
-    def _may_pass_on(self, request: StatementRequest) -> bool:
+    def _may_pass_on(
+        self, request: StatementRequest, basis: tuple[PrimaryAssignment | None, int] | None
+    ) -> bool:
         """Tell whether no other member can have been promoted before the primary answered.
 
+        basis is what its use rested on when the request was sent.
+
         A planned replacement waits for statements that run when it begins, though not longer for
         a host that does not answer than until its assignment has expired.
         """
-        if self._directory.may_use_as_primary(request.group, request.target):
+        if self._directory.was_primary_throughout(request.group, request.target, basis):
             return True
         fence = self._draining.get(request.target)
         cache = self._directory.cache
