--- a/src/wagtailloft/groups/directory.py
+++ b/src/wagtailloft/groups/directory.py
@@ -87,7 +87,7 @@
         return self.cache.assignment(group), self.cache.era.era
 
     def was_primary_throughout(
-        self, group: str, target: str, basis: tuple[PrimaryAssignment | None, int]
+        self, group: str, target: str, basis: tuple[PrimaryAssignment | None, int] | None
     ) -> bool:
         """Tell whether no other member can have been promoted since a target was used on a basis.
 
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -249,7 +249,7 @@
         )
         samples = self._directory.samples(request.group)
         at_primary = link_use.request.require_primary
-        basis = self._directory.basis(request.group)
+        basis = self._directory.basis(request.group) if at_primary else None
         if at_primary:
             samples.statement_sent()
         try:
@@ -288,7 +288,7 @@
         return outcome
 
     def _may_pass_on(
-        self, request: StatementRequest, basis: tuple[PrimaryAssignment | None, int]
+        self, request: StatementRequest, basis: tuple[PrimaryAssignment | None, int] | None
     ) -> bool:
         """Tell whether no other member can have been promoted before the primary answered.
 
