Ask a zone's reporter that answered again while the first host is away

Callers: with the store unreachable and 33 of 68 hosts cut off, one of the other 35 now and then refused statements for about a second, as it had not heard from a bare majority.

Cause: while a zone's first host does not answer, three other hosts of the zone are drawn anew in each round, also if one drawn before reports well. A round with hosts that are cut off takes 0.95 s (0.6 s of it the time-out), and a zone's report is 0.9 s old when it arrives, so reports are up to 1.9 s old in use. A round whose draw reaches nobody of a zone makes that 2.8 s, beyond the 2.4 s for which reports count, and a bare majority needs them all.

The old scenario stays as it was.

The host that reported last is now one of the three, so a zone that was reached once is reached in each round until that host fails as well.

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -23,6 +23,23 @@
     Then the 33 hosts have not heard from a majority after their caches were 4.6 s old
     And the 35 hosts have heard from a majority
 
+  Scenario Outline: A bare majority hears from itself although a round reaches nobody of a zone
+    Given a running fleet of 68 hosts in 4 zones whose caches are 1.6 s old, with delays from seed <seed>
+    When the store stays unreachable and 33 hosts are cut off from 35 until the caches are 5.5 s old
+    Then the 33 hosts have not heard from a majority after their caches were 4.6 s old
+    And the 35 hosts have heard from a majority
+
+    Examples:
+      | seed |
+      | 6    |
+      | 40   |
+      | 50   |
+
+  Scenario: The only host of a zone that answers is asked in every round
+    Given a host of a fleet of 68 hosts in 4 zones
+    When the store stays unreachable for 12 s and one host of another zone answers, not its first
+    Then that host was asked in every round after the first that reached it
+
   Scenario: An assignment that a majority accepted is known wherever a majority was heard from
     Given a running fleet of 68 hosts in 4 zones whose caches are 1.6 s old
     When 35 hosts accept an assignment while the store stays unreachable
--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 
+import msgspec
 from behave import given, then, when
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
@@ -12,7 +13,7 @@
 from wagtailloft.clock import now
 from wagtailloft.errors import NoResponse, NotSent
 from wagtailloft.fleet.hosts import Hosts
-from wagtailloft.fleet.messages import HelloReply
+from wagtailloft.fleet.messages import HelloReply, ZoneReport
 from wagtailloft.fleet.peer_pulls import WIDE_PULL_INTERVAL_S
 from wagtailloft.fleet.ports import StoreDown
 from wagtailloft.fleet.records import (
@@ -26,6 +27,8 @@
 from wagtailloft.fleet.store_cache import StoreCache
 
 PULL_TIME_S = 1.2
+ASSIGNMENT_MAX_AGE_S = 2.4
+SEEDED_START_S = 1000.0  # the same in each run, so that a seed's timers fire in the same order
 OBSERVE_INTERVAL_S = 0.1  # a look at all hosts of a fleet costs as much as many of their calls
 STALL_PROBABILITY = 0.05  # at each look
 
@@ -71,7 +74,11 @@
             if other is not fleet_hosts[number]:
                 self.hosts._put(other)
         self.cache = StoreCache(
-            store=self.store, hosts=self.hosts, mesh=self.mesh, max_age=3.3, assignment_max_age=2.4
+            store=self.store,
+            hosts=self.hosts,
+            mesh=self.mesh,
+            max_age=3.3,
+            assignment_max_age=ASSIGNMENT_MAX_AGE_S,
         )
 
     def set_cache_age(self, age):
@@ -222,7 +229,7 @@
                 hosts=hosts,
                 mesh=mesh,
                 max_age=3.3,
-                assignment_max_age=2.4,
+                assignment_max_age=ASSIGNMENT_MAX_AGE_S,
             )
             cache._started -= 10.0
             if seed is not None:
@@ -259,6 +266,19 @@
 @given("a running fleet of {count:d} hosts in {zones:d} zones whose caches are {age:g} s old")
 def step_running_fleet(context, count, zones, age):
     context.fleet, context.age = RunningFleet(count=count, zones=zones, age=age), age
+    context.start = None
+
+
+@given(
+    "a running fleet of {count:d} hosts in {zones:d} zones whose caches are {age:g} s old, with"
+    " delays from seed {seed:d}"
+)
+def step_seeded_fleet(context, count, zones, age, seed):
+    async def start():
+        return RunningFleet(count=count, zones=zones, age=age, seed=seed)
+
+    context.fleet, context.age = run_virtual(start(), SEEDED_START_S), age
+    context.start = SEEDED_START_S
 
 
 @when("the store stays unreachable until the caches are {age:g} s old")
@@ -314,7 +334,7 @@
             c.heard_from_majority() for n, c in fleet.caches.items() if n not in context.cut_off
         ]
 
-    run_virtual(run())
+    run_virtual(run(), context.start)
 
 
 @then("the {count:d} hosts have not heard from a majority after their caches were 4.6 s old")
@@ -327,6 +347,53 @@
     assert len(context.majority_heard) == count and all(context.majority_heard)
 
 
+class ZoneCutMesh(FakeMesh):
+    """A mesh that reaches one host of a zone only, whose reporters report themselves."""
+
+    def __init__(self, *, hosts, zone, reachable):
+        """Reach all hosts, but of a zone only the one of a name."""
+        super().__init__()
+        self.hosts, self.zone, self.reachable = hosts, zone, reachable
+        self.rounds = {}  # by time, the hosts of the zone that were asked
+        self.ages.default_factory = lambda: ASSIGNMENT_MAX_AGE_S
+
+    async def call(self, address, message, limit):
+        """Respond, unless the host is one of those cut off."""
+        other = self.hosts[address[0]]
+        if other.zone == self.zone:
+            self.rounds.setdefault(now(), set()).add(other.name)
+            if other.name != self.reachable:
+                await asyncio.sleep(limit)
+                raise NoResponse("cut off")
+        response = await super().call(address, message, limit)
+        report = ZoneReport(zone=other.zone, ages=bytes(1)) if message.collect else None
+        return msgspec.structs.replace(response, zone_report=report)
+
+
+@when(
+    "the store stays unreachable for {seconds:g} s and one host of another zone answers, not its"
+    " first"
+)
+def step_one_host_answers(context, seconds):
+    async def check():
+        fake_host = context.make_fake_host(20)
+        fake_host.hosts._mesh = context.mesh = ZoneCutMesh(
+            hosts=fake_host.mesh.hosts, zone="z1", reachable="h41"
+        )
+        fake_host.cache._pulls._rng = random.Random(1)
+        fake_host.cache.store_unreachable = True
+        await run_for(fake_host.cache.pull_from_peers(), seconds)
+
+    run_virtual(check())
+
+
+@then("that host was asked in every round after the first that reached it")
+def step_asked_in_every_round(context):
+    rounds = [asked for at, asked in sorted(context.mesh.rounds.items()) if "h01" in asked]
+    first = next(n for n, asked in enumerate(rounds) if "h41" in asked)
+    assert len(rounds) > first + 5 and all("h41" in asked for asked in rounds[first:]), rounds
+
+
 @when("{count:d} hosts accept an assignment while the store stays unreachable")
 def step_majority_accepts(context, count):
     fleet = context.fleet
@@ -438,7 +505,11 @@
         mesh.hosts = {h.ip: h for h in members[1:4]}
         context.hosts = Hosts(own=members[4], mesh=mesh)
         cache = StoreCache(
-            store=None, hosts=context.hosts, mesh=mesh, max_age=3.3, assignment_max_age=2.4
+            store=None,
+            hosts=context.hosts,
+            mesh=mesh,
+            max_age=3.3,
+            assignment_max_age=ASSIGNMENT_MAX_AGE_S,
         )
         joining = asyncio.create_task(cache.join_through_seeds(tuple(h.ip for h in members[:3])))
         if context.served_after is not None:
--- a/src/wagtailloft/fleet/peer_pulls.py
+++ b/src/wagtailloft/fleet/peer_pulls.py
@@ -92,6 +92,7 @@
         self._rng = random.Random()
         self._collect_until = 0.0
         self._reporter_failed_at: dict[str, float] = {}
+        self._answered_reporters: dict[str, str] = {}  # by zone, the last that reported
         self._freshest_source = ("", NEVER)
         self._unreachable_until: dict[str, float] = {}
         mesh.register_handler(PullRequest, self._handle_pull_request)
@@ -142,6 +143,8 @@
             host = self._hosts.get(name)
             if host is not None:
                 self._reporter_failed_at[host.zone] = now()
+                if self._answered_reporters.get(host.zone) == name:
+                    del self._answered_reporters[host.zone]
         newest = _newest_sources(list(answered.items()), self._configuration_version())
         await asyncio.gather(*(self._try_pull(n, topics) for n, topics in newest.items()))
         return len(asked)
@@ -209,6 +212,7 @@
             self._reports.add_host(name, sent_at)
         if response.zone_report:
             self._reports.add_zone(response.zone_report, sent_at)
+            self._answered_reporters[response.zone_report.zone] = name
         self._unreachable_until[name] = (
             sent_at + STORE_UNREACHABLE_TTL_S if response.store_unreachable else 0.0
         )
@@ -240,13 +244,17 @@
     def _reporters(self, zone: str) -> list[str]:
         """Return the hosts to ask which of their zone's hosts they hear from.
 
-        It is the zone's first host, and others too after one has not answered.
+        It is the zone's first host, and others too after one has not answered. One that has
+        reported is asked again: a round that reaches no host of a zone leaves its reports too old.
         """
         names = [h.name for h in self._hosts.in_zone(zone)]
-        others = names[1:]
         if self._reporter_failed_at.get(zone, NEVER) < now() - COLLECT_S:
             return names[:1]
-        return names[:1] + self._rng.sample(others, min(FALLBACK_REPORTERS, len(others)))
+        answered = self._answered_reporters.get(zone)
+        known = [answered] if answered in names[1:] else []
+        others = [n for n in names[1:] if n not in known]
+        count = min(FALLBACK_REPORTERS - len(known), len(others))
+        return names[:1] + known + self._rng.sample(others, count)
 
     def _collects(self) -> bool:
         """Tell whether this host hears from its zone's hosts, to report on them to others."""
