Don't let a zone's report replace one that heard from more hosts

Callers: with the store unreachable and 33 of 68 hosts cut off, hosts of the other 35 refused statements for up to half a second although all 35 could hear each other.

Cause: a host kept the last report of each zone. While the first host of a zone does not answer, several others are asked in one round; one that has just begun to hear from its zone counts few hosts, and if it answered last, its report replaced a complete one.

The k-th youngest time of a zone is now the latest that any report names. If a report counts n hosts since a time, at least n hosts have reported since, so the count stays a lower bound, and each time still expires by itself.

--- a/features/spread.feature
+++ b/features/spread.feature
@@ -40,6 +40,11 @@
     When the store stays unreachable for 12 s and one host of another zone answers, not its first
     Then that host was asked in every round after the first that reached it
 
+  Scenario: A report of a zone by a host that has heard from few does not hide an earlier one
+    Given a host of a fleet of 68 hosts in 4 zones
+    When a host of each zone reports 9 hosts, then another of the same zone only itself
+    Then it has heard from a majority until the reports of 9 are 2.4 s old, and not after
+
   Scenario: An assignment that a majority accepted is known wherever a majority was heard from
     Given a running fleet of 68 hosts in 4 zones whose caches are 1.6 s old
     When 35 hosts accept an assignment while the store stays unreachable
--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -29,6 +29,7 @@
 PULL_TIME_S = 1.2
 ASSIGNMENT_MAX_AGE_S = 2.4
 SEEDED_START_S = 1000.0  # the same in each run, so that a seed's timers fire in the same order
+REPORT_INTERVAL_S = 0.25
 OBSERVE_INTERVAL_S = 0.1  # a look at all hosts of a fleet costs as much as many of their calls
 STALL_PROBABILITY = 0.05  # at each look
 
@@ -394,6 +395,33 @@
     assert len(rounds) > first + 5 and all("h41" in asked for asked in rounds[first:]), rounds
 
 
+@when("a host of each zone reports {count:d} hosts, then another of the same zone only itself")
+def step_short_reports(context, count):
+    async def check():
+        fake_host = context.make_fake_host(20)
+        reports, since = fake_host.cache._reports, now()
+        for ages in (bytes(count), bytes(1)):
+            for zone in fake_host.hosts.zones():
+                reports.add_zone(ZoneReport(zone=zone, ages=ages), now())
+            await asyncio.sleep(REPORT_INTERVAL_S)
+        context.heard = {}
+        while now() - since < 2 * ASSIGNMENT_MAX_AGE_S:
+            for zone in fake_host.hosts.zones():
+                reports.add_zone(ZoneReport(zone=zone, ages=bytes(1)), now())
+            heard = reports.from_majority(ASSIGNMENT_MAX_AGE_S, own_counts=True)
+            context.heard[now() - since] = heard
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    run_virtual(check())
+
+
+@then(
+    "it has heard from a majority until the reports of {count:d} are {age:g} s old, and not after"
+)
+def step_heard_until(context, count, age):
+    assert all(heard == (at <= age) for at, heard in context.heard.items()), context.heard
+
+
 @when("{count:d} hosts accept an assignment while the store stays unreachable")
 def step_majority_accepts(context, count):
     fleet = context.fleet
--- a/src/wagtailloft/fleet/host_reports.py
+++ b/src/wagtailloft/fleet/host_reports.py
@@ -5,11 +5,13 @@
 are, so that nobody has to ask every host of the fleet.
 """
 
+import itertools
 import math
 
 from wagtailloft.clock import now
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.messages import AGE_UNIT_S, ZoneReport
+from wagtailloft.fleet.topic_cache import NEVER
 
 MAX_AGE_UNITS = 255
 READER_TTL_S = 3.0  # how long a zone's reader that a report named is used
@@ -29,8 +31,16 @@
         self._heard_at[name] = at
 
     def add_zone(self, report: ZoneReport, asked_at: float) -> None:
-        """Record a zone's report, which answers a request sent at asked_at."""
-        self._zone_heard_at[report.zone] = tuple(asked_at - a * AGE_UNIT_S for a in report.ages)
+        """Record a zone's report, which answers a request sent at asked_at.
+
+        Hosts of a zone may have heard from more or fewer of its hosts. If one report names n hosts
+        since a time, the zone has as many, whatever another says.
+        """
+        times = sorted((asked_at - a * AGE_UNIT_S for a in report.ages), reverse=True)
+        known = self._zone_heard_at.get(report.zone, ())
+        latest = (max(pair) for pair in itertools.zip_longest(times, known, fillvalue=NEVER))
+        since = now() - MAX_AGE_UNITS * AGE_UNIT_S
+        self._zone_heard_at[report.zone] = tuple(t for t in latest if t >= since)
         self._readers[report.zone] = (report.reader, asked_at)
 
     def reader(self, zone: str) -> str:
