Write lost objects again although others have just settled the era

Callers: a setting or key that was confirmed right before the platform came back from an older copy was lost at all daemons, though a daemon that knew it was running, and reached the platform before the new era was settled.

A daemon now keeps and writes again what the settled store has lost if it saw every change since it met the era, at most 2.5 s ago. The bound matters if the daemon missed a withdrawal: frozen meanwhile, it would bring a withdrawn key back when all that knew better had ended. "A withdrawn key is not written again by a daemon that was frozen ..." fails without it (it passed before this change). A daemon that is away until the era is settled is still not covered.

--- a/features/check.feature
+++ b/features/check.feature
@@ -30,3 +30,13 @@
     Given a model of daemons that know a key
     When the platform loses a change and refuses the only daemon that knows it for 6 s
     Then every daemon has the change and the platform too before it serves that daemon
+
+  Scenario: A change is kept whose witnesses meet an era right before others that don't hear them settle it
+    Given 8 models of daemons
+    When the platform loses a change, and serves those that know it again shortly before two others settle the era
+    Then every daemon has the change all the time, and the platform in the end
+
+  Scenario: A withdrawn key is not written again by a daemon that was frozen while an era was settled
+    Given a model of daemons that know a key
+    When one that missed the key's withdrawal meets a new era, and is frozen until all that know it have ended
+    Then no daemon accepts the key, nor has the platform it, once the daemon is back
--- a/features/steps/check.py
+++ b/features/steps/check.py
@@ -1,9 +1,15 @@
 """Steps for models of the fleet whose store comes back from older copies."""
 
+from itertools import product
+
 from behave import given, then, when
 
 from features.check import MACHINES, play
 from features.restored_objects import LATE_WRITE_S, LEVEL, STEP_S, ModelDaemons, value_of_level
+from wagtailloft.revisions import era_of
+
+SETTLED_S = 6.0  # every era is settled by then
+REFUSALS_S = (1.65, 1.7, 1.75, 1.8)  # end around the time at which an era is settled
 
 
 @then(
@@ -104,6 +110,68 @@
             context.wrong[seed] = wrong[:3]
 
 
+@when(
+    "the platform loses a change, and serves those that know it again shortly before two others"
+    " settle the era"
+)
+def step_witnesses_meet_era_late(context):
+    context.wrong, late = {}, 0
+    for seed, refused in product(context.seeds, REFUSALS_S):
+        fleet = ModelDaemons(seed=seed)
+        context.stack.callback(fleet.close)
+        fleet.advance(2.0)
+        fleet.part({2, 3}, (), SETTLED_S)
+        for number, seconds in ((1, refused + STEP_S), (2, 2 * STEP_S), (3, 2 * STEP_S)):
+            fleet.refuse(number, seconds)
+        fleet.change_level(0)
+        fleet.restore(age=2 * STEP_S, outage=0.0, restarted=())
+        fleet.refuse(0, refused)
+        fleet.advance(STEP_S)
+        assert fleet.changes and ("level", LEVEL) not in fleet.platform.objects, seed
+        witness = fleet.daemons[0].objects
+        until, lost = fleet.now + SETTLED_S, False
+        while fleet.now < until and not (witness.is_complete() and era_of(witness.revision) == 2):
+            lost = bool(witness.forgotten())
+            fleet.advance(STEP_S)
+        late += lost  # the era was settled while the witness had not written the change again
+        wrong = fleet.converge() + fleet.violations
+        if wrong:
+            context.wrong[(seed, refused)] = wrong[:3]
+        fleet.close()
+    assert late, "no era was settled before a witness had written"
+
+
+@when(
+    "one that missed the key's withdrawal meets a new era, and is frozen until all that know it"
+    " have ended"
+)
+def step_frozen_with_lost_key(context):
+    fleet, witness = context.fleet, context.fleet.daemons[0]
+    fleet.cut(0, 2 * SETTLED_S)
+    fleet.refuse(0, 1.0)
+    fleet.withdraw_key(1)
+    assert fleet.withdrawals
+    fleet.restore(age=3.0, outage=0.0, restarted=())
+    while not witness.objects.forgotten():
+        fleet.advance(STEP_S)
+    assert witness.objects.get("era", "2") and not witness.objects.is_complete()
+    assert not [k for k in fleet.platform.objects if k[0] == "key"], "the key is written already"
+    fleet.pause(0, SETTLED_S)
+    fleet.advance(SETTLED_S / 2)
+    assert fleet.daemons[1].objects.is_complete(), "the era is not settled"
+    for number in (1, 2, 3):
+        fleet.restart(number)
+    fleet.advance(SETTLED_S)
+
+
+@then("no daemon accepts the key, nor has the platform it, once the daemon is back")
+def step_key_is_not_written(context):
+    wrong, (key,) = context.fleet.converge(), context.fleet.withdrawals
+    assert not wrong and not context.fleet.violations, (wrong, context.fleet.violations[:3])
+    assert ("key", key) not in context.fleet.platform.objects
+    assert not [d.name for d in context.fleet.daemons if d.accepts(key)]
+
+
 @then("every daemon has the change all the time, and the platform in the end")
 def step_change_is_kept(context):
     assert not context.wrong, context.wrong
--- a/src/wagtailloft/controllers/object_cache.py
+++ b/src/wagtailloft/controllers/object_cache.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from wagtailloft import clock
+from wagtailloft.controllers.freshness import SETTINGS_MAX_AGE_S
 from wagtailloft.eras import (
     ERA_KIND,
     EraMarks,
@@ -49,8 +51,9 @@
 
     When the store comes back from an older copy, the objects and removals that the copy lacks, or
     may lack, stay in force here until they are written again. If the era is settled without them,
-    only those stay whose older version the store still has: this host was away and alone knows the
-    later one.
+    those stay whose older version the store still has: this host was away and alone knows the later
+    one. Those that the store lacks stay if this host has met the era before, not long ago, and has
+    seen every change since: then none of them was removed.
     """
 
     def __init__(self, *, on_new_era: Callable[[int], None] = lambda era: None) -> None:
@@ -63,6 +66,7 @@
         self._marks = EraMarks()
         self._first_era = NO_ERA
         self._copied_at_least = 0
+        self._era_met_at = 0.0
         # Kept by kind and name; their revisions are those of EraMarks.written_at().
         self._kept: dict[tuple[str, str], Change] = {}
         self._removals: dict[tuple[str, str], Change] = {}
@@ -137,10 +141,13 @@
                 return False
             if self.revision == 0:
                 self._first_era = era
+            if era != known_era:
+                self._era_met_at = clock.now()
             changed = self._apply_whole(delta) if delta.whole else self._apply_changes(delta)
             if self.is_complete():
                 self.was_complete = True
-                changed += self._drop_absent()
+                is_late = clock.now() - self._era_met_at > SETTINGS_MAX_AGE_S
+                changed += self._drop_absent(may_be_removed=delta.whole or is_late)
         if is_new_era:
             self._on_new_era(era)
         self._notify(changed)
@@ -281,12 +288,17 @@
             return not same_content(stored, known)
         return written_at < known.revision
 
-    def _drop_absent(self) -> list[Change]:
+    def _drop_absent(self, *, may_be_removed: bool) -> list[Change]:
         """Drop the kept objects that the settled store lacks; return the changes in force.
 
-        They may have been removed since the era was settled.
+        Those that it has lost are kept unless they may have been removed since.
         """
-        absent = [key for key in self._kept if self._items[key[0]].get(key[1]) is None]
+        absent = [
+            key
+            for key, change in self._kept.items()
+            if self._items[key[0]].get(key[1]) is None
+            and (may_be_removed or not self._is_lost(change))
+        ]
         if not absent:
             return []
         before = self._in_force()
