Don't refuse requests as stale when all daemons' settings grow old at once

Callers: after the platform came back from an older copy, and whenever it became unavailable, daemons refused requests with settings_stale for up to 0.5 s (three daemons) or 1 s (eight), 2.5 s after the last confirmation.

Cause: a daemon whose settings are older than 2.5 s serves on if it hears a majority and none of them is fresh. All daemons' settings grow old at about the same time, but each goes by the last report of the others, in which they were fresh, until it hears them again. After a restore nobody's settings are confirmed until the era is settled, after 1.5 to 2 s; anything that delays that by half a second brings the daemons there. Besides, a thread that records a fresh report while another determines the state made that stale: it saw its own age from before and the peer's freshness from after.

Evidence: "No daemon refuses requests though an era is settled late" (repair threads 1.5 or 4 s late), "... when an outage of the platform begins" and "A daemon does not refuse requests while a thread records ..." failed before, in virtual time.

A host now reports its settings as fresh up to 2 s instead of 2.5 s, and asks the peers that did every 0.1 s once its own are older than that, one call each at a time. What a successor to a rate lease concludes from reports uses the same 2 s, so that it holds as before: a host that was reported fresh without a break told so to everyone who asked. To let a report expire by the age that it states would not do: a peer may have been confirmed since.

--- a/features/restored.feature
+++ b/features/restored.feature
@@ -37,6 +37,37 @@
     When the platform comes back from a copy that lacks a key and has an older deadline
     Then the key and the newer deadline stay in force, and the platform has both again within 3 s
 
+  Scenario Outline: No daemon refuses requests though an era is settled late
+    Given 8 models of <count> daemons
+    When the platform comes back without a change, and the threads that repair it are late by <late> s
+    Then no daemon refused requests as stale, and all agree in the end
+
+    Examples:
+      | count | late |
+      | 3     | 1.5  |
+      | 3     | 4    |
+      | 8     | 4    |
+
+  Scenario Outline: No daemon refuses requests when an outage of the platform begins
+    Given 8 models of <count> daemons
+    When the platform is unavailable for 8 s
+    Then no daemon refused requests as stale, and all agree in the end
+
+    Examples:
+      | count |
+      | 3     |
+      | 8     |
+
+  Scenario: A daemon whose settings grow old awaits one answer at a time of a peer that is silent
+    Given 1 models of 3 daemons
+    When the platform and two daemons become silent
+    Then the third awaits at most one answer of each when their reports become doubtful
+
+  Scenario: A daemon does not refuse requests while a thread records that its settings are fresh
+    Given a daemon in an outage that hears from two others
+    When one of them reports fresh settings while the state of the daemon's settings is determined
+    Then the daemon's settings are fresh, not stale
+
   Scenario: A primary stops responding after the store has forgotten the promotion that made it primary
     Given a site with 3 hosts
     When the store is copied
--- a/features/restored_objects.py
+++ b/features/restored_objects.py
@@ -45,7 +45,14 @@
 COPIES = 400
 CONVERGE_S = 15.0
 LATE_WRITE_S = 3.0
-INTERVALS_S = {"watch": 0.2, "gossip": 0.5, "repair": 0.25, "leases": 0.25, "register": 1.0}
+INTERVALS_S = {
+    "watch": 0.2,
+    "gossip": 0.5,
+    "repair": 0.25,
+    "leases": 0.25,
+    "register": 1.0,
+    "doubts": gossip.DOUBT_INTERVAL_S,
+}
 
 
 class Transport:
@@ -245,6 +252,9 @@
     def _gossip(self):
         self.gossip.tick()
 
+    def _doubts(self):
+        self.gossip.ask_doubtful_peers()
+
     def _repair(self):
         self.repair.tick()
 
--- a/features/steps/restored.py
+++ b/features/steps/restored.py
@@ -2,14 +2,22 @@
 
 import time
 
-from behave import then, when
+from behave import given, then, when
 
+from features.restored_objects import LEVEL, STEP_S, ModelDaemons
 from features.steps.keys import live_daemon_numbers, refusal_kind, step_second_key_refused
 from features.steps.site import error_code, succeeded
 from features.test_fleet import TEAM
 from standins.fleet import wait_until
 from standins.site import KEY, SECOND_KEY
 from wagtailloft.catalog import key_digest
+from wagtailloft.controllers.freshness import (
+    REPORTED_FRESH_AGE_S,
+    SETTINGS_MAX_AGE_S,
+    FreshnessTracker,
+    PeerReport,
+    SettingsState,
+)
 
 OUTAGE_S = 1.0
 OBSERVE_S = 4.0
@@ -254,3 +262,121 @@
 def step_tokens_in_order(context):
     tokens = [token for token, _ in context.site.promotion_api.tokens]
     assert len(tokens) > 1 and tokens[0] < tokens[-1] and tokens == sorted(tokens), tokens
+
+
+@given("{models:d} models of {count:d} daemons")
+def step_models_of_daemons(context, models, count):
+    context.models = [(seed, count) for seed in range(models)]
+    context.refused, context.wrong = set(), []
+
+
+def observe(context, fleet, seconds):
+    """Let time pass in a model, and record the daemons that refuse requests as stale."""
+    until = fleet.now + seconds
+    while fleet.now < until:
+        fleet.advance(STEP_S)
+        stale = [d for d in fleet.daemons if d.gossip.settings_state() is SettingsState.STALE]
+        context.refused |= {(d.name, round(fleet.now, 2)) for d in stale}
+
+
+def start_model(context, seed, count):
+    """Start a model, and let it run for a time that differs by seed."""
+    fleet = ModelDaemons(seed=seed, count=count)
+    context.stack.callback(fleet.close)
+    fleet.advance(2.0 + seed * STEP_S)
+    return fleet
+
+
+@when(
+    "the platform comes back without a change, and the threads that repair it are late by"
+    " {late:g} s"
+)
+def step_late_repair(context, late):
+    for seed, count in context.models:
+        fleet = start_model(context, seed, count)
+        fleet.change_level(0)
+        fleet.restore(age=2 * STEP_S, outage=0.0, restarted=())
+        fleet.advance(STEP_S)
+        assert ("level", LEVEL) not in fleet.platform.objects, seed
+        for daemon in fleet.daemons:
+            daemon._due["repair"] += late
+        observe(context, fleet, late + OBSERVE_S)
+        context.wrong += fleet.converge() + fleet.violations
+        fleet.close()
+
+
+@when("the platform is unavailable for {seconds:g} s")
+def step_platform_unavailable(context, seconds):
+    for seed, count in context.models:
+        fleet = start_model(context, seed, count)
+        fleet.platform_down = True
+        observe(context, fleet, seconds)
+        fleet.platform_down = False
+        observe(context, fleet, OBSERVE_S)
+        context.wrong += fleet.converge() + fleet.violations
+        fleet.close()
+
+
+@when("the platform and two daemons become silent")
+def step_all_silent(context):
+    context.fleet = fleet = start_model(context, *context.models[0])
+    fleet.platform_down = True
+    fleet.advance(REPORTED_FRESH_AGE_S - 4 * STEP_S)
+    for number in (1, 2):
+        fleet.pause(number, OBSERVE_S)
+
+
+@then("the third awaits at most one answer of each when their reports become doubtful")
+def step_one_answer_awaited(context):
+    fleet, daemon = context.fleet, context.fleet.daemons[0]
+    while not daemon.freshness.doubtful_peers(fleet.now):
+        fleet.advance(STEP_S)
+    daemon.queue.run()
+    for _ in range(5):
+        daemon.gossip.ask_doubtful_peers()
+    assert len(daemon.queue._calls) == 2, daemon.queue._calls
+
+
+@then("no daemon refused requests as stale, and all agree in the end")
+def step_none_refused(context):
+    assert not context.wrong, context.wrong[:3]
+    assert not context.refused, sorted(context.refused)[:9]
+
+
+class InterruptedTracker(FreshnessTracker):
+    """A tracker in which another thread records a report while the state is determined."""
+
+    report = None
+
+    def recent_peers(self, now):
+        """Record the report first."""
+        report, self.report = self.report, None
+        if report is not None:
+            self.record_peer_report("h02", report, 1)
+        return super().recent_peers(now)
+
+
+def peer_report(*, at, age, fresh):
+    """Return a report of a peer at revision 1."""
+    return PeerReport(requested_at=at, answered_at=at, revision=1, platform_age=age, fresh=fresh)
+
+
+@given("a daemon in an outage that hears from two others")
+def step_daemon_in_outage(context):
+    context.tracker = InterruptedTracker()
+    context.now, context.names = 100.0, frozenset({"h00", "h01", "h02"})
+    for name in ("h01", "h02"):
+        old = peer_report(at=context.now, age=2 * SETTINGS_MAX_AGE_S, fresh=False)
+        context.tracker.record_peer_report(name, old, 1)
+    assert context.tracker.state(context.names, context.now) is SettingsState.OUTAGE
+
+
+@when("one of them reports fresh settings while the state of the daemon's settings is determined")
+def step_report_meanwhile(context):
+    context.tracker.report = peer_report(at=context.now, age=0.0, fresh=True)
+    context.state = context.tracker.state(context.names, context.now)
+
+
+@then("the daemon's settings are fresh, not stale")
+def step_fresh(context):
+    assert context.state is SettingsState.FRESH, context.state
--- a/src/wagtailloft/controllers/freshness.py
+++ b/src/wagtailloft/controllers/freshness.py
@@ -5,6 +5,9 @@
 from wagtailloft.models import Record
 
 SETTINGS_MAX_AGE_S = 2.5
+# A host reports its settings as fresh for less long than it uses them. Otherwise, when an outage
+# begins, its peers would refuse requests by its last report until the next one.
+REPORTED_FRESH_AGE_S = SETTINGS_MAX_AGE_S - 0.5
 NEVER_CONFIRMED_AGE_S = 1e9  # the age when the platform has never confirmed a revision
 
 
@@ -71,11 +74,11 @@
         self._update_fresh_period(name, report)
         if revision < report.revision or report.platform_age >= NEVER_CONFIRMED_AGE_S:
             return
+        if complete:
+            self._confirmed_at = max(self._confirmed_at, report.requested_at - report.platform_age)
         known = self._reports.get(name)
         if known is None or known.requested_at <= report.requested_at:
             self._reports[name] = report
-        if complete:
-            self._confirmed_at = max(self._confirmed_at, report.requested_at - report.platform_age)
 
     def record_revision(self, name: str, revision: int) -> None:
         """Record the revision that a peer has."""
@@ -89,10 +92,23 @@
         """Tell whether the settings were known to be current within the maximum age."""
         return self.age(now) <= self._max_age
 
+    def is_reported_fresh(self, now: float) -> bool:
+        """Tell whether this host reports its settings to its peers as fresh."""
+        return self.age(now) <= REPORTED_FRESH_AGE_S
+
     def recent_peers(self, now: float) -> tuple[str, ...]:
         """Return the peers with a counted answer to a call sent within the maximum age."""
         return tuple(n for n, r in self._reports.items() if now - r.requested_at <= self._max_age)
 
+    def doubtful_peers(self, now: float) -> tuple[str, ...]:
+        """Return the recent peers that reported fresh settings before this host's grew old.
+
+        Unless they report again, this host refuses requests once its settings are not fresh.
+        """
+        if self.is_reported_fresh(now):
+            return ()
+        return tuple(n for n in self.recent_peers(now) if self._reports[n].fresh)
+
     def hears_majority(self, hosts: frozenset[str], now: float) -> bool:
         """Tell whether this host and its recent peers are a majority of the given hosts."""
         recent = [n for n in self.recent_peers(now) if n in hosts]
@@ -113,6 +129,9 @@
         if self.is_fresh(now):
             return SettingsState.FRESH
         others_fresh = any(self._reports[n].fresh for n in self.recent_peers(now))
+        # Another thread may just have recorded a report that confirms this host's settings too.
+        if self.is_fresh(now):
+            return SettingsState.FRESH
         if others_fresh or not self.hears_majority(hosts, now):
             return SettingsState.STALE
         return SettingsState.OUTAGE
@@ -120,7 +139,9 @@
     def _update_fresh_period(self, name: str, report: PeerReport) -> None:
         confirmed_at = report.requested_at - report.platform_age
         period = self._fresh_periods.get(name)
-        unbroken = period is not None and report.answered_at - period.confirmed_at <= self._max_age
+        unbroken = (
+            period is not None and report.answered_at - period.confirmed_at <= REPORTED_FRESH_AGE_S
+        )
         if not report.fresh:
             self._fresh_periods.pop(name, None)
             return
@@ -129,6 +150,6 @@
 
     def _is_fresh_since(self, name: str, since: float, now: float) -> bool:
         period = self._fresh_periods.get(name)
-        if period is None or now - period.confirmed_at > self._max_age:
+        if period is None or now - period.confirmed_at > REPORTED_FRESH_AGE_S:
             return False
         return period.started_at <= since
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -25,7 +25,7 @@
 from wagtailloft.decisions import Decisions
 from wagtailloft.entry import Entry
 from wagtailloft.errors import FixSettings
-from wagtailloft.gossip import GOSSIP_INTERVAL_S, Gossip
+from wagtailloft.gossip import DOUBT_INTERVAL_S, GOSSIP_INTERVAL_S, Gossip
 from wagtailloft.group_service import GroupServiceContext, GroupServices, HeartbeatInterval
 from wagtailloft.handler import PeerHandler
 from wagtailloft.host_register import HostRegister
@@ -200,6 +200,7 @@
         self.operator_server.start()
         self.platform_watcher.start()
         self.timers.every("gossip", GOSSIP_INTERVAL_S, self.gossip.tick)
+        self.timers.every("doubts", DOUBT_INTERVAL_S, self.gossip.ask_doubtful_peers)
         self.timers.every("groups", GROUP_TICK_INTERVAL_S, self._tick_groups)
         self.timers.every("owners", OWNERSHIP_INTERVAL_S, self._tick_ownership)
         self.timers.every("leases", OWNERSHIP_INTERVAL_S, self.leases.tick)
--- a/src/wagtailloft/gossip.py
+++ b/src/wagtailloft/gossip.py
@@ -16,6 +16,8 @@
 from wagtailloft.models import Change, Host, HostState
 
 GOSSIP_INTERVAL_S = 0.5
+# Several times within the time for which settings are used but not reported as fresh any more.
+DOUBT_INTERVAL_S = 0.1
 FANOUT = 4
 MAX_FORGOTTEN_SENT = 100  # changes in a digest; a restore loses those of a few seconds
 INDIRECT_PROBES = 2
@@ -42,6 +44,7 @@
         self._decisions = decisions
         self._rng = random.Random()
         self._last_full_exchange = 0.0
+        self._asked: set[str] = set()  # doubtful peers whose answer is awaited
         self._platform_watchers: tuple[Host, ...] = ()
         self._platform_watchers_input: tuple[Host, ...] = ()
         self._lock = threading.RLock()
@@ -147,6 +150,18 @@
         for host in peers.values():
             self._executor.submit(self.exchange, host)
 
+    def ask_doubtful_peers(self) -> None:
+        """Exchange digests with the peers that may be in an outage too, not fresh as they reported.
+
+        Else this host would refuse requests once its own settings are not fresh any more.
+        """
+        for name in self._freshness.doubtful_peers(clock.now()):
+            host = self.find(name)
+            if host is None or host.state is HostState.DEAD or name in self._asked:
+                continue
+            self._asked.add(name)
+            self._executor.submit(self._ask_doubtful, host)
+
     def push(self) -> None:
         """Exchange digests with a few peers at once, after this host's settings changed."""
         with self._lock:
@@ -177,7 +192,7 @@
             sender=self.own().name,
             revision=self._objects.revision,
             platform_age=self._freshness.age(now),
-            fresh=self._freshness.is_fresh(now),
+            fresh=self._freshness.is_reported_fresh(now),
             updates=updates,
             forgotten=tuple(f.change for f in self._objects.forgotten()[:MAX_FORGOTTEN_SENT]),
         )
@@ -232,6 +247,12 @@
             return False
         return True
 
+    def _ask_doubtful(self, host: Host) -> None:
+        try:
+            self.exchange(host)
+        finally:
+            self._asked.discard(host.name)
+
     def _pick_platform_watcher(self) -> dict[str, Host]:
         own = self.own().name
         watchers = [h for h in self.platform_watchers() if h.name != own]
