Let the backup owner replace a primary that answers it but reaches no majority

What callers saw: no write of the group was acknowledged for as long as its preferred host reached the other hosts but no member, and the primary no replica. The calls went to the next host, which sent each write to the primary and answered outcome_unknown.

Cause: a backup owner elects 1.5 s after it first saw that the primary had failed. It took an answer of the primary for the end of the failure, so for a primary that is cut off from its group, but not from the host, the 1.5 s began anew in each round of maintenance. The bound of the wait rested on the preferred host, which could not elect.

Evidence: the new scenario failed before (no election in 10 s); it passes since. 42 scenarios of late_orders, failover, drain and controllers pass.

Why it works: the delay now ends only if the primary answers and nothing calls for an election.

--- a/features/late_orders.feature
+++ b/features/late_orders.feature
@@ -105,3 +105,9 @@
     And the late orders arrive
     Then writes through the other host are acknowledged
     And no replaced primary acknowledged a write
+
+  Scenario: A primary is cut off from its replicas, and the preferred host reaches no member
+    Given a group of members with a host that owns it and another one
+    When the primary is cut off from its replicas, and the preferred host from all members
+    Then writes through the other host are acknowledged
+    And no replaced primary acknowledged a write
--- a/features/steps/late_orders.py
+++ b/features/steps/late_orders.py
@@ -293,3 +293,10 @@
     group.prefer("B")
     wait_promoted(group)
     assert group.latest.term < HIGHER_TERM
+
+
+@when("the primary is cut off from its replicas, and the preferred host from all members")
+def step_primary_parted(context):
+    group = context.group
+    group.cut(context.old, *group.replicas())
+    group.cut("A", *group.members)
--- a/src/wagtailloft/controllers/failover.py
+++ b/src/wagtailloft/controllers/failover.py
@@ -58,6 +58,11 @@
     return FailoverPlan(action=FailoverAction.NOTHING)
 
 
+def primary_failed(view: GroupView) -> bool:
+    """Tell whether the group needs an election, whether or not it is time for one."""
+    return bool(_failover_reason(view, view.reachable()))
+
+
 def backoff(view: GroupView, now: float) -> float:
     """Return the minimum time in seconds between the last election and the next one."""
     if now - view.last_election > BACKOFF_RESET_S:
--- a/src/wagtailloft/group_service.py
+++ b/src/wagtailloft/group_service.py
@@ -230,8 +230,8 @@
     def _elect_by_preference(self, plan: FailoverPlan, now: float) -> None:
         """Start an election, at a backup owner only after a delay.
 
-        The delay lets the preferred owner elect first; a backup owner acts only if no
-        primary has become reachable by then.
+        The delay lets the preferred owner elect first; a backup owner acts only if the group has
+        had no primary that is reachable and serves a majority since then.
         """
         if self._primary_failed_since == NEVER:
             self._primary_failed_since = now
@@ -251,7 +251,8 @@
         """
         if view.primary is None:
             return
-        self._primary_failed_since = NEVER if view.primary.reachable else self._primary_failed_since
+        if view.primary.reachable and not failover.primary_failed(view):
+            self._primary_failed_since = NEVER
         name = view.primary.member.name
         if self._primary_name and self._primary_name != name:
             self.endpoints[self._primary_name].pool.abort_acquired()
