End the hold of a switchover in time whatever else the group needs meanwhile

What callers saw: after a primary was marked as leaving, writes through every host were refused at their deadline for as long as one replica was cut off from the primary, which worked and could be reached.

Cause: all hosts hold requests for a leaving primary, for 4.5 s at most. Only a round in which the switchover was the group's next action looked at that bound, but replicas that don't follow the primary come first, and a switchover also needs a majority and a member that stays. If one of that began after the hold, neither the switchover nor the end of the hold came.

Evidence: "A replica is cut off from a leaving primary ..." failed before at both hosts after 5.5 s; it passes since. "The preferred host ends while requests are held ..." passed before too, and both fail in a scratch copy without the new check. All 18 scenarios of late_orders and 5 of drain pass.

Why it works: each round of maintenance ends an overdue hold before it looks at what is due.

--- a/features/late_orders.feature
+++ b/features/late_orders.feature
@@ -111,3 +111,13 @@
     When the primary is cut off from its replicas, and the preferred host from all members
     Then writes through the other host are acknowledged
     And no replaced primary acknowledged a write
+
+  Scenario: A replica is cut off from a leaving primary while requests are held for its replacement
+    Given a group of members with a host that owns it and another one
+    When the primary is leaving, and a replica is cut off from it
+    Then a write through each host is acknowledged before requests have been held for too long
+
+  Scenario: The preferred host ends while requests are held for the replacement of a leaving primary
+    Given a group of members with a host that owns it and another one
+    When the primary is leaving, and the preferred host ends
+    Then a write through the other host is acknowledged before requests have been held for too long
--- a/features/steps/late_orders.py
+++ b/features/steps/late_orders.py
@@ -1,8 +1,11 @@
 """Steps for orders to members and to the platform that arrive late, or when their sender ended."""
 
+import msgspec
 from behave import given, then, when
 
 from features.late_group import FROZEN, LATE, OWNER_ENDS, OWNERS, UNANSWERED, LateGroup
+from wagtailloft.controllers.failover import INITIAL_BACKOFF_S
+from wagtailloft.group_service import BACKUP_OWNER_DELAY_S, SWITCHOVER_TIMEOUT_S
 from wagtailloft.models import PublishedPrimary
 
 # An election takes 0.55 s at most, the backup owner's delay is 1.5 s, and elections back off for
@@ -10,6 +13,8 @@
 ELECTED_WITHIN_S = 10.0
 SAME_LOG_WITHIN_S = 10.0
 HIGHER_TERM = 7
+MAX_HELD_S = SWITCHOVER_TIMEOUT_S + BACKUP_OWNER_DELAY_S
+TICKS_S = 0.1  # for a few rounds of maintenance
 WAITING_WRITE_S = 4.0  # for an election and what follows it
 
 
@@ -300,3 +305,48 @@
     group = context.group
     group.cut(context.old, *group.replicas())
     group.cut("A", *group.members)
+
+
+@when("the primary is leaving, and a replica is cut off from it")
+def step_leaving(context):
+    mark_leaving(context)
+    context.group.cut(context.old, context.group.replicas()[0])
+    context.group.run(TICKS_S)
+
+
+@when("the primary is leaving, and the preferred host ends")
+def step_leaving_and_ends(context):
+    mark_leaving(context)
+    context.group.run(TICKS_S)
+    context.group.owners["A"].end()
+
+
+def mark_leaving(context):
+    """Mark the primary as leaving when both hosts may begin to replace it."""
+    group = context.group
+    group.run(INITIAL_BACKOFF_S)
+    members = tuple(
+        msgspec.structs.replace(m, leaving=m.name == context.old) for m in group.description.members
+    )
+    for owner in group.owners.values():
+        owner.service.update_description(
+            msgspec.structs.replace(group.description, members=members)
+        )
+
+
+@then("a write through each host is acknowledged before requests have been held for too long")
+def step_not_held(context):
+    write_held(context.group, OWNERS)
+
+
+@then("a write through the other host is acknowledged before requests have been held for too long")
+def step_other_not_held(context):
+    write_held(context.group, OWNERS[1:])
+
+
+def write_held(group, owners):
+    """Write through hosts, each within the longest hold."""
+    futs = [group.start_write(owner, budget=MAX_HELD_S + 1.0) for owner in owners]
+    group.run_until(lambda: all(f.done() for f in futs), MAX_HELD_S + 2.0)
+    assert all(f.result() for f in futs), group.refused
+    check_promises(group)
--- a/src/wagtailloft/group_service.py
+++ b/src/wagtailloft/group_service.py
@@ -213,6 +213,7 @@
         now = time.monotonic()
         view = self.monitor.view()
         self._handle_primary_change(view)
+        self._end_overdue_hold(now)
         plan = failover.next_action(view, now)
         if plan.action is FailoverAction.ELECT:
             self._elect_by_preference(plan, now)
@@ -266,22 +267,30 @@
         for endpoint in self.endpoints.values():
             endpoint.gate.set_paused(False)
 
+    def _end_overdue_hold(self, now: float) -> None:
+        """Admit requests again if the preferred owner has not elected within the timeout.
+
+        That holds whatever the group needs by then, since its election may never come.
+        """
+        if self._switchover_started_at == NEVER:
+            return
+        if now - self._switchover_started_at > SWITCHOVER_TIMEOUT_S + BACKUP_OWNER_DELAY_S:
+            for endpoint in self.endpoints.values():
+                endpoint.gate.set_paused(False)
+
     def _switch_over(self, why: str, now: float) -> None:
         """Move the primary role to another member without interrupting running requests.
 
         Every host that serves the group pauses its gate to the primary. The preferred owner elects
         a new primary once its own requests and transactions have ended and a replica has caught
         up, or after SWITCHOVER_TIMEOUT_S. It waits at least SWITCHOVER_MIN_HOLD_S, so that the
-        other hosts have paused their gates too. The gate is resumed if the preferred owner has not
-        elected within the timeout and the backup owner's delay.
+        other hosts have paused their gates too.
         """
         gate = self.endpoints[self._primary_name].gate
         if self._switchover_started_at == NEVER:
             self._switchover_started_at = now
             gate.set_paused(True)
         waited = now - self._switchover_started_at
-        if waited > SWITCHOVER_TIMEOUT_S + BACKUP_OWNER_DELAY_S:
-            gate.set_paused(False)
         if not self.is_preferred_owner or waited < SWITCHOVER_MIN_HOLD_S:
             return
         ready = gate.busy == 0 and self.transactions.count == 0 and self._replica_caught_up()
