Publish no lease epoch below the one that another host has published

A host that froze between acquiring the first lease of a shard and publishing its epoch, and that went on after another host had taken the lease over, had the right to grant tokens in an outage of the platform, beside the holder for up to 2.8 s. After that the holder had none until the outage ended.

Cause: the epoch was read only for its revision, so the frozen host's epoch 1 replaced epoch 2. In an outage an expired lease is valid at the host whose epoch is published. The late host skipped the wait for earlier holders' tokens too, for there had been none when it acquired the lease.

Evidence: the new scenario failed before, with GrantRight(epoch=1, granting_from=0.0); it passes since. 13 scenarios of rates and 7 of check (40 random runs of daemons) pass.

Why it works: epochs rise, so a published one that is as high means that another host has the lease; the late host gives it up. If the other publishes between the read and the write, the write is refused for its revision.

--- a/features/rates.feature
+++ b/features/rates.feature
@@ -42,6 +42,11 @@
     When the response is lost to the write that acquires it again, which is done
     Then the host has no right to grant an epoch that it did not publish
 
+  Scenario: A host freezes before it publishes an acquired lease's epoch, and another host takes over
+    Given a host that acquires a lease
+    When it freezes between acquiring a lease and publishing its epoch, until another holds the lease
+    Then the host has no right to grant in an outage, and the other holder's epoch stays published
+
   Scenario: The response to a renewal of a lease is lost
     Given a host that holds a lease
     When the response is lost to a renewal, which is done
--- a/features/steps/leases.py
+++ b/features/steps/leases.py
@@ -200,6 +200,11 @@
     assert rights == [None], rights
 
 
+@given("a host that acquires a lease")
+def step_acquires(context):
+    start_leases(context)
+
+
 @given("a host that holds a lease")
 def step_holds_lease(context):
     start_leases(context)
@@ -241,6 +246,32 @@
     )
 
 
+@when(
+    "it freezes between acquiring a lease and publishing its epoch, until another holds the lease"
+)
+def step_frozen_before_epoch(context):
+    def take_over():
+        context.object_api.on_write = lambda: None
+        step_suspended(context, LEASE_DURATION_S + 0.1)
+        stored = context.object_api.objects[("lease", SHARD)]
+        context.other = Lease(name=SHARD, holder="other/1", epoch=stored.decode(Lease).epoch + 1)
+        context.object_api.put("lease", SHARD, context.other, stored.revision)
+        epoch = LeaseEpoch(name=SHARD, holder="other/1", epoch=context.other.epoch)
+        context.object_api.put("epoch", SHARD, epoch, 0)
+
+    context.object_api.on_write = take_over
+    context.leases.tick()
+
+
+@then("the host has no right to grant in an outage, and the other holder's epoch stays published")
+def step_epoch_stays(context):
+    epoch = context.object_api.objects[("epoch", SHARD)]
+    context.objects.apply(Delta(revision=epoch.revision, changes=(epoch,)))
+    context.gossip.state = SettingsState.OUTAGE
+    assert context.leases.grant_right(SHARD) is None, context.leases.grant_right(SHARD)
+    assert epoch.decode(LeaseEpoch).epoch == context.other.epoch, epoch
+
+
 @given("a daemon whose settings the platform just confirmed")
 def step_confirmed_settings(context):
     objects, freshness = ObjectCache(), FreshnessTracker()
--- a/src/wagtailloft/leases.py
+++ b/src/wagtailloft/leases.py
@@ -261,14 +261,24 @@
     def _publish_epoch(self, shard_lease: _ShardLease, lease: Lease) -> bool:
         epoch = LeaseEpoch(name=shard_lease.name, holder=lease.holder, epoch=lease.epoch)
         found = self._object_api.get("epoch", shard_lease.name, LEASE_CALL_TIMEOUT_S)
-        version = 0
+        version, published = 0, 0
         if found.is_ok() and found.ok_value is not None:
             version = found.ok_value.revision
+            published = found.ok_value.decode(LeaseEpoch).epoch
+        if published >= lease.epoch:
+            # Another host has taken the lease over; in an outage it grants by its published epoch.
+            logs.warn("epoch_outdated", shard=shard_lease.name, epoch=epoch.epoch, later=published)
+            self._drop(shard_lease)
+            return False
         put = self._object_api.put("epoch", shard_lease.name, epoch, version, LEASE_CALL_TIMEOUT_S)
         if isinstance(put, Err):
-            shard_lease.held_until = 0.0
-            shard_lease.lease = None
+            self._drop(shard_lease)
             return False
         shard_lease.published_epoch = lease.epoch
         shard_lease.epoch_revision = put.ok_value.revision
         return True
+
+    def _drop(self, shard_lease: _ShardLease) -> None:
+        """Give up a lease whose epoch this host could not publish."""
+        shard_lease.held_until = 0.0
+        shard_lease.lease = None
