--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -408,7 +408,7 @@
         while now() - since < 2 * ASSIGNMENT_MAX_AGE_S:
             for zone in fake_host.hosts.zones():
                 reports.add_zone(ZoneReport(zone=zone, ages=bytes(1)), now())
-            heard = reports.from_majority(ASSIGNMENT_MAX_AGE_S, own_counts=True)
+            heard = reports.from_majority(ASSIGNMENT_MAX_AGE_S, own_counts=True, revision=0)
             context.heard[now() - since] = heard
             await asyncio.sleep(REPORT_INTERVAL_S)
 
--- a/src/wagtailloft/fleet/store_era.py
+++ b/src/wagtailloft/fleet/store_era.py
@@ -10,7 +10,7 @@
 ERA_OBJECT = "era"
 # After a restore, members and operators write their records again within about two seconds.
 REWRITE_S = 2.0
-# After this time, a promotion lease and an order that was sent within it have ended.
+# After this time, a promotion lease has ended, and orders sent within it have arrived.
 LEASE_EXPIRY_S = 2.2
 
 
--- a/src/wagtailloft/groups/candidates.py
+++ b/src/wagtailloft/groups/candidates.py
@@ -1,4 +1,4 @@
-"""Choose the replica to promote from the log positions that members report; pure functions."""
+"""Choose the member to promote from the log positions that members report; pure functions."""
 
 from wagtailloft.fleet.records import PrimaryAssignment, Target
 from wagtailloft.groups.ports import TargetStatus
--- a/src/wagtailloft/groups/claims.py
+++ b/src/wagtailloft/groups/claims.py
@@ -8,8 +8,8 @@
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.models import HostState
 
-# Longer than a failover that waits for an unreachable host's cached assignment to expire and then
-# orders the promotion.
+# Longer than a failover that waits for unreachable hosts which a majority confirms, and then orders
+# the promotion. One that waits for longer may be taken over while it runs.
 CLAIM_TIMEOUT_S = 8.0
 
 
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -22,7 +22,7 @@
 
 CATCH_UP_LIMIT_S = 1.0  # longest wait for a replica in a planned or synchronous failover
 POLL_INTERVAL_S = 0.04  # between checks for a candidate and for the new primary
-PROMOTION_TIMEOUT_S = 4.0  # until another member is considered
+PROMOTION_TIMEOUT_S = 4.0  # of a run; the next one asks all members again
 ORDER_RETRY_S = 1.0  # an order that was lost is repeated; one that was not changes nothing
 # With pauses from POLL_INTERVAL_S to 0.5 s, reaches an old primary that returns within 10 s.
 DEMOTE_ATTEMPTS = 20
--- a/src/wagtailloft/groups/promotion_orders.py
+++ b/src/wagtailloft/groups/promotion_orders.py
@@ -6,7 +6,7 @@
 another primary, whichever process runs the failover by then.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -22,8 +22,8 @@
 ORDER_WINDOW_S = 1.0
 # From the answer to an accepted order; the slowest promotion in any deployment takes 1 s.
 ORDER_EFFECT_S = 2.0
-# From the sending of an order without an answer until it has taken effect, if it ever does: the
-# 5 s for which the socket sends again, a slow platform, and the promotion.
+# From the sending of an order without an answer until it has taken effect, if it ever does: its
+# way, a platform that does it seconds later, and the promotion.
 UNANSWERED_ORDER_S = 10.0
 
 
@@ -31,7 +31,8 @@
 class _LatestOrder:
     """The latest order for a group; key is the era and epoch of its record.
 
-    is_sent and is_repeated tell whether one, and more than one, may have been sent for the member.
+    is_sent tells whether it may have been sent, is_repeated whether more than one order for the
+    member may have been.
     """
 
     key: tuple[int, int]
@@ -53,7 +54,7 @@
         self._latest: dict[str, _LatestOrder] = {}
 
     def observe(self, entry: Entry) -> None:
-        """Note when the record of another process's order was first seen."""
+        """Note when the record of an order was first seen."""
         if isinstance(entry.value, PrimaryAssignment) and entry.value.ordered:
             self._latest_order(entry.value)
 
@@ -112,21 +113,20 @@
         Return None if it is not known.
         """
         order = self._latest_order(claim)
-        before = order.may_act_until
-        order.may_act_until = max(before, now() + UNANSWERED_ORDER_S)
+        before = replace(order)
+        # Before the call, which may be cancelled with the order under way.
+        order.may_act_until = max(order.may_act_until, now() + UNANSWERED_ORDER_S)
+        order.is_repeated, order.is_sent = order.is_repeated or order.is_sent, True
         accepted = await self._promotion_api.promote(
             group=claim.group,
             target=claim.ordered[-1],
             holder=self._lease.host_name,
             fencing_token=self._lease.fencing_token,
         )
-        if accepted is False:
-            order.may_act_until = before
-        else:
-            order.is_repeated = order.is_repeated or order.is_sent
-            order.is_sent = True
         if accepted:
-            order.may_act_until = max(before, now() + ORDER_EFFECT_S)
+            order.may_act_until = max(before.may_act_until, now() + ORDER_EFFECT_S)
+        elif accepted is False:
+            self._latest[claim.group] = order = before
         logs.event(
             "promotion_ordered",
             group=claim.group,
