--- a/features/check.py
+++ b/features/check.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from functools import partial
 
 import fire
 from absl import logging
@@ -15,12 +16,27 @@
     run_state_machine_as_test,
 )
 
+from features.ordered_group import (
+    CHECKED_STEPS,
+    LOST,
+    MAX_ORDER_DELAY_S,
+    STEPS_OF_FAILOVERS,
+    OrderedFleet,
+    StepFault,
+)
 from features.restored_objects import FIRST_INCARNATION, ModelDaemons
-from features.restored_store import HOSTS, ModelFleet
+from features.restored_store import HOSTS, MEMBERS, ModelFleet
+from wagtailloft.models import Role
 
 STEPS = 50
 EXAMPLES_PER_SEED = 20
 hosts = st.integers(0, HOSTS - 1)
+members = st.sampled_from(MEMBERS)
+ways_of_losing = st.sampled_from(("cut_member", "darken", "leave", "split_member"))
+waits = st.sampled_from((0.1, 0.6, 1.2, 4.0, 9.0))
+order_faults = st.tuples(
+    st.sampled_from((0.0, 0.3, 1.5, 4.0, MAX_ORDER_DELAY_S, LOST)), st.booleans()
+)
 durations = st.sampled_from((0.4, 1.5, 4.0, 8.0))
 
 
@@ -81,15 +97,19 @@
     @invariant()
     def keeps_promises(self):
         """Check what was observed since the last step."""
-        assert not (self.fleet and self.fleet.violations), self.fleet.violations[:3]
+        assert not (self.fleet and self.broken()), self.broken()[:3]
+
+    def broken(self):
+        """Return the promises that were seen broken."""
+        return self.fleet.violations
 
     def teardown(self):
         """End all faults, and check that the fleet agrees."""
         if self.fleet is None:
             return
         try:
-            wrong = [] if self.fleet.violations else self.fleet.converge()
-            assert not wrong and not self.fleet.violations, (wrong, self.fleet.violations[:3])
+            wrong = [] if self.broken() else self.fleet.converge()
+            assert not wrong and not self.broken(), (wrong, self.broken()[:3])
         finally:
             self.fleet.close()
 
@@ -142,7 +162,108 @@
         self.fleet.restart(host, incarnation=incarnation)
 
 
-MACHINES = {"hosts": HostMachine, "daemons": DaemonMachine}
+class OrderMachine(FaultMachine):
+    """The faults, beside lost and late orders and members that are away."""
+
+    # A copy from before a promotion, all hosts restarted and the promoted member away leave nothing
+    # that tells of it.
+    restore = None
+
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed):
+        """Start the fleet."""
+        self.fleet = OrderedFleet(seed=seed, hosts_report=True)
+
+    @rule(
+        way=ways_of_losing,
+        seconds=durations,
+        order=st.one_of(st.none(), order_faults),
+        then=st.one_of(st.none(), ways_of_losing),
+        others=st.booleans(),
+        wait=waits,
+    )
+    def lose_primary(self, way, seconds, order, then, others, wait):
+        """Lose the primary, and the member that is promoted instead, perhaps with the others."""
+        fleet = self.fleet
+        if then is not None:
+            fleet.on_promoted.append(partial(self._lose_promoted, then, seconds, others))
+        fleet.order_faults[:] = [order] if order else []
+        getattr(fleet, way)(fleet.primary, seconds)
+        fleet.advance(wait)
+
+    @rule(way=ways_of_losing, member=members, seconds=durations)
+    def lose_member(self, way, member, seconds):
+        """Lose a member for a time."""
+        getattr(self.fleet, way)(member, seconds)
+
+    @rule(host=hosts, seconds=durations, wait=waits)
+    def suspect(self, host, seconds, wait):
+        """Cut the primary off from the hosts for a time, and let a host report it at once."""
+        self.fleet.cut_member(self.fleet.primary, seconds)
+        self.fleet.suspect(host)
+        self.fleet.advance(wait)
+
+    @rule(host=hosts)
+    def suspect_wrongly(self, host):
+        """Let a host report that the primary does not answer it."""
+        self.fleet.suspect(host)
+
+    @rule(seconds=durations, order=order_faults, wait=waits)
+    def replace_primary(self, seconds, order, wait):
+        """Let the primary report for a time that it is leaving, and an order be late or lost."""
+        self.fleet.order_faults[:] = [order]
+        self.fleet.leave(self.fleet.primary, seconds)
+        self.fleet.advance(wait)
+
+    @rule(order=order_faults)
+    def delay_order(self, order):
+        """Let an order be late or lost, or its answer, after those that are to be already."""
+        self.fleet.order_faults.append(order)
+
+    @rule(
+        step=st.sampled_from(STEPS_OF_FAILOVERS),
+        count=st.integers(1, 4),
+        seconds=st.sampled_from((0.0, 0.5, 4.0)),
+        all_hosts=st.booleans(),
+    )
+    def kill_at_step(self, step, count, seconds, all_hosts):
+        """End the process that is the next to take a step of a failover, or all at that moment."""
+        self.fleet.step_faults.append(
+            StepFault(step=step, count=count, seconds=seconds, all_hosts=all_hosts)
+        )
+
+    @rule(
+        step=st.sampled_from(CHECKED_STEPS),
+        count=st.integers(1, 4),
+        seconds=durations,
+        all_hosts=st.booleans(),
+    )
+    def freeze_at_step(self, step, count, seconds, all_hosts):
+        """Freeze the process that is the next to take a step of a failover, or all."""
+        self.fleet.step_faults.append(
+            StepFault(step=step, count=count, seconds=seconds, all_hosts=all_hosts, freezes=True)
+        )
+
+    def _lose_promoted(self, way, seconds, others, promoted):
+        for member in MEMBERS if others else (promoted,):
+            if member == promoted or self.fleet.members[member].role is Role.REPLICA:
+                getattr(self.fleet, way)(member, seconds)
+
+
+class TokenMachine(OrderMachine):
+    """Orders whose tokens may not fall either."""
+
+    def broken(self):
+        """Return the promises that were seen broken."""
+        return self.fleet.violations + self.fleet.fallen_tokens
+
+
+MACHINES = {
+    "hosts": HostMachine,
+    "daemons": DaemonMachine,
+    "orders": OrderMachine,
+    "tokens": TokenMachine,
+}
 
 
 def play(machine, examples, first_seed, *, shrink=False):
--- a/features/steps/stale_views.py
+++ b/features/steps/stale_views.py
@@ -8,8 +8,16 @@
 from behave import given, then, when
 
 from features import restored_store
-from features.fake_mesh import FakeMesh, make_host
-from features.restored_store import GROUP, MEMBERS, ZONES, ModelFleet, ModelHost, ModelMesh
+from features.fake_mesh import FakeMesh, InProcessMesh, make_host
+from features.restored_store import (
+    GROUP,
+    MEMBERS,
+    ZONES,
+    ModelFleet,
+    ModelHost,
+    ModelMesh,
+    StoreClient,
+)
 from features.virtual_time import run_virtual
 from wagtailloft import clock
 from wagtailloft.errors import Kind, NotSent
@@ -26,6 +34,7 @@
     host_record_name,
 )
 from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.groups.counted_hosts import COUNTED_HOSTS_OBJECT
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.failover import HOST_REMOVAL_S
 from wagtailloft.groups.local_executor import LocalExecutor
@@ -54,6 +63,22 @@
         return self.directory.may_use_as_primary(GROUP, target)
 
 
+class EarlyAnswers(StoreClient):
+    """One host's access to a store that answers some watches at once, over a slow connection."""
+
+    early_host, answered_at = None, None
+
+    async def changes(self, topic, after, wait):
+        """Return the changes of a watch; of the fleet's, as they were when it was sent."""
+        if self._host.number != self.early_host or topic is not Topic.FLEET or not wait:
+            return await super().changes(topic, after, wait)
+        sent_at = clock.now()
+        changes = await super().changes(topic, after, 0.0)
+        type(self).answered_at = clock.now()
+        await asyncio.sleep(sent_at + wait - clock.now())
+        return changes
+
+
 class RegisteredFleet(ModelFleet):
     """A fleet whose register changes, with cuts between pairs of hosts."""
 
@@ -117,6 +142,7 @@
     context.stack.enter_context(patch.object(restored_store, "HOSTS", number))
     context.stack.enter_context(patch.object(restored_store, "ModelMesh", PartlyCutMesh))
     context.stack.enter_context(patch.object(restored_store, "ModelHost", RegisteredHost))
+    context.stack.enter_context(patch.object(restored_store, "StoreClient", EarlyAnswers))
     context.fleet = RegisteredFleet(seed=1)
     context.stack.callback(context.fleet.close)
 
@@ -191,6 +217,29 @@
     fleet.fail_over(4)
 
 
+@when("they read of their new registrations, and hosts 2 and 3 are cut off")
+def step_read_registrations(context):
+    fleet = context.fleet
+    for number in (0, 1):
+        fleet.register(fleet.hosts[number])
+    for number, other in ((2, 3), (3, 2)):
+        fleet.isolate(number, cut=True, but=(other,))
+    for number in (0, 1):
+        fleet.hosts[number].refused = False
+
+
+@then("their confirmations count {earliest:g} s later at the earliest, and {latest:g} s later")
+def step_count_later(context, earliest, latest):
+    fleet, seconds = context.fleet, 0.0
+    while seconds < latest:
+        entry = fleet.store.objects[(Topic.FLEET, COUNTED_HOSTS_OBJECT)]
+        counted = {"h00", "h01"} & set(entry.value.hosts)
+        assert not counted or seconds >= earliest, (counted, seconds)
+        fleet.advance(0.1)
+        seconds = round(seconds + 0.1, 1)
+    assert counted == {"h00", "h01"}, counted
+
+
 @when("host 3 is not registered, and is cut off from the other hosts")
 def step_not_registered(context):
     fleet = context.fleet
@@ -259,6 +308,29 @@
     context.fleet.restore(age=1.0, outage=outage, restarted=())
 
 
+@when(
+    "a watch of host 1 is answered without changes at once, and its answer comes as its wait ends"
+)
+def step_early_answer(context):
+    fleet = context.fleet
+    context.stack.enter_context(patch.object(EarlyAnswers, "early_host", 1))
+    context.stack.enter_context(patch.object(EarlyAnswers, "answered_at", None))
+    fleet.advance(fleet.hosts[0].cache.assignment_use_limit)  # until all hosts count
+    EarlyAnswers.answered_at = None
+    while EarlyAnswers.answered_at is None:
+        fleet.advance(0.001)
+
+
+@when("host 1 is cut off behind that answer, and host 0 replaces the primary")
+def step_cut_behind_answer(context):
+    fleet = context.fleet
+    fleet.isolate(1, cut=True)
+    fleet.fail_over(0)
+    fleet.advance(0.05)
+    claim = fleet.hosts[0].cache.assignment(GROUP)
+    assert claim is not None and fleet.hosts[1].cache.assignment(GROUP) is None, claim
+
+
 @then("no host may use a replaced primary in the next {seconds:g} s")
 def step_none_uses(context, seconds):
     context.fleet.advance(seconds)
@@ -403,3 +475,63 @@
 @then("it has not heard from a majority")
 def step_no_majority(context):
     assert not context.cache.heard_from_majority()
+
+
+@given("two hosts of a fleet of {size:d}, of which one also knows {new:d} hosts {how}")
+def step_two_hosts(context, size, new, how):
+    # The other hosts answer no hello.
+    context.stack.enter_context(patch.object(Hosts, "_schedule_hello", lambda self, host: None))
+    meshes, context.caches = {}, []
+    records = [
+        Entry(name=host_record_name(h.name), revision=1 + (n >= size), value=HostRecord(host=h))
+        for n, h in enumerate(make_host(n, 1) for n in range(size + new))
+    ]
+    context.new_hosts = [r.value.host for r in records[size:]]
+    for number in (0, 1):
+        own = make_host(number, 1)
+        mesh = meshes[own.ip] = InProcessMesh(meshes)
+        cache = StoreCache(
+            store=None,
+            hosts=Hosts(own=own, mesh=mesh),
+            mesh=mesh,
+            max_age=3.3,
+            assignment_max_age=2.4,
+        )
+        cache._started -= 10.0
+        context.caches.append(cache)
+        read_registrations(cache, 1, records[:size])
+    if how == "by their hello":
+        for host in context.new_hosts:
+            context.caches[1]._hosts._put(host)
+    else:
+        read_registrations(context.caches[1], 2, records[size:])
+
+
+def read_registrations(cache, revision, records):
+    """Let a host's cache have registrations, and nothing else."""
+    for topic in Topic:
+        entries = tuple(records) if topic is Topic.FLEET else ()
+        cache.apply(
+            Changes(topic=topic, revision=revision, is_snapshot=False, entries=entries),
+            clock.now(),
+        )
+
+
+@when("the other asks it which hosts it hears from, and it hears from the 2 and from the other")
+def step_ask_reporter(context):
+    asking, reporter = context.caches
+    for host in (asking._hosts.own, *context.new_hosts):
+        reporter._reports.add_host(host.name, clock.now())
+    context.majorities = []
+
+    async def ask():
+        for names_only in (True, False):
+            await asking._pulls.pull("h01", (Topic.FLEET,), names_only=names_only, collect=True)
+            context.majorities.append(asking.heard_from_majority())
+
+    asyncio.run(ask())
+
+
+@then("the other has not heard from a majority, also after it has read of the 2")
+def step_no_majority_by_report(context):
+    assert context.majorities == [False, False], context.majorities
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -39,11 +39,16 @@
 from wagtailloft.revisions import era_of, make_revision
 
 # Each call to the store has a price; longer polls need fewer calls.
-LONG_POLL_S = {Topic.SETTINGS: 1.0, Topic.FLEET: 1.0, Topic.TARGETS: 2.0}
+LONG_POLL_S = {Topic.SETTINGS: 1.0, Topic.FLEET: 0.5, Topic.TARGETS: 2.0}
+# A poll may be answered early, or miss changes, and its answer be late. Without changes it only
+# proves that there were none when the poll was sent, and so counts as of then for assignments,
+# which are used almost until a fence gives a host up. Keys are used so much shorter than their
+# bound that a poll's wait is covered, and nothing depends on the age of the members' reports.
+COUNTED_FROM_SENDING = (Topic.FLEET,)
 # For the store to answer a new host; a seed's answer names every host of the fleet.
 SEED_WAIT_S = 0.5
-# A long poll, a pull interval and a slow answer. Above it, the cache counts as old: this host reads
-# the store itself, and retries an unreachable store sooner.
+# A long poll (two if they count from their sending), a pull interval and a slow answer. Above it,
+# the cache counts as old: this host reads the store itself, and retries an unreachable one sooner.
 OLD_CACHE_AGE_S = 1.9
 # Between attempts to reach an unreachable store, at a host whose cache others keep fresh.
 STORE_PROBE_INTERVAL_S = 2.0
@@ -93,12 +98,14 @@
             is_stored=lambda topic, name: self.get(topic, name) is not None,
         )
         self._known_complete_at = dict.fromkeys(FRESHNESS_TOPICS, NEVER)
+        # When all assignments were last known, and a group's present one was not among them.
+        self._known_without: dict[str, float] = {}
         self._on_failure = on_failure
         # Entries that a listener could not handle, by topic, the listener's number and name.
         self._unapplied: dict[tuple[Topic, int, str], Entry] = {}
         self._listeners: dict[Topic, list[Callable[[Entry], None]]] = {t: [] for t in Topic}
         self._rng = random.Random()
-        self._reports = HostReports(hosts=hosts)
+        self._reports = HostReports(hosts=hosts, is_registered=self._is_registered)
         self._pulls = PeerPulls(cache=self, hosts=hosts, mesh=mesh, reports=self._reports)
         self._started = now()
         self.store_unreachable = False
@@ -165,12 +172,27 @@
             return False
         return self.heard_from_majority()
 
+    def may_finish_at_replaced(self, group: str) -> bool:
+        """Tell whether no fence of a group's present assignment can have given this host up.
+
+        The assignment was stored after this host last knew all others without it, and a fence waits
+        for longer than assignment_max_age after that. When the fence's message arrived proves
+        nothing, since it may have been delayed.
+        """
+        known_without = self._known_without.get(group, NEVER)
+        is_recent = now() - known_without <= self.assignment_max_age
+        return is_recent and known_without >= self._started
+
     def heard_from_majority(self) -> bool:
         """Tell whether a majority of hosts, this one included, has reported its assignments.
 
         Reports older than assignment_max_age don't count.
         """
-        return self._reports.from_majority(self.assignment_max_age, own_counts=self.may_report())
+        return self._reports.from_majority(
+            self.assignment_max_age,
+            own_counts=self.may_report(),
+            revision=self.revision(Topic.FLEET),
+        )
 
     def is_registered(self) -> bool:
         """Tell whether coordinators count this host, in every failover that it does not know of.
@@ -178,7 +200,10 @@
         A coordinator counts the hosts that are registered once it has stored its claim. All claims
         before this host's registration are known once the cache is as new as that.
         """
-        entry = self.get(Topic.FLEET, host_record_name(self._hosts.own.name))
+        return self._is_registered(self._hosts.own.name)
+
+    def _is_registered(self, host: str) -> bool:
+        entry = self.get(Topic.FLEET, host_record_name(host))
         if entry is None or not isinstance(entry.value, HostRecord) or entry.value.withdrawn:
             return False
         return self.revision(Topic.FLEET) >= entry.revision
@@ -314,10 +339,9 @@
         started_at = now()
         cache = self._topics[topic]
         changes = await self._store.changes(topic, cache.revision, wait if cache.revision else 0.0)
-        # A long poll without changes is answered when its wait ends, so the cache is current then.
         unchanged = not changes.is_snapshot and not changes.entries
-        confirmed_at = started_at + (wait if unchanged else 0.0)
-        return self.apply(changes, min(confirmed_at, now()))
+        counted_wait = wait if unchanged and topic not in COUNTED_FROM_SENDING else 0.0
+        return self.apply(changes, min(started_at + counted_wait, now()))
 
     def apply(self, changes: Changes, confirmed_at: float) -> bool:
         """Cache changes that were current at a time; return False if they are older than cached."""
@@ -379,6 +403,8 @@
         self._in_force.accept(topic, entry)
 
     def _notify(self, topic: Topic, entry: Entry) -> None:
+        if isinstance(entry.value, PrimaryAssignment):
+            self._known_without[entry.value.group] = self._known_complete_at[Topic.FLEET]
         for number in range(len(self._listeners[topic])):
             self._notify_listener(topic, number, entry)
 
