Let only one host elect in the scenarios with a cut-off host

The lost trace was reproduced with host B's maintenance held back for 1.45 s: host A elected anew as backup, before the partition the scenario is about, so the late order was refused and the write was committed in A's next term. No write was acknowledged wrongly. A now starts no election until its write has ended; the check is unchanged, and the scenarios pass with B held back by 1.45 s too.

--- a/features/steps/late_orders.py
+++ b/features/steps/late_orders.py
@@ -118,7 +118,7 @@
     """Let the host B and the others elect a primary, and the host A reach only the member then.
 
     A loses the others once B gives orders, and B's promotion starts a write through A if none waits
-    for a primary.
+    for a primary. A starts no election itself until that write has ended.
     """
     group = context.group
     others = [n for n in group.members if n != member]
@@ -136,6 +136,7 @@
     group.cut(member, "B", *others)
     group.join(context.old, "B", *others)
     group.prefer("B")
+    group.resting = "A"
     wait_promoted(group)
     context.later_term = group.latest.term
     group.on_order = lambda owner, action: None
@@ -162,6 +163,7 @@
 def step_not_acknowledged(context):
     group, number = context.group, context.write.number
     group.run_until(context.write.done, WAITING_WRITE_S + 1.0)
+    group.resting = ""
     replaced = [p.term for p in group.promotions if p.member == context.parted]
     replaced = [t for t in replaced if t < context.later_term]
     assert any(n == number and t in replaced for n, t in group.committed), group.committed
@@ -173,6 +175,7 @@
 def step_goes_on(context):
     group = context.group
     group.join("A")
+    group.resting = ""
     replies = group.deliver()
     assert [r[0] for r in replies] == [200], replies
 
