Send no promotion order that took longer to connect than it may

A host froze for 16.7 s after its last look at the promotion lease, while its order was connecting, and sent the order when it woke, 16.7 s after its record.

Cause: nothing looked at the time between connecting and sending.

Evidence: `robustness: A process is frozen while it connects to the promotion API` fails without the bound (the whole request was received).

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -85,6 +85,11 @@
     When a promotion is ordered
     Then the order counts as unanswered, and its connection is reset, so that it is not sent again
 
+  Scenario: A process is frozen while it connects to the promotion API
+    Given a promotion API that reads an order and does not answer
+    When a promotion is ordered by a process that freezes for 16 s as it connects
+    Then the order counts as unanswered, and nothing of it was sent
+
   Scenario: A process ends with a promotion order under way
     Given a promotion API that reads an order and does not answer
     When a process orders a promotion and is killed
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -9,12 +9,15 @@
 import time
 from pathlib import Path
 from types import SimpleNamespace
+from unittest.mock import patch
 
 import msgspec
 from behave import given, then, when
+from urllib3.connection import HTTPConnection
 
 from features.fake_mesh import FakeMesh, InProcessMesh, make_host
 from wagtailloft import host_process, options
+from wagtailloft.adapters import http_pool
 from wagtailloft.clock import now
 from wagtailloft.controllers.membership import Membership
 from wagtailloft.digits import is_decimal
@@ -740,6 +743,26 @@
     context.accepted = asyncio.run(order)
 
 
+@when("a promotion is ordered by a process that freezes for {seconds:d} s as it connects")
+def step_order_frozen(context, seconds):
+    connect, frozen = HTTPConnection.connect, []
+
+    def freeze(conn):
+        connect(conn)
+        frozen.append(seconds)
+
+    time_now = http_pool.now
+    context.stack.enter_context(patch.object(HTTPConnection, "connect", freeze))
+    context.stack.enter_context(patch.object(http_pool, "now", lambda: time_now() + sum(frozen)))
+    step_order_promotion(context)
+
+
+@then("the order counts as unanswered, and nothing of it was sent")
+def step_nothing_sent(context):
+    context.server.join(5.0)
+    assert context.accepted is None and not context.received, context.received
+
+
 ORDERING_PROCESS = """
 import asyncio, sys
 sys.path.append(sys.argv[1])
