Recognise a member that took over under another name

If only one member was ordered since a primary was last settled, whoever leads in a later term does so by its order. With several, or if a record may be lost, the name has to be that of the latest.

Evidence: `units: A member that crashed after it was ordered leads under another name` failed before.

--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -35,7 +35,7 @@
 from wagtailloft.fleet.store_era import StoreEra
 from wagtailloft.fleet.topic_cache import TopicCache
 from wagtailloft.groups import promotion_lease
-from wagtailloft.groups.candidates import covers_all_commits, is_newer_primary
+from wagtailloft.groups.candidates import covers_all_commits, has_taken_over, is_newer_primary
 from wagtailloft.groups.fencing import EXPIRY_MARGIN_S, FenceProgress
 from wagtailloft.groups.link_pool import LinkPool
 from wagtailloft.groups.ports import TargetStatus
@@ -312,6 +312,31 @@
         assert value is None or isinstance(value, Configuration)
 
 
+@then("it has taken over if no other member was ordered, and no record of an order may be lost")
+def step_renamed_member(context):
+    renamed = TargetStatus(
+        target="d", role=Role.PRIMARY, term=3, received=Position(term=2, index=1)
+    )
+    for ordered, may_lack_orders, expected in (
+        (("b",), False, True),
+        (("a", "b"), False, True),
+        (("b",), True, False),
+        (("c", "b"), False, False),
+        (("b", "a"), False, False),
+    ):
+        claim = PrimaryAssignment(
+            group="g",
+            epoch=2,
+            settled=False,
+            primary="",
+            term=2,
+            replaced="a",
+            ordered=ordered,
+            may_lack_orders=may_lack_orders,
+        )
+        assert has_taken_over(renamed, claim) is expected, claim
+
+
 @then("only a primary of a later term than the replaced primary's is accepted")
 def step_newer_primary(context):
     assignment = PrimaryAssignment(
--- a/features/units.feature
+++ b/features/units.feature
@@ -23,6 +23,9 @@
     Then for 300 generated entries an invalid one does not affect the others
     And for 300 generated configurations decoding returns a configuration or none
 
+  Scenario: A member that crashed after it was ordered leads under another name
+    Then it has taken over if no other member was ordered, and no record of an order may be lost
+
   Scenario: A primary of an older term is not accepted as the new one
     Then only a primary of a later term than the replaced primary's is accepted
 
--- a/src/wagtailloft/groups/candidates.py
+++ b/src/wagtailloft/groups/candidates.py
@@ -26,9 +26,11 @@
     """Tell whether a member leads in place of the primary that is being replaced.
 
     Of several that were ordered, only the latest does: one that leads by an earlier order may have
-    been replaced since.
+    been replaced since. If only one was, whoever leads does so by its order: a member that crashed
+    comes back under another name.
     """
-    if not another_was_ordered(claim):
+    others = {name for name in claim.ordered if name != claim.replaced}
+    if not others or (others == {claim.ordered[-1]} and not claim.may_lack_orders):
         return is_newer_primary(status, claim)
     is_latest = status.target == claim.ordered[-1]
     return is_latest and status.role is Role.PRIMARY and status.term > claim.term
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -6,6 +6,7 @@
 from wagtailloft.clock import now
 from wagtailloft.fleet.records import PrimaryAssignment, Target, Topic
 from wagtailloft.groups.candidates import (
+    another_was_ordered,
     best_candidate,
     has_taken_over,
     have_all_commits,
@@ -73,7 +74,9 @@
             if pending == claim.replaced or (may_lead_unseen(claim) and not planned):
                 statuses.extend(await self._query_replaced(claim))
             eligible = [s for s in statuses if not pending or s.target == pending]
-            leading = [s for s in eligible if has_taken_over(s, claim) or still_leads(s, claim)]
+            by_order = statuses if another_was_ordered(claim) else eligible
+            leading = [s for s in by_order if has_taken_over(s, claim)]
+            leading += [s for s in eligible if still_leads(s, claim)]
             if leading:
                 return max(leading, key=lambda s: s.term)
             candidate = best_candidate(
