--- a/review/1/case.py
+++ b/review/1/case.py
@@ -90,7 +90,7 @@
     for thread in threads:
         thread.join()
     time.sleep(0.5)
-    ran = {request_id: text for _, _, request_id, text in site.group.runs}
+    ran = {request_id for _, request_id, _, _ in site.group.runs}
     broken = []
     for caller in callers:
         if caller.unanswered is not None:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -62,7 +62,7 @@
 def check(site, sent, answered, record):
     """Return the runs at members that no caller asked for, or whose text was changed."""
     broken = []
-    for member, team, request_id, text in site.group.runs:
+    for member, request_id, text, _ in site.group.runs:
         if request_id == "-":
             continue
         if request_id not in sent:
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -22,6 +22,7 @@
 DATABASES = {"orders": "primary", "stock": "bounded_stale", "accounts": "read_your_writes"}
 KEY = "key-of-team-one"
 START_TIMEOUT_S = 20.0
+MAX_LINE_CHARS = 500
 
 
 class Record:
@@ -33,7 +34,8 @@
         self._began = time.monotonic()
 
     def __call__(self, text):
-        """Write one line."""
+        """Write one line, of long ones the beginning."""
+        text = text if len(text) <= MAX_LINE_CHARS else f"{text[:MAX_LINE_CHARS]}..."
         with self._lock:
             self._file.write(f"{time.monotonic() - self._began:8.3f} {text}\n")
             self._file.flush()
@@ -79,27 +81,28 @@
 class Site:
     """The deployment; use it in a with statement, which ends every process at the end."""
 
-    def __init__(self, *, record, hosts=3):
+    def __init__(self, *, record, zones=None, group="ledger", rate=200):
         self.log = record
+        self.rate = rate  # of the tenant, a second; also its burst
         self.started = []
         self.bootstrap = True
         net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self._next_port = random.randint(12000, 28000)
         names = ("store", "cloud", "peers", "frontend", "ready", "control")
         self.ports = {name: self._free_port() for name in names}
-        self._ports_after = self._next_port
         self.net = net
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.command = shlex.split(next(iter(deploy["roles"].values()))["run"])
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self.store = Store()
-        self.group = Group(name="ledger", store=self.store, log=record)
-        self.cloud = CloudApi(groups={"ledger": self.group}, log=record)
-        zones = ("zone-a", "zone-b", "zone-c")
+        self.group = Group(name=group, store=self.store, log=record)
+        self.cloud = CloudApi(groups={group: self.group}, log=record)
+        self.zones = zones or {"zone-a": 1, "zone-b": 1, "zone-c": 1}  # hosts in each
+        names = [(z, f"edge-{z}-{n + 1}") for z, count in self.zones.items() for n in range(count)]
         self.hosts = [
-            Host(site=self, name=f"edge-{z}-1", ip=f"{net}.{10 + i}", zone=z)
-            for i, z in enumerate(zones[:hosts])
+            Host(site=self, name=name, ip=f"{net}.{10 + i}", zone=zone)
+            for i, (zone, name) in enumerate(names)
         ]
         self._servers = []
 
@@ -108,9 +111,9 @@
             serve(self.store, f"{self.net}.1", self.ports["store"]),
             serve(self.cloud, f"{self.net}.1", self.ports["cloud"]),
         ]
-        for i, zone in enumerate(("zone-a", "zone-b", "zone-c")):
+        for i, zone in enumerate(list(self.zones)[:3]):
             role = "replica" if i else "primary"
-            self.group.add(f"i-m{i + 1}", zone, self.member_address(), role=role)
+            self.group.add(f"i-{zone[-1]}1", zone, self.member_address(), role=role)
         self.store.put("config", "main", self.configuration(1))
         return self
 
@@ -151,15 +154,16 @@
                 "timeout_ms": 800,
                 "goal_ms": 250,
                 "priority": 1,
-                "service": "ledger",
+                "service": self.group.name,
                 "attempts": 2,
                 "max_staleness_ms": 1500,
                 "public": False,
             }
             for database, kind in DATABASES.items()
         ]
-        service = {"name": "ledger", "max_conns": 32, "sync_replicas": 0}
-        tenant = {"name": "one", "api_keys": [KEY], "priority": 1, "rate_per_s": 200, "burst": 200}
+        service = {"name": self.group.name, "max_conns": 32, "sync_replicas": 0}
+        limits = {"rate_per_s": self.rate, "burst": self.rate}
+        tenant = {"name": "one", "api_keys": [KEY], "priority": 1, **limits}
         return {
             "version": version,
             "routes": routes,
--- a/review/standins/group.py
+++ b/review/standins/group.py
@@ -156,7 +156,7 @@
             lines = self._execute(request_id, command, rest)
         outcome = lines[-1]
         if not outcome.startswith("ERR"):
-            group.runs.append((member.name, self._team, request_id, text))
+            group.runs.append((member.name, request_id, text, time.monotonic()))
         group.log(f"member {member.name} {self._team} QUERY {request_id} {text!r}: {outcome}")
         return lines
 
@@ -202,7 +202,7 @@
 
 
 class Group:
-    """A primary and its replicas; `runs` lists the statements that ran."""
+    """A primary and its replicas; `runs` lists member, id, text and time of each statement."""
 
     def __init__(self, *, name, store, log):
         self.name = name
