--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -89,7 +89,7 @@
         net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self._next_port = random.randint(12000, 28000)
         names = ("store", "cloud", "peers", "frontend", "ready", "control")
-        self.ports = {name: self._free_port() for name in names}
+        self.ports = {name: self.free_port() for name in names}
         self.net = net
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.command = shlex.split(next(iter(deploy["roles"].values()))["run"])
@@ -141,7 +141,7 @@
 
     def member_address(self):
         """Return a free address for a member."""
-        return f"{self.net}.2", self._free_port()
+        return f"{self.net}.2", self.free_port()
 
     def configuration(self, version):
         """Return a configuration with a route of each type and one tenant."""
@@ -211,7 +211,8 @@
 addr = "{net}.1:{ports["cloud"]}"
 """)
 
-    def _free_port(self):
+    def free_port(self):
+        """Return a port that nothing uses."""
         while True:
             self._next_port += 1
             with socket.socket() as sock:
