--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,10 @@
-"""A host gets SIGTERM while callers are in transactions; each statement must be answered."""
+"""A host gets SIGTERM while callers are in transactions; each statement must be answered.
+
+Most callers read on a route whose operations have 4 s, as calendar-browse has: their transactions are over
+before that, the pauses included, so no deadline excuses a missing answer. Some write on a route whose operations
+have 1.5 s, as slot-confirm has. Theirs last longer if the pauses count, so what they miss is recorded and not
+counted.
+"""
 
 import os
 import random
@@ -17,10 +23,13 @@
 LOSS_SLACK_S = 0.2
 EXCUSED_SENT_S = 3.0  # after the SIGTERM; see LOST
 EXCUSED_AT_WORK_S = GRACE_S * 5 / 6  # the last sixth of the grace period begins
-CALLERS = 20
+CALLERS = 24
+WRITERS_EACH = 3  # every third caller writes
+DEADLINES_S = {"stock": 4.0, "orders": 1.5}  # from the start of an operation, pauses included
+ROUTE_TIMEOUT_S = 0.8  # of a statement
 BEGIN_S = 1.8  # after the SIGTERM: the platform still sends callers to the host
 RHYTHM_S = 0.3  # of a caller's statements, its pauses included
-WRITES = 9
+STATEMENTS = 9  # between BEGIN and COMMIT
 WORK_S = 0.07  # of a statement at a member; the sites have up to 0.11 s
 
 
@@ -31,17 +40,22 @@
         self.unanswered = None
         self.answered = 0
         self.committed = False
+        self.database = "stock" if number % WRITERS_EACH else "orders"
+        self.begun_at = begin_at
         self._site = site
         self._number = number
         self._begin_at = begin_at
 
     def run(self):
-        """Send BEGIN, the writes and COMMIT in a steady rhythm."""
+        """Send BEGIN, the statements and COMMIT in a steady rhythm."""
         time.sleep(max(0.0, self._begin_at - time.monotonic()))
         host = self._site.hosts[0]
-        client = Client(site=self._site, host=host, database="orders", number=self._number)
-        writes = [f"WRITE item{self._number}.{n} data{n}" for n in range(WRITES)]
-        for n, text in enumerate(["BEGIN", *writes, "COMMIT"]):
+        client = Client(site=self._site, host=host, database=self.database, number=self._number)
+        begin, verb, data = ("BEGIN READ", "READ", "")
+        if self.database == "orders":
+            begin, verb, data = ("BEGIN", "WRITE", " data")
+        middle = [f"{verb} item{self._number}.{n}{data}" for n in range(STATEMENTS)]
+        for n, text in enumerate([begin, *middle, "COMMIT"]):
             due = self._begin_at + n * RHYTHM_S
             time.sleep(max(0.0, due - time.monotonic()))
             sent_at = time.monotonic()
@@ -101,11 +115,14 @@
                 f"{request_id} {text!r} sent {sent_s:.3f} s after SIGTERM, connection ended at"
                 f" {ended_s:.3f} s without an answer; run by a member: {was_run}"
             )
-            if is_broken(sent_s, ended_s, was_run):
+            took_s = ended_at - caller.begun_at
+            is_late = took_s >= DEADLINES_S[caller.database] or ended_s - sent_s >= ROUTE_TIMEOUT_S
+            line += f"; {caller.database}, {took_s:.3f} s after its transaction began"
+            if not is_late and is_broken(sent_s, ended_s, was_run):
                 broken.append(line)
                 record(f"LOST: {line}")
             else:
-                record(f"excused: {line}")
+                record(f"not counted: {line}")
     record(f"{sum(c.committed for c in callers)} transactions committed with an answer")
     return broken, sum(c.answered for c in callers)
 
