Undo the escapes of log values where logs are read

Cause: writer and reader of values were written apart. Both now stand in logs.py, and the tables of trace and timeline quote values, so that a text can't look like a line of its own.

Evidence: `line_ends: A request whose ID has line ends and quotes is traced` failed before.

--- a/features/line_ends.feature
+++ b/features/line_ends.feature
@@ -24,3 +24,7 @@
     # Guards against a limit that counts the line end, or that a divided line end escapes.
     Then a message of the largest size is read, and a larger one is reported once, in any packets
     And a statement that would be too large with its prefix is refused and not sent
+
+  Scenario: A request whose ID has line ends and quotes is traced
+    # Guards against requests that trace does not find, and values that look like lines of their own.
+    Then trace finds any request by its ID, and shows each of its lines as one line
--- a/features/steps/line_ends.py
+++ b/features/steps/line_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+import tempfile
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -12,9 +13,11 @@
 
 from features.steps.robustness import make_target_link
 from features.virtual_time import run_virtual
+from wagtailloft import logs
 from wagtailloft.errors import Kind, NotSent
 from wagtailloft.groups.ports import BoundStatement, LinkSpec
 from wagtailloft.models import Mode, Position
+from wagtailloft.operations import logbook
 from wagtailloft.sessions.statements import (
     PreparedStatement,
     Statement,
@@ -291,3 +294,22 @@
                 assert outcome.kind is Kind.TOO_LARGE and not outcome.sent, outcome
 
     run_virtual(check())
+
+
+@then("trace finds any request by its ID, and shows each of its lines as one line")
+def step_trace(context):
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    path = Path(folder) / "edge-1.log"
+    characters = st.sampled_from('\r\n "\\=x\x85') | st.characters(exclude_categories=["Cs"])
+
+    @settings(max_examples=EXAMPLES, deadline=None, database=None)
+    @given(st.text(characters, min_size=1, max_size=20))
+    def check(request):
+        line = logs.format_event("failed", {"request": request, "detail": "a\nb"})
+        path.write_text(f"time=1.0 {line}\n", encoding="utf-8")
+        (found,) = logbook.trace(request, [str(path)])
+        assert found.fields == {"request": request, "detail": "a\nb"}, found
+        (row,) = logbook.table_rows([found])
+        assert len(row["what"].splitlines()) == 1, row
+
+    check()
--- a/src/wagtailloft/logs.py
+++ b/src/wagtailloft/logs.py
@@ -171,7 +171,22 @@
     text = str(value)
     if len(text) > MAX_VALUE_CHARS:
         text = f"{text[:MAX_VALUE_CHARS]}..."
+    return quote(text)
+
+
+def quote(text: str) -> str:
+    """Return a value as it stands in a line: quoted if it is empty or has special characters."""
     if text and not any(c.isspace() or c in '"=' or not c.isprintable() for c in text):
         return text
     escaped = text.encode("unicode_escape").decode().replace('"', '\\"')
     return f'"{escaped}"'
+
+
+def unquote(value: str) -> str:
+    """Return the text of a value in a line; undo quote."""
+    if not value.startswith('"'):
+        return value
+    try:
+        return value[1:-1].encode("latin-1").decode("unicode_escape")
+    except UnicodeError:  # another program's line
+        return value[1:-1]
--- a/src/wagtailloft/operations/logbook.py
+++ b/src/wagtailloft/operations/logbook.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from wagtailloft import logs
+
 FIELD_PATTERN = re.compile(r'([A-Za-z_]\w*)=("(?:[^"\\]|\\.)*"|\S*)')
 STATE_EVENTS = frozenset(
     {
@@ -66,7 +68,7 @@
 
 def parse_line(host: str, line_number: int, text: str) -> LogLine | None:
     """Parse a line as an event; return None if it is not one."""
-    fields = {name: _unquote(value) for name, value in FIELD_PATTERN.findall(text)}
+    fields = {name: logs.unquote(value) for name, value in FIELD_PATTERN.findall(text)}
     event = fields.pop("event", "")
     try:
         time = float(fields.pop("time", ""))
@@ -96,7 +98,7 @@
             "time": f"{line.time:.3f}",
             "host": line.host,
             "event": line.event,
-            "what": " ".join(f"{k}={v}" for k, v in line.fields.items() if v != ""),
+            "what": " ".join(f"{k}={logs.quote(v)}" for k, v in line.fields.items() if v != ""),
         }
         for line in lines
     ]
@@ -104,9 +106,3 @@
 
 def _sort_by_time(lines: Iterable[LogLine]) -> list[LogLine]:
     return sorted(lines, key=lambda line: (line.time, line.host, line.line_number))
-
-
-def _unquote(value: str) -> str:
-    if not value.startswith('"'):
-        return value
-    return value[1:-1].replace('\\"', '"')
