End busy transactions at a stop once their statement is answered

Cause: open transactions were ended once, at half of the grace period, and those whose statement ran at that moment were passed over for good. They went on until all connections were closed, whatever ran on them; a result that came later was dropped. Sessions without `transaction_stopped` with statements that ended `ok` after 5.1 s show both; a rollback under the commit is ruled out by that.

A session that is stopped now ends its transaction by itself when its statement has been answered, and begins nothing new. What still runs at 0.95 of the grace period is answered as of unknown outcome, what waits behind it as not executed.

--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -814,7 +814,7 @@
         await draining
         elapsed = now() - started
         writer.close()
-        await server.stop(now())
+        await server.stop(now(), now())
         assert elapsed < limit, elapsed
 
     asyncio.run(check())
--- a/features/steps/supervision.py
+++ b/features/steps/supervision.py
@@ -98,7 +98,7 @@
         """Record that callers were drained."""
         self.steps.append("drain")
 
-    async def stop(self, until):
+    async def stop(self, until, answer_until):
         """Record that the server was stopped."""
         self.steps.append("stop")
         if self.hangs:
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -42,10 +42,11 @@
         Kind.TARGET_UNREACHABLE,
         Kind.NO_OWNER,
         Kind.QUEUE_FULL,
+        Kind.STOPPING,
     }
 )
 # Errors after which the next host in the target's owner ranking is tried.
-OWNER_FAULTS = frozenset({Kind.NO_OWNER, Kind.TARGET_UNREACHABLE})
+OWNER_FAULTS = frozenset({Kind.NO_OWNER, Kind.TARGET_UNREACHABLE, Kind.STOPPING})
 
 
 class StatementContext(Record):
--- a/src/wagtailloft/groups/link_pool.py
+++ b/src/wagtailloft/groups/link_pool.py
@@ -91,6 +91,12 @@
         for link in list(links):
             link.close()
 
+    def reject_waiters(self, exc: NotSent) -> None:
+        """End the wait of all statements that have no link yet."""
+        for future in self._waiters.values():
+            if not future.done():
+                future.set_exception(exc)
+
     async def _wait_turn(self, team: str, deadline: float) -> Ticket:
         at = now()
         queued = self._queue.push(
@@ -105,14 +111,14 @@
         try:
             async with asyncio.timeout(max(0.0, deadline - at)):
                 await future
-        except (TimeoutError, asyncio.CancelledError) as exc:
+        except (TimeoutError, asyncio.CancelledError, NotSent) as exc:
             granted = not self._queue.remove(ticket)
             self._waiters.pop(ticket.number, None)
             if granted:
                 self._granted -= 1
                 self._queue.charge(ticket, 0.0)
                 self._wake_waiters()
-            if isinstance(exc, asyncio.CancelledError):
+            if not isinstance(exc, TimeoutError):
                 raise
             raise _not_sent(Kind.QUEUE_FULL, "no link became available in time") from exc
         self._granted -= 1
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -16,7 +16,13 @@
 from wagtailloft.groups.link_pool import LinkPool
 from wagtailloft.groups.ports import Link, LinkFactory
 from wagtailloft.models import Position
-from wagtailloft.sessions.statements import StatementResult, TransactionState, Verb, not_executed
+from wagtailloft.sessions.statements import (
+    STOPPING,
+    StatementResult,
+    TransactionState,
+    Verb,
+    not_executed,
+)
 
 MIN_WRITE_BUDGET_S = (
     0.1  # above a typical write, since a write that times out has an unknown outcome
@@ -68,13 +74,15 @@
         self._transactions: dict[int, _LinkUse] = {}
         # Other hosts call an earlier process's transactions at this one.
         self._transaction_ids = itertools.count(secrets.randbelow(FIRST_ID_RANGE) + 1)
+        self._acquiring = 0  # statements that wait for a link
+        self._is_stopping = False
         self._acknowledged_positions: dict[str, Position] = {}
         self._draining: dict[str, PrimaryAssignment] = {}  # by the target that is replaced
 
     @property
     def active(self) -> int:
-        """Return how many statements and transactions hold a link."""
-        return sum(len(p.in_use) for p in self._pools.values())
+        """Return how many statements and transactions hold a link or wait for one."""
+        return self._acquiring + sum(len(p.in_use) for p in self._pools.values())
 
     async def run(self, request: StatementRequest) -> StatementResponse:
         """Run one statement, in the open transaction that the request names, if any."""
@@ -129,6 +137,20 @@
                     del self._pools[key]
             pool.close_surplus()
 
+    async def stop(self, until: float) -> None:
+        """Begin nothing new, roll back transactions as they become idle, and wait for statements.
+
+        Return once nothing uses a link, or at the given time of clock.now().
+        """
+        self._is_stopping = True
+        for pool in self._pools.values():
+            pool.reject_waiters(_stopping())
+        while self.active and now() < until:
+            for transaction_id, transaction in list(self._transactions.items()):
+                if not transaction.busy:
+                    self.rollback(transaction_id)
+            await asyncio.sleep(0.005)
+
     def close(self) -> None:
         """Close all links."""
         for pool in self._pools.values():
@@ -149,6 +171,8 @@
         return self._pools[key]
 
     async def _run_new(self, request: StatementRequest) -> StatementResponse:
+        if self._is_stopping:
+            return StatementResponse(outcome=STOPPING)
         target = self._directory.target(request.group, request.target)
         if target is None:
             return StatementResponse(
@@ -159,13 +183,19 @@
         link_wait = (
             request.budget if request.require_primary else min(request.budget, LINK_WAIT_LIMIT_S)
         )
+        self._acquiring += 1
         try:
             link, ticket = await pool.acquire(request.team, started_at + link_wait)
+            if self._is_stopping:
+                pool.release(link, ticket, 0.0)
+                raise _stopping()
         except NotSent as exc:
             kind = exc.kind or Kind.TARGET_UNREACHABLE
             if kind is Kind.TARGET_UNREACHABLE:
                 self.on_unresponsive(request.group, request.target, str(exc))
             return StatementResponse(outcome=not_executed(kind, str(exc)))
+        finally:
+            self._acquiring -= 1
         pool.in_use.add(link)
         if request.require_primary:
             pool.primary_links.add(link)
@@ -344,6 +374,12 @@
     return statement.writes and not request.transaction_id
 
 
+def _stopping() -> NotSent:
+    exc = NotSent(STOPPING.detail)
+    exc.kind = STOPPING.kind
+    return exc
+
+
 def kind_without_response(request: StatementRequest) -> Kind:
     """Return the error kind of a request that was sent but never answered."""
     statement = request.bound.statement
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -45,8 +45,12 @@
 DRAIN_NOTICE_S = 2.2  # the platform stops sending callers after two probes, a second apart
 # The platform's drain rule lets open transactions finish within this share of the grace period.
 TRANSACTION_GRACE_SHARE = 0.5
-# All running requests have ended after this share of the grace period.
+# After this share of the grace period, callers whose transactions were ended have had time to learn
+# it by their next statement, and open transactions of other hosts' callers end.
 REQUEST_GRACE_SHARE = 0.85
+# Statements that still run after this share of the grace period are given up. The rest of it is for
+# closing links, on a machine that may be busy.
+ANSWER_GRACE_SHARE = 0.95
 MAINTENANCE_INTERVAL_S = 1.0  # between two checks for links that this host no longer owns
 HTTP_THREADS = 2
 # Share of the bound on new configurations. What an older cache lacks may exist in the store, so it
@@ -101,8 +105,11 @@
     async def drain(self, until: float) -> None:
         """Close sessions that are between requests, until the given time."""
 
-    async def stop(self, until: float) -> None:
-        """End open transactions and wait for running statements until the given time."""
+    async def stop(self, until: float, answer_until: float) -> None:
+        """End open transactions, and close callers' connections by the first of the given times.
+
+        Statements that run get their results until the second one.
+        """
 
 
 class HostProcess:
@@ -260,9 +267,12 @@
         self.hosts.leave()
         await asyncio.sleep(min(DRAIN_NOTICE_S, grace * TRANSACTION_GRACE_SHARE))
         await self.caller_server.drain(began + grace * TRANSACTION_GRACE_SHARE)
-        await self.caller_server.stop(began + grace * REQUEST_GRACE_SHARE)
-        while self.local_executor.active and now() < began + grace * REQUEST_GRACE_SHARE:
+        requests_until = began + grace * REQUEST_GRACE_SHARE
+        answer_until = began + grace * ANSWER_GRACE_SHARE
+        await self.caller_server.stop(requests_until, answer_until)
+        while self.local_executor.active and now() < requests_until:
             await asyncio.sleep(0.02)
+        await self.local_executor.stop(answer_until)
 
     def _open_session(self, name: str, database: str, key: str) -> Session:
         return Session(
--- a/src/wagtailloft/sessions/session.py
+++ b/src/wagtailloft/sessions/session.py
@@ -14,6 +14,7 @@
 from wagtailloft.sessions.admission import Admission, AdmittedOperation
 from wagtailloft.sessions.statements import (
     OK_NOT_SENT,
+    STOPPING,
     PreparedStatement,
     Statement,
     StatementResult,
@@ -63,6 +64,7 @@
         self._written_positions: dict[str, Position] = {}
         self._transaction: _SessionTransaction | None = None
         self._transaction_failed = False
+        self._is_stopping = False
 
     @property
     def state(self) -> TransactionState:
@@ -92,6 +94,8 @@
                 age=round(self._admission.age(), 3),
                 ms=round((now() - started_at) * 1000, 1),
             )
+        if self._is_stopping:
+            await self._stop_transaction()
         return outcome
 
     def check(self) -> StatementResult:
@@ -115,9 +119,22 @@
         """Close the session and roll back its transaction."""
         await self._start_rollback()
 
-    async def abort_transaction(self) -> None:
-        """Fail an open transaction because the host is stopping."""
-        if self._transaction is not None and not self.busy:
+    async def stop(self) -> None:
+        """Begin nothing new, and fail an open transaction once its running statement has ended."""
+        self._is_stopping = True
+        if not self.busy:
+            await self._stop_transaction()
+
+    def abandoned(self) -> StatementResult:
+        """Return the result of a running statement whose own one the caller can't be sent."""
+        return StatementResult(
+            kind=Kind.OUTCOME_UNKNOWN,
+            detail="the host stopped before the statement ended",
+            state=self.state,
+        )
+
+    async def _stop_transaction(self) -> None:
+        if self._transaction is not None:
             logs.warn("transaction_stopped", session=self.name)
             await self._fail_transaction()
 
@@ -172,6 +189,8 @@
     async def _run_without_transaction(
         self, request_id: str, statement: Statement
     ) -> StatementResult:
+        if self._is_stopping:
+            return STOPPING
         if statement.verb in BEGIN_VERBS:
             return await self._begin(request_id, statement)
         admitted = await self._admission.admit(self._database, self._key, request_id)
@@ -199,6 +218,8 @@
             operation = await self._admission.admit(self._database, self._key, request_id)
             if isinstance(operation, StatementResult):
                 return operation
+            if self._is_stopping:
+                return STOPPING
             bound = self._bind(INTERNAL_REQUEST_ID, statement)
             opening = self._dispatcher.begin(self._context(operation), bound)
         begin_task = asyncio.get_running_loop().create_task(opening)
--- a/src/wagtailloft/sessions/statements.py
+++ b/src/wagtailloft/sessions/statements.py
@@ -86,3 +86,5 @@
 
 # Success without a target: answered by the session, or passed by admission.
 OK_NOT_SENT = StatementResult(sent=False)
+# A host that is about to exit answers so at once, since the caller can use another one.
+STOPPING = not_executed(Kind.STOPPING, "the host is stopping")
