End open transactions of a stopping daemon, and answer what still runs

Cause: a daemon only waited for open work to end, and nothing bounded it. Transactions now end at half of `drain`, busy ones once their statement has ended, and none begins any more; requests that run at the end of `drain` are answered as `outcome_unknown` before their connections are closed.

Evidence: `stops: A daemon's transaction is busy when open transactions end` and `stops: A daemon stops while a transaction is open and a request runs for longer than it may` fail without the change.

--- a/features/steps/statements.py
+++ b/features/steps/statements.py
@@ -88,7 +88,7 @@
     return make_executor_for(GroupView(group=GROUP, members=(view,)), {"m0": link})
 
 
-def make_executor_for(view, links):
+def make_executor_for(view, links=(), *, connect=None):
     """Return an executor for a group as observed, with a link to each member by name."""
     board = Blackboard()
     monitor = GroupMonitor(
@@ -101,7 +101,10 @@
     board.write("g", view)
     endpoints = {
         m.name: MemberEndpoint(
-            group=view.group, member=m, connect=lambda m: links[m.name], clock=time.monotonic
+            group=view.group,
+            member=m,
+            connect=connect or (lambda m: links[m.name]),
+            clock=time.monotonic,
         )
         for m in view.group.members
     }
@@ -187,13 +190,13 @@
         assert (result.err_value.kind if result.is_err() else None) is kind, (max_age, result)
 
 
-@given("an open transaction at a member all of whose slots are in use")
-def step_transaction_without_slots(context):
+def make_transactions(connect):
+    """Return the transactions of a group of one member; connect opens a link to it."""
     position = Position(term=1, index=1)
     progress = Progress(name="m0", term=1, role=Role.PRIMARY, received=position, applied=position)
     view = MemberView(member=MEMBER, progress=progress, last_seen=time.monotonic())
-    executor = make_executor_for(GroupView(group=GROUP, members=(view,)), {"m0": AnsweringLink()})
-    context.transactions = Transactions(
+    executor = make_executor_for(GroupView(group=GROUP, members=(view,)), connect=connect)
+    return Transactions(
         host="h",
         monitor=executor._monitor,
         endpoints=executor._endpoints,
@@ -201,6 +204,12 @@
         decisions=Decisions(host="h"),
         rng=random.Random(1),
     )
+
+
+@given("an open transaction at a member all of whose slots are in use")
+def step_transaction_without_slots(context):
+    context.transactions = make_transactions(lambda member: AnsweringLink())
+    executor = context.transactions._statement_executor
     begun = context.transactions.begin(make_state(Mode.WRITE))
     context.transaction = begun.ok_value.transaction
     for _ in range(GROUP.slots):
--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -1,6 +1,7 @@
 """Steps for planned stops: what open transactions, running statements and new callers get."""
 
 import asyncio
+import json
 import signal
 import sys
 import threading
@@ -8,12 +9,17 @@
 from pathlib import Path
 from types import SimpleNamespace
 
+import urllib3
 from behave import given, then, when
+from msgspec.structs import replace
 
 from features.steps.line_ends import RecordingTransport, messages_in
 from features.steps.sessions import BEGIN, READ, FakeDispatcher, FakeTokens, make_session
+from features.steps.statements import AnsweringLink, make_state, make_transactions
+from features.steps.supervised_daemon import DRAIN_S, make_daemon
 from features.virtual_time import run_virtual
 from standins import ledger_group
+from standins.fleet import wait_until
 from standins.site import BOUNDS
 from wagtailloft.clock import now
 from wagtailloft.errors import Kind
@@ -21,6 +27,7 @@
 from wagtailloft.fleet.records import Target
 from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.groups.ports import BoundStatement
+from wagtailloft.models import Mode
 from wagtailloft.sessions.statements import (
     Statement,
     StatementResult,
@@ -444,3 +451,142 @@
     expected = not_executed(Kind.STOPPING, "the host is stopping")
     assert [*context.waiting_results, context.new_result] == [expected] * 3, context.waiting_results
     assert context.waited < 0.05, context.waited
+
+
+# The own interface.
+
+
+class SlowMemberLink(AnsweringLink):
+    """A link to a member whose statements wait for an event."""
+
+    def __init__(self):
+        """Let statements pass until go is cleared."""
+        super().__init__()
+        self.go = threading.Event()
+        self.go.set()
+        self.actions = []
+
+    def call(self, action, request, timeout):
+        """Answer once the event is set."""
+        self.actions.append(action)
+        self.go.wait(5.0)
+        return super().call(action, request, timeout)
+
+
+def in_transaction(transaction):
+    """Return the state of a call in a transaction."""
+    state = make_state(Mode.WRITE)
+    state.call = replace(state.call, transaction=transaction)
+    return state
+
+
+@given("an idle and a busy open transaction of a daemon's group")
+def step_daemon_transactions(context):
+    context.links = []
+
+    def connect(member):
+        context.links.append(SlowMemberLink())
+        return context.links[-1]
+
+    context.transactions = make_transactions(connect)
+    context.idle, context.busy = (
+        context.transactions.begin(make_state(Mode.WRITE)).ok_value.transaction for _ in range(2)
+    )
+    context.links[1].go.clear()
+    context.results = []
+    run = context.transactions.run
+    context.running = threading.Thread(
+        target=lambda: context.results.append(run(in_transaction(context.busy)))
+    )
+    context.running.start()
+    wait_until(lambda: "run" in context.links[1].actions, 2.0, "the statement does not run")
+
+
+@when("the daemon's open transactions end")
+def step_end_daemon_transactions(context):
+    context.transactions.stop()
+    context.count_at_stop = context.transactions.count
+    context.links[1].go.set()
+    context.running.join()
+
+
+@then("the idle one is rolled back at once, and the busy one once its statement has ended")
+def step_daemon_transactions_ended(context):
+    assert context.count_at_stop == 1 and context.transactions.count == 0
+    assert context.results[0].is_ok(), context.results
+    for transaction in (context.idle, context.busy):
+        assert context.transactions.run(in_transaction(transaction)).is_err()
+
+
+@then("a transaction that begins afterwards, or was beginning, is refused as stopping")
+def step_daemon_begin_refused(context):
+    refused = context.transactions.begin(make_state(Mode.WRITE))
+    assert refused.err_value.kind is Kind.STOPPING, refused
+    links = []
+
+    def connect(member):
+        links.append(SlowMemberLink())
+        links[-1].go.clear()
+        return links[-1]
+
+    transactions = make_transactions(connect)
+    results = []
+    beginning = threading.Thread(
+        target=lambda: results.append(transactions.begin(make_state(Mode.WRITE)))
+    )
+    beginning.start()
+    wait_until(lambda: links and links[0].actions, 2.0, "the transaction does not begin")
+    transactions.stop()
+    links[0].go.set()
+    beginning.join()
+    assert results[0].err_value.kind is Kind.STOPPING, results
+    assert transactions.count == 0
+
+
+@given("a daemon with an open transaction and a request that does not end")
+def step_daemon_with_open_work(context):
+    context.daemon = make_daemon()
+    context.stop_calls = []
+    services = context.daemon.group_services
+    services.active_count = lambda: 1
+    services.stop_transactions = lambda: context.stop_calls.append(time.monotonic())
+    context.release = threading.Event()
+    context.stack.callback(context.release.set)
+    context.daemon.caller_handler._entry.serve = lambda req: context.release.wait(10.0)
+    context.daemon.start()
+    host = context.daemon.cfg.host
+    context.responses = []
+
+    def request():
+        url = f"http://{host.ip}:{host.caller_port}/v1/routes/r/statements"
+        response = urllib3.request(
+            "POST",
+            url,
+            body=b'{"sql": "SELECT 1"}',
+            headers={"Wagtail-Request-Id": "r1"},
+            retries=False,
+            timeout=5.0,
+        )
+        context.responses.append(response)
+
+    context.caller = threading.Thread(target=request)
+    context.caller.start()
+    wait_until(lambda: context.daemon.caller_handler.active, 2.0, "the request does not run")
+
+
+@when("it is stopped")
+def step_stop_daemon(context):
+    context.stopped_at = time.monotonic()
+    context.daemon.request_stop()
+    context.daemon.wait()
+    context.caller.join(5.0)
+
+
+@then("the transaction is ended at half of its time, and the request is answered as unknown")
+def step_daemon_answered(context):
+    ended_s = context.stop_calls[0] - context.stopped_at
+    assert DRAIN_S / 2 <= ended_s < DRAIN_S, ended_s
+    (response,) = context.responses
+    body = json.loads(response.data)
+    assert response.status == 504 and body["kind"] == "outcome_unknown", response.data
+    assert body["request_id"] == "r1", body
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -48,6 +48,19 @@
     Then the idle transaction is rolled back at once, and the commit is answered
     And it begins nothing new
 
+  Scenario: A daemon's transaction is busy when open transactions end
+    # Guards against a transaction of the own interface that goes on until the daemon cuts it.
+    Given an idle and a busy open transaction of a daemon's group
+    When the daemon's open transactions end
+    Then the idle one is rolled back at once, and the busy one once its statement has ended
+    And a transaction that begins afterwards, or was beginning, is refused as stopping
+
+  Scenario: A daemon stops while a transaction is open and a request runs for longer than it may
+    # Guards against requests of the own interface that end without a response at a stop.
+    Given a daemon with an open transaction and a request that does not end
+    When it is stopped
+    Then the transaction is ended at half of its time, and the request is answered as unknown
+
   Scenario: SIGTERM comes twice
     # Guards against a second signal that ends the process or begins the stop anew.
     Given a site with 1 hosts
--- a/src/wagtailloft/adapters/callers.py
+++ b/src/wagtailloft/adapters/callers.py
@@ -178,6 +178,13 @@
     return HttpResponse(status=spec.status, body=msgspec.json.encode(body))
 
 
+def unfinished_response(http: HttpRequest) -> HttpResponse:
+    """Return the response to a request whose result its caller can't be sent any more."""
+    detail = "the host stopped before the request ended"
+    refusal = Refusal(kind=Kind.OUTCOME_UNKNOWN, detail=detail)
+    return failure_response(refusal, http.headers.get("wagtail-request-id", "")[:128])
+
+
 def _success_response(reply: Reply) -> HttpResponse:
     answer = reply.answer
     body = Success(
--- a/src/wagtailloft/adapters/server.py
+++ b/src/wagtailloft/adapters/server.py
@@ -61,6 +61,9 @@
         self.sock = sock
         self.ready: deque[HttpRequest] = deque()
         self.busy = False
+        self.running: HttpRequest | None = None
+        self.send_lock = threading.Lock()  # for the response to running
+        self.given_up = False
         self.close_after_response = False
         self.request_started_at = 0.0
         self._parser = httptools.HttpRequestParser(self)
@@ -171,6 +174,16 @@
             f"serve_{self._name}", self._run, is_stopped=lambda: self._stopped
         )
 
+    def give_up(self, respond: Handler) -> None:
+        """Answer the requests that still run, whose own responses are dropped from then on."""
+        for connection in list(self._connections.values()):
+            with connection.send_lock:
+                connection.given_up = True
+                if connection.running is not None:
+                    with suppress(OSError):  # the caller has left
+                        response = respond(connection.running)
+                        connection.sock.sendall(_encode_response(response, close_connection=True))
+
     def stop(self) -> None:
         """Stop accepting connections and close the open ones."""
         self._stopped = True
@@ -233,11 +246,16 @@
         try:
             connection.sock.settimeout(SEND_TIMEOUT_S)
             while connection.ready:
-                response = self._handler(connection.ready.popleft())
+                connection.running = connection.ready.popleft()
+                response = self._handler(connection.running)
                 connection.close_after_response = connection.close_after_response or self.closing
                 close_connection = connection.close_after_response and not connection.ready
-                connection.sock.sendall(_encode_response(response, close_connection))
-            if not connection.close_after_response:
+                with connection.send_lock:
+                    if connection.given_up:
+                        break
+                    connection.running = None
+                    connection.sock.sendall(_encode_response(response, close_connection))
+            if not connection.close_after_response and not connection.given_up:
                 connection.sock.setblocking(False)
                 connection.busy = False
                 self._epoll.modify(connection.sock, READABLE_ONESHOT)
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -11,7 +11,7 @@
 import fire
 
 from wagtailloft import clock, logs, settings
-from wagtailloft.adapters.callers import CallerHandler
+from wagtailloft.adapters.callers import CallerHandler, unfinished_response
 from wagtailloft.adapters.members import HttpMemberControl
 from wagtailloft.adapters.object_api import HttpObjectApi
 from wagtailloft.adapters.operators import OperatorHandler
@@ -50,6 +50,8 @@
 # A caller on a busy machine connects this long after it chose the host from an older list.
 LATE_CALLER_S = 1.0
 IDLE_BEFORE_EXIT_S = 0.3
+# Open transactions may go on for this share of the drain timeout.
+TRANSACTION_DRAIN_SHARE = 0.5
 EXIT_INVALID_SETTINGS = 2
 THREAD_SWITCH_INTERVAL_S = 0.005
 
@@ -237,6 +239,7 @@
         self.host_register.publish()
         self.caller_server.closing = True
         self._wait_until_idle(deadline)
+        self.caller_server.give_up(unfinished_response)
         self.caller_server.stop()
         self.leases.release()
         self.group_services.close()
@@ -251,11 +254,14 @@
         """Wait until this host may exit, but no longer than the deadline.
 
         It may exit once the other hosts and late callers know that it is leaving, and nothing has
-        run here for IDLE_BEFORE_EXIT_S.
+        run here for IDLE_BEFORE_EXIT_S. Open transactions end when their share of the time is over.
         """
+        transactions_until = deadline - self._drain_timeout * (1 - TRANSACTION_DRAIN_SHARE)
         propagated_at = time.monotonic() + LEAVE_PROPAGATION_S + LATE_CALLER_S
         idle_since = time.monotonic()
         while time.monotonic() < deadline:
+            if time.monotonic() >= transactions_until:
+                self.group_services.stop_transactions()
             if self.caller_handler.active or self.group_services.active_count():
                 idle_since = time.monotonic()
             idle = time.monotonic() - idle_since >= IDLE_BEFORE_EXIT_S
--- a/src/wagtailloft/group_service.py
+++ b/src/wagtailloft/group_service.py
@@ -332,6 +332,7 @@
         self._context = context
         self._lock = threading.Lock()
         self._services: dict[str, GroupService] = {}
+        self._is_stopping = False
 
     def serve(self, call: Call) -> Result[Answer, Refusal]:
         """Execute a call on its group, opening the group's service if it is not open yet."""
@@ -353,6 +354,8 @@
                 logs.event("group_opened", group=name)
                 service = GroupService(group=group, context=self._context)
                 service.start()
+                if self._is_stopping:
+                    service.transactions.stop()
                 self._services[name] = service
             return self._services[name]
 
@@ -376,6 +379,13 @@
         if group is None or not service.update_description(group):
             self.close_group(name)
 
+    def stop_transactions(self) -> None:
+        """End open transactions once their running statements have ended, and begin none."""
+        with self._lock:
+            self._is_stopping = True
+        for service in self.open_groups():
+            service.transactions.stop()
+
     def withdraw_key(self, key_digest: str) -> None:
         """Roll back the transactions of a withdrawn key."""
         for service in self.open_groups():
--- a/src/wagtailloft/transactions.py
+++ b/src/wagtailloft/transactions.py
@@ -36,6 +36,8 @@
     ended: bool = False
 
 
+_STOPPING = Refusal(kind=Kind.STOPPING, detail="the host is stopping")
+
 Operation = Callable[[CallState, _OpenTransaction], Result[Answer, Refusal]]
 
 
@@ -60,6 +62,7 @@
         self._rng = rng
         self._lock = threading.Lock()
         self._transactions: dict[str, _OpenTransaction] = {}
+        self._is_stopping = False
 
     @property
     def count(self) -> int:
@@ -69,6 +72,8 @@
     def begin(self, state: CallState) -> Result[Answer, Refusal]:
         """Begin a transaction on the primary, with retries until the deadline."""
         while True:
+            if self._is_stopping:
+                return Err(_STOPPING)
             chosen = self._statement_executor.wait_for_primary(state)
             if isinstance(chosen, Err):
                 return chosen
@@ -122,6 +127,13 @@
             if tx.key_digest == key_digest:
                 self._abort(tx, "the key was withdrawn")
 
+    def stop(self) -> None:
+        """Begin none any more, and roll back each once its running statement has ended."""
+        self._is_stopping = True
+        for tx in list(self._transactions.values()):
+            if not tx.statement_lock.locked():
+                self._abort(tx, _STOPPING.detail)
+
     def close(self) -> None:
         """Roll back all open transactions."""
         for tx in list(self._transactions.values()):
@@ -135,6 +147,9 @@
             if isinstance(admitted, Err):
                 return admitted
             tx = self._open_transaction(state, endpoint)
+        if self._is_stopping:
+            self._abort(tx, _STOPPING.detail)
+            return Err(_STOPPING)
         return Ok(self._build_answer(state, tx, Rows(), Position()))
 
     def _open_transaction(self, state: CallState, endpoint: MemberEndpoint) -> _OpenTransaction:
@@ -187,6 +202,9 @@
         finally:
             tx.last_used = time.monotonic()
             tx.statement_lock.release()
+            # After the release: stop() passes over a transaction whose lock is held.
+            if self._is_stopping:
+                self._abort(tx, _STOPPING.detail)
 
     def _run(self, state: CallState, tx: _OpenTransaction) -> Result[Answer, Refusal]:
         result = self._call_member(state, tx, "run", (state.call.statement,))
