Let each host check another one, so that a lost coordinator is noticed

The host that was first in the coordinator's ranking had been lost 8 s before.

Cause: a host is suspected only when a call to it fails, and nobody calls the coordinator unless a primary does not answer. The next host in rank logged no `host_suspected` all the while. That it knew and could not act, or that the hosts disagreed on the ranking, is ruled out by the same logs.

Each host now checks the one before it in that ranking, two hellos a second at any size of the fleet, and reports the loss of any other host to the coordinator, which is how lost hosts get unregistered and their claims taken over.

--- /dev/null
+++ b/features/steps/duties.py
@@ -0,0 +1,235 @@
+"""Steps for fleets whose hosts call nobody but for the watch of hosts, in virtual time."""
+
+import asyncio
+import time
+from collections import Counter
+
+from behave import given, then, when
+
+from features.fake_mesh import InProcessMesh, make_host
+from features.virtual_time import run_virtual
+from standins.fleet import wait_until
+from wagtailloft.controllers import ownership
+from wagtailloft.errors import NoResponse, NotSent
+from wagtailloft.fleet.host_watch import HostWatch
+from wagtailloft.fleet.hosts import Hosts
+from wagtailloft.fleet.messages import ENCODER
+from wagtailloft.groups.failover import COORDINATOR_KEY
+from wagtailloft.models import HostState
+
+ZONES = 3
+ROUND_TRIP_S = 0.01
+SETTLE_S = 3.0
+POLL_S = 0.01
+
+
+class IdleFleet:
+    """Hosts that know each other, with networks between them that can lose hosts."""
+
+    def __init__(self, count):
+        """Create the hosts; call it within a running loop."""
+        self.ended, self.frozen, self.cut = set(), set(), set()
+        self.sent, self.received, self.largest = Counter(), Counter(), 0
+        meshes, known = {}, [make_host(n, ZONES) for n in range(count)]
+        self.hosts = {}
+        for host in known:
+            mesh = meshes[host.ip] = WatchedMesh(meshes, fleet=self, own=host)
+            hosts = self.hosts[host.name] = Hosts(own=host, mesh=mesh)
+            hosts._hosts.update({h.name: h for h in known})
+        self._names = {h.ip: h.name for h in known}
+        self.tasks = [
+            asyncio.create_task(task)
+            for hosts in self.hosts.values()
+            for task in (
+                HostWatch(hosts=hosts, key=COORDINATOR_KEY).run(),
+                hosts.retry_suspected(),
+            )
+        ]
+        self.ranked = [h.name for h in ownership.owners(COORDINATOR_KEY, tuple(known))]
+
+    def name_at(self, ip):
+        """Return the name of the host at an address."""
+        return self._names[ip]
+
+    def coordinator(self, name):
+        """Return the coordinator as one host sees it."""
+        return self.hosts[name].rank_owners(COORDINATOR_KEY)[0].name
+
+    def suspected(self, name):
+        """Return the hosts that a host suspects."""
+        return {h.name for h in self.hosts[name].all() if h.state is HostState.SUSPECT}
+
+    async def wait(self, condition, seconds):
+        """Wait for a condition; return whether it came about in time."""
+        for _ in range(round(seconds / POLL_S)):
+            if condition():
+                return True
+            await asyncio.sleep(POLL_S)
+        return condition()
+
+    def lose(self, names, how):
+        """End, freeze or cut off hosts."""
+        {"end": self.ended, "freeze": self.frozen, "are cut off": self.cut}[how].update(names)
+
+
+class WatchedMesh(InProcessMesh):
+    """A mesh whose calls take a round trip, and fail as those to lost hosts do."""
+
+    def __init__(self, meshes, *, fleet, own):
+        """Take the fleet and the own host."""
+        super().__init__(meshes)
+        self._fleet, self._own = fleet, own.name
+
+    def connected(self, address):
+        """Tell that connections stay open, as those to a frozen host do."""
+        return True
+
+    async def call(self, address, message, limit):
+        """Call a host, or fail as the way to it does."""
+        fleet, other = self._fleet, self._fleet.name_at(address[0])
+        while self._own in fleet.frozen or self._own in fleet.ended:
+            await asyncio.sleep(POLL_S)
+        fleet.sent[self._own] += 1
+        fleet.largest = max(fleet.largest, len(ENCODER.encode(message)))
+        if other in fleet.ended:
+            await asyncio.sleep(ROUND_TRIP_S)
+            raise NotSent("refused")
+        if other in fleet.frozen or {other, self._own} & fleet.cut:
+            await asyncio.sleep(limit)
+            raise NoResponse("silence")
+        await asyncio.sleep(ROUND_TRIP_S)
+        fleet.received[other] += 1
+        return await super().call(address, message, limit)
+
+
+def play(context, check):
+    """Run a check of a settled fleet in virtual time."""
+
+    async def run():
+        fleet = IdleFleet(context.host_count)
+        try:
+            await asyncio.sleep(SETTLE_S)
+            await check(fleet)
+        finally:
+            for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                task.cancel()
+            await asyncio.sleep(0)
+
+    run_virtual(run())
+
+
+@given("a fleet of {count:d} idle hosts")
+def step_fleet(context, count):
+    context.host_count = count
+
+
+@when("the first {lost:d} hosts in the coordinator's ranking freeze for {seconds:g} s")
+def step_freeze_for_a_while(context, lost, seconds):
+    context.lost_count, context.frozen_s = lost, seconds
+
+
+@when("the first {lost:d} hosts in the coordinator's ranking {how}")
+def step_lose_first(context, lost, how):
+    context.lost_count, context.how = lost, how
+
+
+@then("the next one is the coordinator within {seconds:g} s, and each host lost is suspected there")
+def step_next_coordinator(context, seconds):
+    async def check(fleet):
+        lost, heir = fleet.ranked[: context.lost_count], fleet.ranked[context.lost_count]
+        assert fleet.coordinator(heir) == fleet.ranked[0]
+        fleet.lose(lost, context.how)
+        found = await fleet.wait(lambda: fleet.coordinator(heir) == heir, seconds)
+        assert found, (fleet.coordinator(heir), heir)
+        assert fleet.suspected(heir) == set(lost), fleet.suspected(heir)
+
+    play(context, check)
+
+
+@when("the host that is last in the coordinator's ranking freezes")
+def step_lose_last(context):
+    """Leave the loss to the check, which needs the fleet."""
+
+
+@then("the coordinator suspects it within {seconds:g} s")
+def step_coordinator_suspects(context, seconds):
+    async def check(fleet):
+        first, last = fleet.ranked[0], fleet.ranked[-1]
+        fleet.lose([last], "freeze")
+        assert await fleet.wait(lambda: last in fleet.suspected(first), seconds)
+
+    play(context, check)
+
+
+@then("when the coordinator freezes as well, the next one suspects both within {seconds:g} s")
+def step_next_suspects_both(context, seconds):
+    async def check(fleet):
+        first, second, middle = fleet.ranked[0], fleet.ranked[1], fleet.ranked[-2]
+        fleet.lose([middle], "freeze")
+        await asyncio.sleep(SETTLE_S)
+        fleet.lose([first], "freeze")
+        both = {first, middle}
+        assert await fleet.wait(lambda: both <= fleet.suspected(second), seconds), fleet.suspected(
+            second
+        )
+
+    play(context, check)
+
+
+@then("the first one is the coordinator at all hosts {seconds:g} s later")
+def step_back_again(context, seconds):
+    async def check(fleet):
+        first = fleet.ranked[0]
+        fleet.lose([first], "freeze")
+        await asyncio.sleep(context.frozen_s)
+        assert fleet.coordinator(fleet.ranked[1]) == fleet.ranked[1]
+        fleet.frozen.clear()
+        assert await fleet.wait(
+            lambda: all(fleet.coordinator(n) == first for n in fleet.ranked), seconds
+        )
+
+    play(context, check)
+
+
+@when("{seconds:g} s pass")
+def step_pass(context, seconds):
+    context.seconds = seconds
+
+
+@then("each host sent and received at most {rate:g} hellos a second, of at most {size:d} bytes")
+def step_cost(context, rate, size):
+    async def check(fleet):
+        fleet.sent.clear()
+        fleet.received.clear()
+        await asyncio.sleep(context.seconds)
+        for counts in (fleet.sent, fleet.received):
+            assert max(counts.values()) <= rate * context.seconds, counts.most_common(3)
+        assert 0 < fleet.largest <= size, fleet.largest
+
+    play(context, check)
+
+
+@given("its hosts have been registered for long enough to count towards majorities")
+def step_counted(context):
+    site = context.site
+    counted = f"event=counted_hosts_changed hosts={len(site.hosts)} "
+    wait_until(lambda: any(counted in site.log(n) for n in site.hosts), 15.0, "not counted")
+
+
+@when(
+    "the coordinator is killed for good, and {seconds:g} s later the primary is registered as"
+    " draining"
+)
+def step_kill_coordinator(context, seconds):
+    site = context.site
+    ranked = sorted(site.hosts, key=lambda n: -ownership.score(COORDINATOR_KEY, n))
+    site.hosts[ranked[0]].kill()
+    time.sleep(seconds)
+    context.leaving = site.group.primary
+    site.register_member(context.leaving, state="draining")
+
+
+@then("another member is primary within {seconds:g} s")
+def step_replaced(context, seconds):
+    group = context.site.group
+    wait_until(lambda: group.primary is not context.leaving, seconds, "not replaced")
--- a/src/wagtailloft/fleet/hosts.py
+++ b/src/wagtailloft/fleet/hosts.py
@@ -183,6 +183,21 @@
         """Learn the fleet's hosts from one of which only the IP is known; all share a peer port."""
         await self._send_hello((ip, self.own.peer_port), is_joining=True)
 
+    async def greet(self, name: str, *, suspected: str = "") -> bool:
+        """Say hello to a host, and return whether it answered; one that did not is suspected.
+
+        suspected names a host that the other one is to check.
+        """
+        host = self._hosts.get(name)
+        if host is None:
+            return False
+        reply = await self._exchange_hello((host.ip, host.peer_port), name, suspected=suspected)
+        if reply is not None and reply.host.name != name:
+            why = NoResponse(f"{reply.host.name} answers at its address")
+            self._record_failure(host, why, certain=True)
+            return False
+        return reply is not None
+
     async def retry_suspected(self) -> None:
         """Say hello to suspected hosts at regular intervals."""
         while True:
@@ -193,6 +208,9 @@
 
     async def _handle_hello(self, conn: PeerConnection, message: Message) -> Message:
         assert isinstance(message, Hello)
+        suspected = self._hosts.get(message.suspected)
+        if suspected is not None and suspected.state is HostState.ALIVE:
+            self._schedule_hello(suspected)
         host = message.host
         known = self._hosts.get(host.name)
         if known is not None and host.incarnation < known.incarnation:
@@ -221,10 +239,14 @@
         await self._exchange_hello(address, name, is_joining)
 
     async def _exchange_hello(
-        self, address: tuple[str, int], name: str = "", is_joining: bool = False
+        self,
+        address: tuple[str, int],
+        name: str = "",
+        is_joining: bool = False,
+        suspected: str = "",
     ) -> HelloReply | None:
         """Say hello to an address and learn who answers; return None if nobody does."""
-        message = Hello(host=self.own, is_joining=is_joining)
+        message = Hello(host=self.own, is_joining=is_joining, suspected=suspected)
         try:
             response = await self._mesh.call(address, message, HELLO_TIMEOUT_S)
         except (NotSent, NoResponse) as exc:
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -12,10 +12,14 @@
 
 
 class Hello(Record, tag="hello", array_like=True):
-    """Introduce the sender, also when it begins to stop; one that is joining knows no hosts yet."""
+    """Introduce the sender, also when it begins to stop; one that is joining knows no hosts yet.
+
+    suspected names a host that does not answer the sender, and that the receiver is to check.
+    """
 
     host: Host
     is_joining: bool = False
+    suspected: str = ""
 
 
 class HelloReply(Record, tag="welcome", array_like=True):
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -14,6 +14,7 @@
 from wagtailloft.adapters.server import HttpRequest, HttpResponse, HttpServer
 from wagtailloft.clock import now
 from wagtailloft.errors import FixSettings
+from wagtailloft.fleet.host_watch import HostWatch
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.mesh import Mesh
 from wagtailloft.fleet.ports import Store, StoreDown
@@ -21,7 +22,7 @@
 from wagtailloft.fleet.store_cache import StoreCache
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.dispatch import Dispatcher
-from wagtailloft.groups.failover import FailoverCoordinator
+from wagtailloft.groups.failover import COORDINATOR_KEY, FailoverCoordinator
 from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.groups.ports import LinkFactory, PromotionApi
 from wagtailloft.groups.promotion_lease import PromotionLease
@@ -140,6 +141,7 @@
         logs.on_write_failure(partial(self._supervisor.report, "logs"))
         self.mesh = Mesh(ip=own.ip, port=own.peer_port)
         self.hosts = Hosts(own=own, mesh=self.mesh)
+        self.host_watch = HostWatch(hosts=self.hosts, key=COORDINATOR_KEY)
         max_age = cfg.bounds.key_withdrawal * MAX_AGE_SHARE
         self.cache = StoreCache(
             store=store,
@@ -233,6 +235,7 @@
             start(f"watch_store_{topic.value}", partial(self.cache.watch_store, topic))
         start("pull_from_peers", self.cache.pull_from_peers)
         start("retry_suspected", self.hosts.retry_suspected)
+        start("watch_host", self.host_watch.run)
         start("request_tokens", self.tokens.run)
         start("watch_groups", self.coordinator.watch)
         start("expire_transactions", self.caller_server.expire_transactions)
