Replace a leaving primary that a coordinator without the store hands over

Cause: what a coordinator can't do for want of the store it hands over as a suspicion of the primary. The next host verifies that, and a leaving primary answers, so nothing was done (`primary_answers`). It now begins a planned replacement if the primary is leaving and another member stays. That the coordinator noticed nothing, or handed nothing over, is ruled out by its log.

Evidence: `duties: A coordinator that the store refuses hands a leaving primary over` failed before.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -44,6 +44,13 @@
       | 7     |
       | 195   |
 
+  Scenario: A coordinator that the store refuses hands a leaving primary over
+    # Guards against DRAIN: a leaving primary that still answers, and is therefore not replaced.
+    Given a coordinator that the store refuses, and a group whose primary is leaving
+    When it finds the primary leaving, and another host takes over
+    Then the other host replaces the primary as planned, although the primary answers
+    And it does not if it knows the primary as staying, or no other member that stays
+
   Scenario: A coordinator that nobody calls is killed, and later a primary leaves
     # Guards against DRAIN: a leaving primary that is not replaced after its coordinator was lost.
     Given a site with 3 hosts
--- a/features/steps/duties.py
+++ b/features/steps/duties.py
@@ -3,10 +3,13 @@
 import asyncio
 import time
 from collections import Counter
+from types import SimpleNamespace
 
 from behave import given, then, when
+from msgspec.structs import replace
 
 from features.fake_mesh import InProcessMesh, make_host
+from features.steps.robustness import make_coordinator
 from features.virtual_time import run_virtual
 from standins.fleet import wait_until
 from wagtailloft.controllers import ownership
@@ -14,8 +17,10 @@
 from wagtailloft.fleet.host_watch import HostWatch
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.messages import ENCODER
+from wagtailloft.fleet.ports import StoreDown
+from wagtailloft.fleet.records import Target
 from wagtailloft.groups.failover import COORDINATOR_KEY
-from wagtailloft.models import HostState
+from wagtailloft.models import HostState, Role
 
 ZONES = 3
 ROUND_TRIP_S = 0.01
@@ -233,3 +238,71 @@
 def step_replaced(context, seconds):
     group = context.site.group
     wait_until(lambda: group.primary is not context.leaving, seconds, "not replaced")
+
+
+@given("a coordinator that the store refuses, and a group whose primary is leaving")
+def step_refused_coordinator(context):
+    context.members = {
+        "m0": Target(name="m0", group="g", address="1.1.1.1:1", role=Role.PRIMARY, leaving=True),
+        "m1": Target(name="m1", group="g", address="1.1.1.1:2", role=Role.REPLICA),
+    }
+    context.started = []
+
+    def make(name):
+        coordinator = make_coordinator(
+            directory=SimpleNamespace(
+                groups=lambda: ("g",),
+                primary=lambda group: context.members["m0"],
+                other_targets=lambda group, excluded: (context.members["m1"],),
+            )
+        )
+
+        async def run_failover(group, replaced, reason, planned):
+            context.started.append((name, replaced, planned))
+            if name == "refused":
+                raise StoreDown("refused")
+
+        async def is_still_primary(group, replaced):
+            return True
+
+        coordinator._run_failover = run_failover
+        coordinator._is_still_primary = is_still_primary
+        coordinator._promotion.orders.is_pending = lambda assignment: False
+        return coordinator
+
+    context.refused, context.other = make("refused"), make("other")
+
+
+def hand_over(context):
+    """Let the refused coordinator find the primary leaving; return the failovers that were run."""
+    context.started.clear()
+
+    async def run():
+        async def take_over(message):
+            context.other._handle_suspicion(message)
+
+        context.refused._delegate_failover = take_over
+        context.refused._start_failover("g", "m0", "the primary is leaving", planned=True)
+        await asyncio.sleep(1.0)
+
+    run_virtual(run())
+    return list(context.started)
+
+
+@when("it finds the primary leaving, and another host takes over")
+def step_hand_over(context):
+    context.runs = hand_over(context)
+
+
+@then("the other host replaces the primary as planned, although the primary answers")
+def step_replaced_as_planned(context):
+    assert context.runs == [("refused", "m0", True), ("other", "m0", True)], context.runs
+
+
+@then("it does not if it knows the primary as staying, or no other member that stays")
+def step_not_replaced(context):
+    for name, leaving in (("m0", False), ("m1", True)):
+        members = dict(context.members)
+        context.members[name] = replace(members[name], leaving=leaving)
+        assert hand_over(context) == [("refused", "m0", True)], (name, context.started)
+        context.members.update(members)
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -155,13 +155,19 @@
         self._primary_missing_since.pop(group, None)
         if assignment:
             self._demote_others(group, primary.name, assignment.term)
-        if assignment and self._promotion.orders.is_pending(assignment):
-            return  # a planned replacement would wait with the primary fenced
-        if primary.leaving and any(
-            not t.leaving for t in self._directory.other_targets(group, primary.name)
-        ):
+        if self._is_replaceable(group):
             self._start_failover(group, primary.name, "the primary is leaving", planned=True)
 
+    def _is_replaceable(self, group: str) -> bool:
+        """Tell whether a group's primary is leaving, and a planned replacement may begin."""
+        assignment = self._cache.assignment(group)
+        if assignment and self._promotion.orders.is_pending(assignment):
+            return False  # it would wait with the primary fenced
+        primary = self._directory.primary(group)
+        if primary is None or not primary.leaving:
+            return False
+        return any(not t.leaving for t in self._directory.other_targets(group, primary.name))
+
     async def _unregister_lost_host(self) -> None:
         """Unregister one host that has long been unreachable, if most hosts are live.
 
@@ -284,7 +290,10 @@
         try:
             if verify_first and await self._is_still_primary(group, replaced):
                 logs.event("primary_answers", group=group, target=replaced, reported=reason)
-                return
+                # The coordinator may have handed it over without a store to record a claim in.
+                if not self._is_replaceable(group):
+                    return
+                planned = True
             await self._run_failover(group, replaced, reason, planned)
         except StoreDown as exc:
             logs.warn("promotion_stopped", group=group, why=str(exc), tried=len(delegation.tried))
