Record that an order is the only one, so that its member can be replaced

Cause: that a single order has been used up once its member leads was known only to the process that sent it; all others assumed several, of which one may be done later. A record in the store now covers one order and says whether an earlier one for its member may be under way. That a failover began and waited is ruled out by its log, which has neither `promotion_began` nor `promotion_lease_wait`.

Evidence: three variants of `orders: The process that ordered a promotion ends, and the new primary leaves at once` failed before.

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -30,3 +30,24 @@
     Given a model of hosts and of a group whose promotions take 1 s
     When the primary is split off from the members, and cut off until all hosts restart after its replacement
     Then the old primary is a replica 4 s later
+
+  Scenario Outline: The process that ordered a promotion ends, and the new primary leaves at once
+    # Guards against DRAIN: an order that counts as pending although its member leads by it.
+    Given a model of hosts and of a group whose promotions take 1 s
+    When the primary leaves, and <who> restart <seconds> s after an order for its successor
+    And the successor leaves as soon as all hosts use it
+    Then the successor is replaced within 7 s
+    And no host may use a replaced primary in the next 24 s, and all use one primary in the end
+
+    Examples:
+      | who                 | seconds |
+      | the host that sent  | 0.2     |
+      | the host that sent  | 0.9     |
+      | all hosts           | 0.2     |
+      | all hosts           | 1.1     |
+
+  Scenario: An order of a process that ended is repeated, and its member is not replaced meanwhile
+    # Guards against ONE: a second order for a member that takes effect after it was replaced.
+    Given a model of hosts and of a group whose promotions take 1 s
+    When an order takes 7 s and is not answered, its sender ends, and its member leaves once it leads
+    Then no host may use a replaced primary in the next 30 s, and all use one primary in the end
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -128,3 +128,51 @@
     fleet.advance(seconds)
     assert not fleet.violations, fleet.violations[:3]
     assert fleet.agree() == fleet.primary, (fleet.agree(), fleet.primary, fleet.orders)
+
+
+@when("the primary leaves, and {who} restart {seconds:g} s after an order for its successor")
+def step_ordering_host_restarts(context, who, seconds):
+    fleet = context.fleet
+    fleet.leave(OLD_PRIMARY, 60.0)
+    wait_for_order(fleet, 1)
+    fleet.advance(seconds)
+    sender = fleet.orders[0][2]
+    hosts = [h for h in fleet.hosts if who == "all hosts" or h.hosts.own.process_name == sender]
+    assert hosts, (sender, who)
+    for host in hosts:
+        fleet.restart(fleet.hosts.index(host))
+
+
+@when("the successor leaves as soon as all hosts use it")
+def step_successor_leaves(context):
+    fleet = context.fleet
+    for _ in range(1000):
+        if fleet.agree() not in (None, OLD_PRIMARY):
+            break
+        fleet.advance(0.01)
+    context.successor = fleet.agree()
+    assert context.successor == fleet.primary != OLD_PRIMARY, (context.successor, fleet.primary)
+    fleet.leave(context.successor, 60.0)
+
+
+@then("the successor is replaced within {seconds:d} s")
+def step_successor_replaced(context, seconds):
+    fleet = context.fleet
+    for _ in range(seconds * 100):
+        if fleet.primary != context.successor:
+            return
+        fleet.advance(0.01)
+    raise AssertionError(f"{fleet.primary} is still primary: {fleet.orders}")
+
+
+@when(
+    "an order takes 7 s and is not answered, its sender ends, and its member leaves once it leads"
+)
+def step_repeated_order(context):
+    fleet = context.fleet
+    fleet.order_faults.append((7.0, False))
+    fleet.on_promoted.append(lambda name: fleet.leave(name, 60.0))
+    cut_primary_late(fleet, lambda target: None)
+    sender = fleet.sent_orders[0].process
+    (host,) = [h for h in fleet.hosts if h.hosts.own.process_name == sender]
+    fleet.restart(fleet.hosts.index(host))
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -98,7 +98,9 @@
     promotion was ordered since a primary was last settled, the latest last, and order_epoch is the
     epoch of the record that was stored before the latest order was sent. In a settled assignment,
     ordered names the primary if an order for it may still take effect once more. may_lack_orders
-    tells that the store came back from an older copy since, and a record may be lost.
+    tells that the store came back from an older copy since, and a record may be lost. single_order
+    tells that no order for the latest of the ordered members can be under way but the one, if it was
+    sent, that the record announced.
     """
 
     group: Text
@@ -112,6 +114,7 @@
     ordered: tuple[Text, ...] = ()
     order_epoch: Count = 0
     may_lack_orders: bool = False
+    single_order: bool = False
 
     @property
     def sort_key(self) -> tuple[int, int, bool]:
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -427,6 +427,7 @@
             ordered=previous.ordered,
             order_epoch=previous.order_epoch,
             may_lack_orders=previous.may_lack_orders or self._is_from_earlier_era(previous),
+            single_order=previous.single_order,
         )
         return assignment if await self._store_assignment(assignment) else None
 
--- a/src/wagtailloft/groups/promotion_orders.py
+++ b/src/wagtailloft/groups/promotion_orders.py
@@ -31,8 +31,8 @@
 class _LatestOrder:
     """The latest order for a group; key is the era and epoch of its record.
 
-    is_sent tells whether it may have been sent, is_repeated whether more than one order for the
-    member may have been.
+    is_sent tells whether one for its member may have been sent, is_repeated whether more than one
+    may have been, and is_used whether the record's own was: each record covers one.
     """
 
     key: tuple[int, int]
@@ -40,6 +40,7 @@
     recorded_at: float = 0.0
     is_sent: bool = False
     is_repeated: bool = False
+    is_used: bool = False
 
 
 class PromotionOrders:
@@ -74,7 +75,7 @@
     def is_recorded(self, claim: PrimaryAssignment, target: str) -> bool:
         """Tell whether this process may send an order for a member under the claim's record."""
         latest = self._latest_order(claim)
-        if claim.ordered[-1:] != (target,) or latest.key != _key(claim):
+        if claim.ordered[-1:] != (target,) or latest.key != _key(claim) or latest.is_used:
             return False
         return now() < latest.recorded_at + ORDER_WINDOW_S
 
@@ -87,6 +88,8 @@
         """
         is_same = claim.ordered[-1:] == (member.target,) and self.is_pending(claim)
         earlier = self._latest_order(claim) if is_same else None
+        is_sent = earlier is not None and earlier.is_sent
+        is_repeated = earlier is not None and earlier.is_repeated
         epoch = claim.epoch + 1
         recorded = msgspec.structs.replace(
             claim,
@@ -94,14 +97,15 @@
             term=max(claim.term, member.term),
             ordered=(*(n for n in claim.ordered if n != member.target), member.target),
             order_epoch=epoch,
+            single_order=not (is_sent or is_repeated),
         )
         # Before the write: whoever sees the record first is then this process.
         self._latest[claim.group] = _LatestOrder(
             key=_key(recorded),
             may_act_until=earlier.may_act_until if earlier else 0.0,
             recorded_at=now(),
-            is_sent=earlier is not None and earlier.is_sent,
-            is_repeated=earlier is not None and earlier.is_repeated,
+            is_sent=is_sent,
+            is_repeated=is_repeated,
         )
         name = ASSIGNMENT_PREFIX + claim.group
         written = await self._directory.cache.write(Topic.FLEET, name, recorded)
@@ -117,6 +121,7 @@
         # Before the call, which may be cancelled with the order under way.
         order.may_act_until = max(order.may_act_until, now() + UNANSWERED_ORDER_S)
         order.is_repeated, order.is_sent = order.is_repeated or order.is_sent, True
+        order.is_used = True
         accepted = await self._promotion_api.promote(
             group=claim.group,
             target=claim.ordered[-1],
@@ -148,7 +153,10 @@
         if latest is None or latest.key < _key(assignment):
             until = now() + ORDER_WINDOW_S + UNANSWERED_ORDER_S
             latest = _LatestOrder(
-                key=_key(assignment), may_act_until=until, is_sent=True, is_repeated=True
+                key=_key(assignment),
+                may_act_until=until,
+                is_sent=True,
+                is_repeated=assignment.may_lack_orders or not assignment.single_order,
             )
             self._latest[assignment.group] = latest
         return latest
