Begin nothing at a leaving primary whose time is over

Cause: only the failover bounded how long a leaving primary is used, and it can't replace one that nobody can succeed. Each host now bounds the use itself, from when it saw that the member is leaving. That the coordinator did not try is ruled out: it settled the old primary again and again.

Evidence: `duties: A leaving primary can't be replaced` failed before.

--- a/features/duties.feature
+++ b/features/duties.feature
@@ -51,6 +51,15 @@
     Then the other host replaces the primary as planned, although the primary answers
     And it does not if it knows the primary as staying, or no other member that stays
 
+  Scenario: A leaving primary can't be replaced
+    # Guards against DRAIN: statements at a primary that may exit at any moment.
+    Given a view of a group whose members go on for 7 s after they report that they are leaving
+    When the primary reports that it is leaving, and is not replaced
+    Then statements and transactions begin there in the next 5 s, and none from 6.5 s on
+    And open transactions go on, and their answers are passed on
+    And a host that never saw it staying begins none after half of that time
+    And one that reports that it is staying, or starts again, gets statements again
+
   Scenario: A coordinator that nobody calls is killed, and later a primary leaves
     # Guards against DRAIN: a leaving primary that is not replaced after its coordinator was lost.
     Given a site with 3 hosts
--- a/features/steps/duties.py
+++ b/features/steps/duties.py
@@ -16,11 +16,20 @@
 from wagtailloft.errors import NoResponse, NotSent
 from wagtailloft.fleet.host_watch import HostWatch
 from wagtailloft.fleet.hosts import Hosts
-from wagtailloft.fleet.messages import ENCODER
+from wagtailloft.fleet.messages import ENCODER, StatementRequest
 from wagtailloft.fleet.ports import StoreDown
-from wagtailloft.fleet.records import Target
+from wagtailloft.fleet.records import Entry, Target, Topic
+from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.failover import COORDINATOR_KEY
+from wagtailloft.groups.local_executor import LocalExecutor
+from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.models import HostState, Role
+from wagtailloft.sessions.statements import (
+    Statement,
+    StatementResult,
+    TransactionState,
+    Verb,
+)
 
 ZONES = 3
 ROUND_TRIP_S = 0.01
@@ -116,9 +125,10 @@
             await asyncio.sleep(SETTLE_S)
             await check(fleet)
         finally:
-            for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
                 task.cancel()
-            await asyncio.sleep(0)
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     run_virtual(run())
 
@@ -306,3 +316,142 @@
         context.members[name] = replace(members[name], leaving=leaving)
         assert hand_over(context) == [("refused", "m0", True)], (name, context.started)
         context.members.update(members)
+
+
+class GroupView:
+    """A directory of one host, and an executor over links that answer at once."""
+
+    def __init__(self, drain):
+        """Take the seconds for which leaving members go on."""
+        self._listeners = {}
+        cache = SimpleNamespace(
+            on_change=self._listeners.__setitem__,
+            assignment=lambda group: None,
+            assignments_valid=lambda: True,
+            assignments_age=lambda: 0.1,
+            is_registered=lambda: True,
+            configuration=lambda: None,
+            era=SimpleNamespace(era=1),
+        )
+        self.directory = GroupDirectory(cache=cache, member_drain=drain)
+        self._revision = 0
+
+        async def open_link(spec):
+            return AnsweringLink(spec)
+
+        links = SimpleNamespace(open=open_link)
+        self.executor = LocalExecutor(directory=self.directory, link_factory=links)
+
+    def report(self, name, **fields):
+        """Let a member report."""
+        self._revision += 1
+        defaults = dict(name="", group="g", address="1.1.1.1:1", slots=2)
+        value = Target(**{**defaults, **fields})
+        entry = Entry(name=name, revision=self._revision, value=value)
+        self._listeners[Topic.TARGETS](entry)
+
+    async def run(self, verb, **fields):
+        """Run a statement at the primary; return the response."""
+        bound = BoundStatement(request_id="r", statement=Statement(verb=verb, text=verb.value))
+        request = StatementRequest(
+            group="g",
+            target="m0",
+            team="t",
+            bound=bound,
+            budget=1.0,
+            require_primary=True,
+            **fields,
+        )
+        return await self.executor.run(request)
+
+    async def begins(self):
+        """Tell whether a write, a read and a transaction begin at the primary."""
+        responses = [
+            await self.run(Verb.WRITE),
+            await self.run(Verb.READ),
+            await self.run(Verb.BEGIN, opens_transaction=True),
+        ]
+        self.executor.rollback(responses[-1].transaction_id)
+        kinds = {r.outcome.kind for r in responses}
+        assert len(kinds) == 1, kinds
+        return kinds == {None}
+
+
+class AnsweringLink:
+    """A link whose statements succeed at once."""
+
+    def __init__(self, spec):
+        """Create an open link."""
+        self.spec, self.closed = spec, False
+
+    async def run(self, bound, timeout):
+        """Succeed."""
+        begins = bound.statement.verb is Verb.BEGIN
+        in_transaction = begins or bound.request_id == "in transaction"
+        state = TransactionState.OPEN if in_transaction else TransactionState.IDLE
+        return StatementResult(signature="7.a", state=state)
+
+    def close(self):
+        """Close the link."""
+        self.closed = True
+
+
+@given(
+    "a view of a group whose members go on for {drain:g} s after they report that they are leaving"
+)
+def step_group_view(context, drain):
+    context.drain = drain
+
+
+@when("the primary reports that it is leaving, and is not replaced")
+def step_leaving_and_not_replaced(context):
+    async def play():
+        view = GroupView(context.drain)
+        view.report("m0", role=Role.PRIMARY)
+        view.report("m1", role=Role.REPLICA)
+        begun = await view.run(Verb.BEGIN, opens_transaction=True)
+        view.report("m0", role=Role.PRIMARY, leaving=True)
+        context.began = []
+        for second in range(20):
+            if second == 9:
+                view.report("m0", role=Role.PRIMARY, leaving=True, sequence=9)
+            context.began.append((second / 2, await view.begins()))
+            await asyncio.sleep(0.5)
+        context.commit = await view.run(Verb.COMMIT, transaction_id=begun.transaction_id)
+        later = GroupView(context.drain)
+        later.report("m0", role=Role.PRIMARY, leaving=True)
+        context.later = []
+        for second in range(8):
+            context.later.append((second / 2, await later.begins()))
+            await asyncio.sleep(0.5)
+        context.again = []
+        for leaving, started in ((False, 0), (True, 0), (False, 5)):
+            view.report("m0", role=Role.PRIMARY, leaving=leaving, started=started)
+            context.again.append(await view.begins())
+
+    run_virtual(play())
+
+
+@then(
+    "statements and transactions begin there in the next {first:g} s, and none from {last:g} s on"
+)
+def step_begins(context, first, last):
+    assert all(begins for at, begins in context.began if at <= first), context.began
+    assert not any(begins for at, begins in context.began if at >= last), context.began
+
+
+@then("open transactions go on, and their answers are passed on")
+def step_open_goes_on(context):
+    assert context.commit.outcome.ok, context.commit
+
+
+@then("a host that never saw it staying begins none after half of that time")
+def step_half(context):
+    half = context.drain / 2
+    assert context.later[0][1], context.later
+    assert not any(begins for at, begins in context.later if at >= half), context.later
+
+
+@then("one that reports that it is staying, or starts again, gets statements again")
+def step_again(context):
+    assert all(context.again), context.again
--- a/features/steps/supervision.py
+++ b/features/steps/supervision.py
@@ -116,6 +116,7 @@
             store_address="",
             promotion_address="",
             bounds=Bounds(
+                member_drain=7.0,
                 key_withdrawal=5.0,
                 config_apply=3.0,
                 stop_grace=GRACE_S,
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -99,8 +99,8 @@
     epoch of the record that was stored before the latest order was sent. In a settled assignment,
     ordered names the primary if an order for it may still take effect once more. may_lack_orders
     tells that the store came back from an older copy since, and a record may be lost. single_order
-    tells that no order for the latest of the ordered members can be under way but the one, if it was
-    sent, that the record announced.
+    tells that no order for the latest of the ordered members can be under way but the one that the
+    record announced, if that was sent.
     """
 
     group: Text
--- a/src/wagtailloft/groups/directory.py
+++ b/src/wagtailloft/groups/directory.py
@@ -1,5 +1,7 @@
 """This host's view of each group: members, primary, and recent log positions."""
 
+import math
+
 import msgspec
 
 from wagtailloft import logs
@@ -15,14 +17,19 @@
 from wagtailloft.groups.samples import PositionSamples
 from wagtailloft.models import Role
 
+# Until a host that reaches the store hears that a member is leaving, also if a watch misses it.
+LEAVING_NOTICE_S = 1.5
 ENTRY_RETURN_S = 2.2  # entries of members that live are back within 2 s
 
 
 class GroupDirectory:
     """Look up the members of a group, its primary and its rule."""
 
-    def __init__(self, *, cache: StoreCache) -> None:
+    def __init__(self, *, cache: StoreCache, member_drain: float = math.inf) -> None:
+        """Take the seconds for which a member goes on after it has reported that it is leaving."""
         self.cache = cache
+        self._leaving_use_limit = member_drain - LEAVING_NOTICE_S
+        self._leaving_since: dict[str, float] = {}  # by member
         self._targets: dict[str, dict[str, Target]] = {}
         self._samples: dict[str, PositionSamples] = {}
         self._revisions: dict[str, int] = {}
@@ -82,6 +89,14 @@
         primary = self.primary(group)
         return primary is not None and primary.name == target
 
+    def accepts_new_work(self, target: Target) -> bool:
+        """Tell whether statements and transactions may begin at a target.
+
+        One that is leaving may exit at any time once its time is over, replaced or not.
+        """
+        since = self._leaving_since.get(target.name)
+        return since is None or now() < since + self._leaving_use_limit
+
     def basis(self, group: str) -> tuple[PrimaryAssignment | None, int]:
         """Return what the use of a group's primary rests on: the assignment, the store's era."""
         return self.cache.assignment(group), self.cache.era.era
@@ -127,11 +142,13 @@
 
     def _handle_target_change(self, entry: Entry) -> None:
         self._revisions[entry.name] = entry.revision
+        was_known = any(entry.name in members for members in self._targets.values())
         for group, members in self._targets.items():
             removed = members.pop(entry.name, None)
             if removed is not None and not removed.leaving:
                 self.lately_unlisted(group)  # drops those of long ago
                 self._unlisted_at.setdefault(group, {})[entry.name] = now()
+        self._follow_leaving(entry, was_known=was_known)
         target = entry.value
         if not isinstance(target, Target):
             logs.event("target_removed", target=entry.name, revision=entry.revision)
@@ -148,3 +165,14 @@
             zone=target.zone,
             at=round(now(), 3),
         )
+
+    def _follow_leaving(self, entry: Entry, *, was_known: bool) -> None:
+        """Note since when a member has been leaving.
+
+        If this process never saw it staying, it has used up half of its time.
+        """
+        if not isinstance(entry.value, Target) or not entry.value.leaving:
+            self._leaving_since.pop(entry.name, None)
+            return
+        passed = 0.0 if was_known else self._leaving_use_limit / 2
+        self._leaving_since.setdefault(entry.name, now() - passed)
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -249,9 +249,12 @@
         opens_transaction: bool,
     ) -> TargetChoice | None:
         group = context.rule.group
+        primary = self._directory.primary(group)
+        if primary is not None and not self._directory.accepts_new_work(primary):
+            primary = None
         snapshot = GroupSnapshot(
             targets=self._directory.targets(group),
-            primary=self._directory.primary(group),
+            primary=primary,
             zone=self._zone,
             in_flight=dict(self._in_flight),
         )
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -199,7 +199,8 @@
         pool.in_use.add(link)
         if request.require_primary:
             pool.primary_links.add(link)
-            if not self._directory.may_use_as_primary(request.group, request.target):
+            may_use = self._directory.may_use_as_primary(request.group, request.target)
+            if not may_use or not self._directory.accepts_new_work(target):
                 pool.release(link, ticket, 0.0)
                 return StatementResponse(
                     outcome=not_executed(
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -66,12 +66,14 @@
     """Time bounds of the deployment, in seconds, and the tolerance of rate limits.
 
     key_withdrawal and config_apply are the times until withdrawn keys are refused and new
-    configurations are in force; stop_grace is the time for a graceful stop.
+    configurations are in force; stop_grace is the time for a graceful stop, member_drain that for
+    which a member goes on after it has reported that it is leaving.
     """
 
     key_withdrawal: float
     config_apply: float
     stop_grace: float
+    member_drain: float
     tolerance: Tolerance
 
 
@@ -153,7 +155,7 @@
             on_new_era=self.metrics.store_eras.inc,
             on_failure=self._supervisor.report,
         )
-        self.directory = GroupDirectory(cache=self.cache)
+        self.directory = GroupDirectory(cache=self.cache, member_drain=cfg.bounds.member_drain)
         self.local_executor = LocalExecutor(directory=self.directory, link_factory=link_factory)
         self.relay = Relay(hosts=self.hosts, mesh=self.mesh, local_executor=self.local_executor)
         self.dispatcher = Dispatcher(
