--- a/features/orders.feature
+++ b/features/orders.feature
@@ -51,3 +51,9 @@
     Given a model of hosts and of a group whose promotions take 1 s
     When an order takes 7 s and is not answered, its sender ends, and its member leaves once it leads
     Then no host may use a replaced primary in the next 30 s, and all use one primary in the end
+
+  Scenario: A member leads in its old term, by no order
+    # Guards against ONE: an order counted as used up that a member did not need to lead.
+    Given the record of a single order, written by a process that has ended
+    Then the order has been used up if its member leads in a later term, else it may take effect
+    And it may in any term if the record is not known to be of a single order
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -1,9 +1,12 @@
 """Steps for promotion orders that take effect late or unseen, against a model of a group."""
 
 from behave import given, then, when
+from msgspec.structs import replace
 
 from features.ordered_group import OrderedFleet
 from features.restored_store import MEMBERS
+from wagtailloft.fleet.records import PrimaryAssignment
+from wagtailloft.groups.promotion_orders import PromotionOrders
 from wagtailloft.models import Role
 
 OLD_PRIMARY, REPLICAS = MEMBERS[0], MEMBERS[1:]
@@ -176,3 +179,32 @@
     sender = fleet.sent_orders[0].process
     (host,) = [h for h in fleet.hosts if h.hosts.own.process_name == sender]
     fleet.restart(fleet.hosts.index(host))
+
+
+@given("the record of a single order, written by a process that has ended")
+def step_record(context):
+    context.orders = PromotionOrders(directory=None, lease=None, promotion_api=None)
+    context.record = PrimaryAssignment(
+        group="g",
+        epoch=2,
+        settled=False,
+        primary="",
+        term=4,
+        replaced="m0",
+        ordered=("m1",),
+        order_epoch=2,
+        single_order=True,
+    )
+
+
+@then("the order has been used up if its member leads in a later term, else it may take effect")
+def step_used_up(context):
+    assert context.orders.remaining(context.record, 5) == ()
+    assert context.orders.remaining(context.record, 4) == ("m1",)
+
+
+@then("it may in any term if the record is not known to be of a single order")
+def step_not_single(context):
+    for epoch, changes in ((3, {"single_order": False}), (4, {"may_lack_orders": True})):
+        record = replace(context.record, order_epoch=epoch, **changes)
+        assert context.orders.remaining(record, 5) == ("m1",), record
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -219,7 +219,7 @@
             term=status.term,
             replaced=claim.replaced,
             era=claim.era,
-            ordered=self.orders.remaining(claim),
+            ordered=self.orders.remaining(claim, status.term),
             order_epoch=claim.order_epoch,
         )
 
--- a/src/wagtailloft/groups/promotion_orders.py
+++ b/src/wagtailloft/groups/promotion_orders.py
@@ -63,14 +63,15 @@
         """Tell whether the latest order that an assignment names may still take effect."""
         return bool(assignment.ordered) and now() < self._latest_order(assignment).may_act_until
 
-    def remaining(self, assignment: PrimaryAssignment) -> tuple[str, ...]:
-        """Return the settled member if an order for it may take effect once more, else nothing.
+    def remaining(self, claim: PrimaryAssignment, term: int) -> tuple[str, ...]:
+        """Return the member that leads in a term if an order for it may yet take effect.
 
-        A single order has been used up once its member leads.
+        A single order has been used up if its member leads in a later term than the claim's.
         """
-        if self.is_pending(assignment) and self._latest_order(assignment).is_repeated:
-            return assignment.ordered[-1:]
-        return ()
+        if not self.is_pending(claim):
+            return ()
+        is_used_up = term > claim.term and not self._latest_order(claim).is_repeated
+        return () if is_used_up else claim.ordered[-1:]
 
     def is_recorded(self, claim: PrimaryAssignment, target: str) -> bool:
         """Tell whether this process may send an order for a member under the claim's record."""
