--- a/src/wagtailloft/fleet/host_watch.py
+++ b/src/wagtailloft/fleet/host_watch.py
@@ -38,7 +38,7 @@
             answered = await asyncio.gather(*(self._hosts.greet(h.name) for h in watched))
             lost = [h.name for h, ok in zip(watched, answered, strict=True) if not ok]
             self._lost |= {name: "" for name in lost}
-            if len(lost) < len(watched):
+            if len(lost) < len(watched) or len(watched) < count:
                 break
             count *= 2
         await self._report_lost()
