--- a/features/steps/late_answers.py
+++ b/features/steps/late_answers.py
@@ -80,6 +80,10 @@
             statement_sent=lambda: None, statement_returned=lambda: None, add=lambda *_: None
         )
 
+    def accepts_new_work(self, target):
+        """Tell that no target is leaving."""
+        return True
+
     def may_use_as_primary(self, group, target):
         """Tell whether the target is the primary under a valid assignment."""
         return self.valid and self.current.settled and self.current.primary == target
