--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -105,7 +105,8 @@
     """Run one statement over the receiver's links to a target, within budget seconds.
 
     transaction_id is 0 outside a transaction. require_primary refuses the statement unless the
-    target is known to be the primary. ends is unused and keeps its place in the array.
+    target is known to be the primary. ends is unused and keeps its place in the array. priority is
+    the route's, 0 first.
     """
 
     group: str
@@ -117,6 +118,18 @@
     transaction_id: Count = 0
     ends: bool = False
     opens_transaction: bool = False
+    priority: Count = 1
+
+
+class TargetLoad(Record, array_like=True):
+    """The load of a target as the owner of its links sees it, in milliseconds.
+
+    waits_ms are the expected waits of a new statement of priority 0, 1 and 2 or more; service_ms
+    is the average time from sending a statement to its answer.
+    """
+
+    waits_ms: tuple[Count, Count, Count]
+    service_ms: Count
 
 
 class StatementResponse(Record, tag="worked", array_like=True):
@@ -124,6 +137,7 @@
 
     outcome: StatementResult
     transaction_id: Count = 0
+    load: TargetLoad | None = None
 
 
 class RollbackRequest(Record, tag="forget", array_like=True):
