Schedule the turns of statements at each target

Now as many are in progress as the target has slots and one more, and the others wait at the owner of the links, ordered by priority, team and deadline. Pools grant a turn and a link together. The unit tests of pools follow: a use of a link no longer costs its team slot time, so the test of slow uses pauses for 0.8 s in virtual time.

--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -16,6 +16,8 @@
 from hypothesis import strategies as st
 
 from wagtailloft import clock, logs
+from wagtailloft.controllers.concurrency import TurnOutcome
+from wagtailloft.controllers.scheduling import TurnRequest
 from wagtailloft.controllers.token_bucket import GrantRequest
 from wagtailloft.errors import FixSettings, Kind, NotSent
 from wagtailloft.fleet.ports import Conflict
@@ -537,15 +539,15 @@
     async def check():
         link_factory = FakeLinkFactory(limit=2)
         pool = LinkPool(target=make_target(), limit=16, link_factory=link_factory)
-        acquired = [await pool.acquire(t, pool_now() + 1) for t in ("a", "b")]
+        acquired = [await acquire_link(pool, t, 1) for t in ("a", "b")]
         try:
-            await pool.acquire("c", pool_now() + 0.05)
+            await acquire_link(pool, "c", 0.05)
         except NotSent as exc:
             assert exc.kind in (Kind.TOO_MANY_LINKS, Kind.QUEUE_FULL), exc.kind
         else:
             raise AssertionError("a third link was opened")
-        pool.release(*acquired[0], 0.01)
-        link, _ = await pool.acquire("c", pool_now() + 0.2)
+        pool.release(acquired[0])
+        link = await acquire_link(pool, "c", 0.2)
         assert (
             link.spec.team == "c" and len([x for x in link_factory.open_links if not x.closed]) == 2
         )
@@ -558,10 +560,13 @@
     async def check():
         pool = LinkPool(target=make_target(), limit=4, link_factory=FakeLinkFactory(limit=16))
         for _ in range(40):
-            link, ticket = await pool.acquire("t", pool_now() + 1)
-            pool.release(link, ticket, 0.8)
-        link, ticket = await pool.acquire("t", pool_now() + 0.25)
-        pool.release(link, ticket, 0.01)
+            link, turn = await pool.acquire(turn_request("t", 1))
+            turn.end(TurnOutcome.OK, 0.01)
+            await asyncio.sleep(0.02)  # the caller pauses
+            pool.release(link)
+        link, turn = await pool.acquire(turn_request("t", 0.25))
+        turn.end(TurnOutcome.OK, 0.01)
+        pool.release(link)
 
     asyncio.run(check())
 
@@ -571,9 +576,9 @@
     async def check():
         link_factory = FakeLinkFactory(limit=limit)
         pool = LinkPool(target=make_target(slots=slots), limit=limit, link_factory=link_factory)
-        acquired = [await pool.acquire(f"t{n}", pool_now() + 1) for n in range(limit - 2)]
-        for link, ticket in acquired:
-            pool.release(link, ticket, 0.01)
+        acquired = [await acquire_link(pool, f"t{n}", 1) for n in range(limit - 2)]
+        for link in acquired:
+            pool.release(link)
         pool.close_surplus()
         assert pool.link_count == kept, pool.link_count
         assert len([x for x in link_factory.open_links if not x.closed]) == kept
@@ -581,6 +586,18 @@
     asyncio.run(check())
 
 
+async def acquire_link(pool, team, wait):
+    """Acquire a link as a transaction does that runs nothing yet."""
+    link, turn = await pool.acquire(turn_request(team, wait))
+    turn.end(TurnOutcome.OK, 0.01)
+    return link
+
+
+def turn_request(team, wait):
+    """Return a request for a turn within wait seconds."""
+    return TurnRequest(team=team, deadline=pool_now() + wait)
+
+
 def pool_now():
     """Return the time of the clock that link pools use, in seconds."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/wagtailloft/controllers/fairness.py
+++ b/src/wagtailloft/controllers/fairness.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
@@ -24,18 +25,29 @@
 
 @dataclass(kw_only=True)
 class _TeamQueue:
+    estimated_cost: float
     weight: float = 1.0
     virtual_time: float = 0.0
-    estimated_cost: float = INITIAL_COST_S
     heap: list[tuple[float, int, Ticket]] = field(default_factory=list)
 
 
 class FairQueue:
     """Order requests so that each team gets slot time in proportion to its weight."""
 
-    def __init__(self, *, slots: int) -> None:
+    def __init__(
+        self,
+        *,
+        slots: int,
+        initial_cost: float = INITIAL_COST_S,
+        ticket_numbers: Iterator[int] | None = None,
+    ) -> None:
+        """Take the slots, the cost of a request in seconds before one was seen, and a counter.
+
+        Queues that share the counter of ticket numbers have no number in common.
+        """
         self._slots = slots
-        self._ticket_numbers = itertools.count()
+        self._mean_cost = initial_cost
+        self._ticket_numbers = ticket_numbers or itertools.count()
         self._team_queues: dict[str, _TeamQueue] = {}
         self._virtual_time = 0.0
 
@@ -44,18 +56,29 @@
         return sum(len(queue.heap) for queue in self._team_queues.values())
 
     def push(
-        self, *, team: str, weight: float, deadline: float, limit: int, now: float
+        self,
+        *,
+        team: str,
+        weight: float,
+        deadline: float,
+        limit: int,
+        now: float,
+        wait_ahead: float = 0.0,
     ) -> Result[Ticket, Refusal]:
         """Queue a request, or refuse it.
 
         The refusal is QUEUE_FULL if `limit` requests of the team wait, and DEADLINE if the expected
-        wait and the cost of one request would exceed the deadline.
+        wait and the cost of one request would exceed the deadline. wait_ahead is the time in
+        seconds for which the slots serve others before any request of this queue.
         """
-        queue = self._team_queues.setdefault(team, _TeamQueue())
+        queue = self._team_queues.get(team)
+        if queue is None:
+            queue = self._team_queues[team] = _TeamQueue(estimated_cost=self._mean_cost)
         queue.weight = weight
         if len(queue.heap) >= limit:
             return Err(Refusal(kind=Kind.QUEUE_FULL, detail=f"{limit} requests wait"))
-        if now + self.expected_wait(team) + queue.estimated_cost > deadline:
+        wait = wait_ahead + self.expected_wait(team)
+        if now + wait + queue.estimated_cost > deadline:
             return Err(Refusal(kind=Kind.DEADLINE, detail="the expected wait exceeds the deadline"))
         if not queue.heap:
             queue.virtual_time = max(queue.virtual_time, self._virtual_time)
@@ -91,6 +114,7 @@
         queue = self._team_queues[ticket.team]
         queue.virtual_time += (used - queue.estimated_cost) / queue.weight
         queue.estimated_cost = COST_SMOOTHING * queue.estimated_cost + (1 - COST_SMOOTHING) * used
+        self._mean_cost = COST_SMOOTHING * self._mean_cost + (1 - COST_SMOOTHING) * used
 
     def expected_wait(self, team: str) -> float:
         """Return the expected wait of a team's next request, in seconds.
@@ -108,6 +132,11 @@
             queued_cost += count * queue.estimated_cost
         return queued_cost / self._slots
 
+    def wait_of_idle_team(self) -> float:
+        """Return the expected wait, in seconds, of a request whose team has none queued."""
+        costs = (queue.estimated_cost for queue in self._team_queues.values() if queue.heap)
+        return sum(costs) / self._slots
+
     def drain_time(self, slots: int) -> float:
         """Return the expected time in seconds to run all queued requests on so many slots."""
         return (
--- a/src/wagtailloft/groups/link_pool.py
+++ b/src/wagtailloft/groups/link_pool.py
@@ -1,16 +1,18 @@
-"""Pool of links to one target, shared fairly among teams; a statement or transaction uses one."""
+"""Pool of links to one target; a statement or transaction uses one, in its turn."""
 
-import asyncio
 import math
 
 from wagtailloft import logs
 from wagtailloft.clock import now
-from wagtailloft.controllers.fairness import FairQueue, Ticket
+from wagtailloft.controllers.concurrency import ConcurrencyLimit, FixedLimit, TurnOutcome
+from wagtailloft.controllers.scheduling import TurnRequest
 from wagtailloft.errors import Kind, NotSent
 from wagtailloft.fleet.records import Target
 from wagtailloft.groups.ports import Link, LinkFactory, LinkSpec
+from wagtailloft.groups.target_scheduler import TargetScheduler, Turn
 
-MAX_QUEUED_PER_TEAM = 200  # statements that may wait for a link to one target
+# Statements that are on their way to a target or back while all of its slots are busy.
+TURNS_IN_TRANSIT = 1
 # Share of a target's connections that is kept free, so that another host can connect at once after
 # a power loss of this one, while the connections of this one still count at the target.
 HEADROOM_SHARE = 0.5
@@ -18,16 +20,24 @@
 CONTROL_LINKS = 1  # reserved for the coordinator's status queries, which count at the target too
 FULL_RETRY_S = 0.04  # between attempts to connect to a target with no connection left for this host
 CAP_DURATION_S = 1.0  # how long the pool stays capped after a target refused a connection
-# Twice a typical statement. A longer use is caused by a pause or a lost response; it says nothing
-# about the cost of a statement and would inflate the estimated wait of later ones.
-MAX_CHARGE_S = 0.03
 UNREACHABLE_RETRY_S = 0.3  # between attempts to connect to an unreachable target
 
 
 class LinkPool:
-    """Pool the links to one target; limit is the target's connection limit."""
-
-    def __init__(self, *, target: Target, limit: int, link_factory: LinkFactory) -> None:
+    """Pool the links to one target; limit is the target's connection limit.
+
+    concurrency limits the statements in progress; by default as many as the target has slots, and
+    TURNS_IN_TRANSIT more.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: Target,
+        limit: int,
+        link_factory: LinkFactory,
+        concurrency: ConcurrencyLimit | None = None,
+    ) -> None:
         self.target = target
         self.limit = max(1, limit - CONTROL_LINKS)
         headroom = min(math.ceil(limit * HEADROOM_SHARE), HEADROOM_PER_SLOT * target.slots)
@@ -40,8 +50,13 @@
         self._granted = 0
         self._capped_until = 0.0
         self._refused_count = self.limit  # links open when the target last refused one
-        self._queue = FairQueue(slots=target.slots)
-        self._waiters: dict[int, asyncio.Future] = {}
+        self.scheduler = TargetScheduler(
+            target=target.name,
+            slots=target.slots,
+            limit=concurrency or FixedLimit(limit=target.slots + TURNS_IN_TRANSIT),
+            reserve_link=self._reserve_link,
+            return_link=self._return_link,
+        )
         self._backoff: tuple[float, NotSent] | None = None
 
     @property
@@ -49,29 +64,28 @@
         """Return the number of links that are open or being opened."""
         return self._open_count
 
-    async def acquire(self, team: str, deadline: float) -> tuple[Link, Ticket]:
-        """Return a link for a team; raise NotSent, with a kind, if none is free by deadline."""
-        ticket = await self._wait_turn(team, deadline)
-        idle = self._take_idle(team)
+    async def acquire(self, request: TurnRequest) -> tuple[Link, Turn]:
+        """Return a link for a statement's team and its turn; raise NotSent with a kind."""
+        turn = await self.scheduler.begin(request)
+        self._granted -= 1
+        idle = self._take_idle(request.team)
         if idle is not None:
-            return idle, ticket
+            return idle, turn
         try:
-            return await self._open_link(team), ticket
+            return await self._open_link(request.team), turn
         except BaseException:
-            self._queue.charge(ticket, 0.0)
-            self._wake_waiters()
+            turn.end(TurnOutcome.ABANDONED)
             raise
 
-    def release(self, link: Link, ticket: Ticket, used: float) -> None:
-        """Return a link, open or closed, to the pool; used is the time of use in seconds."""
+    def release(self, link: Link) -> None:
+        """Return a link, open or closed, to the pool."""
         self.in_use.discard(link)
         self.primary_links.discard(link)
-        self._queue.charge(ticket, min(used, MAX_CHARGE_S))
         if link.closed:
             self._open_count -= 1
         else:
             self._idle.append(link)
-        self._wake_waiters()
+        self.scheduler.wake()
 
     def close_idle(self) -> None:
         """Close idle links; links in use stay open until they are released."""
@@ -91,51 +105,16 @@
         for link in list(links):
             link.close()
 
-    def reject_waiters(self, exc: NotSent) -> None:
-        """End the wait of all statements that have no link yet."""
-        for future in self._waiters.values():
-            if not future.done():
-                future.set_exception(exc)
+    def _reserve_link(self) -> bool:
+        """Reserve a link that is idle or may be opened; return False if there is none."""
+        self._discard_closed()
+        if self._available() <= 0:
+            return False
+        self._granted += 1
+        return True
 
-    async def _wait_turn(self, team: str, deadline: float) -> Ticket:
-        at = now()
-        queued = self._queue.push(
-            team=team, weight=1.0, deadline=deadline, limit=MAX_QUEUED_PER_TEAM, now=at
-        )
-        if queued.is_err():
-            raise _not_sent(queued.err_value.kind, queued.err_value.detail)
-        ticket = queued.ok_value
-        future = asyncio.get_running_loop().create_future()
-        self._waiters[ticket.number] = future
-        self._wake_waiters()
-        try:
-            async with asyncio.timeout(max(0.0, deadline - at)):
-                await future
-        except (TimeoutError, asyncio.CancelledError, NotSent) as exc:
-            granted = not self._queue.remove(ticket)
-            self._waiters.pop(ticket.number, None)
-            if granted:
-                self._granted -= 1
-                self._queue.charge(ticket, 0.0)
-                self._wake_waiters()
-            if not isinstance(exc, TimeoutError):
-                raise
-            raise _not_sent(Kind.QUEUE_FULL, "no link became available in time") from exc
+    def _return_link(self) -> None:
         self._granted -= 1
-        return ticket
-
-    def _wake_waiters(self) -> None:
-        """Grant available links to waiting statements, in the order of the fair queue."""
-        self._discard_closed()
-        while self._available() > 0:
-            ticket = self._queue.pop()
-            if ticket is None:
-                return
-            future = self._waiters.pop(ticket.number, None)
-            if future is None or future.done():
-                continue
-            self._granted += 1
-            future.set_result(None)
 
     def _available(self) -> int:
         return (
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -7,7 +7,8 @@
 
 from wagtailloft import logs
 from wagtailloft.clock import now
-from wagtailloft.controllers.fairness import Ticket
+from wagtailloft.controllers.concurrency import TurnOutcome
+from wagtailloft.controllers.scheduling import TurnRequest
 from wagtailloft.errors import Kind, NoResponse, NotSent
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
 from wagtailloft.fleet.records import PrimaryAssignment, Target
@@ -15,6 +16,7 @@
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.link_pool import LinkPool
 from wagtailloft.groups.ports import Link, LinkFactory
+from wagtailloft.groups.target_scheduler import Turn
 from wagtailloft.models import Position
 from wagtailloft.sessions.statements import (
     STOPPING,
@@ -32,6 +34,18 @@
 UNRESPONSIVE_S = 0.18
 LINK_WAIT_LIMIT_S = 0.25  # must fit into SAMPLE_MARGIN_S, so that reads stay within their max_age
 FIRST_ID_RANGE = 1 << 62  # transaction IDs of two processes of a host differ, and fit 64 bits
+BEGIN_VERBS = (Verb.BEGIN, Verb.BEGIN_READ)
+# Results that a target in good order gives only seldom.
+FAILURES_OF_TARGET = frozenset(
+    {
+        Kind.NO_ANSWER,
+        Kind.OUTCOME_UNKNOWN,
+        Kind.TARGET_FAILED,
+        Kind.TARGET_TIMEOUT,
+        Kind.TARGET_UNREACHABLE,
+        Kind.TRANSACTION_LOST,
+    }
+)
 DRAIN_LIMIT_S = 1.0  # time for running statements to end in a planned change of primary
 
 
@@ -43,15 +57,11 @@
         *,
         pool: LinkPool,
         link: Link,
-        ticket: Ticket,
         request: StatementRequest,
-        started_at: float,
     ) -> None:
         self.pool = pool
         self.link = link
-        self.ticket = ticket
         self.request = request
-        self.started_at = started_at
         self.busy = False
 
     def release(self) -> None:
@@ -60,7 +70,7 @@
         The caller first closes a link that is still inside a transaction, so that the target rolls
         back.
         """
-        self.pool.release(self.link, self.ticket, now() - self.started_at)
+        self.pool.release(self.link)
 
 
 class LocalExecutor:
@@ -144,7 +154,7 @@
         """
         self._is_stopping = True
         for pool in self._pools.values():
-            pool.reject_waiters(_stopping())
+            pool.scheduler.reject_waiters(_stopping())
         while self.active and now() < until:
             for transaction_id, transaction in list(self._transactions.items()):
                 if not transaction.busy:
@@ -185,54 +195,57 @@
         )
         self._acquiring += 1
         try:
-            link, ticket = await pool.acquire(request.team, started_at + link_wait)
-            if self._is_stopping:
-                pool.release(link, ticket, 0.0)
-                raise _stopping()
+            link, turn = await pool.acquire(_turn_request(request, started_at + link_wait))
         except NotSent as exc:
             kind = exc.kind or Kind.TARGET_UNREACHABLE
             if kind is Kind.TARGET_UNREACHABLE:
                 self.on_unresponsive(request.group, request.target, str(exc))
-            return StatementResponse(outcome=not_executed(kind, str(exc)))
+            return StatementResponse(
+                outcome=not_executed(kind, str(exc)), load=pool.scheduler.load()
+            )
         finally:
             self._acquiring -= 1
         pool.in_use.add(link)
+        refusal = self._refusal_of_new(request, target, now() - started_at)
+        if refusal is not None:
+            turn.end(TurnOutcome.ABANDONED)
+            pool.release(link)
+            return StatementResponse(outcome=refusal, load=pool.scheduler.load())
         if request.require_primary:
             pool.primary_links.add(link)
-            may_use = self._directory.may_use_as_primary(request.group, request.target)
-            if not may_use or not self._directory.accepts_new_work(target):
-                pool.release(link, ticket, 0.0)
-                return StatementResponse(
-                    outcome=not_executed(
-                        Kind.NO_PRIMARY, "this host may not use the target as primary"
-                    )
-                )
             self._log_aged_assignment(request)
-        remaining = request.budget - (now() - started_at)
-        if request.bound.statement.writes and remaining < MIN_WRITE_BUDGET_S:
-            pool.release(link, ticket, 0.0)
-            return StatementResponse(
-                outcome=not_executed(
-                    Kind.DEADLINE, f"{remaining:.3f} s left are too few for a write"
-                )
-            )
-        link_use = _LinkUse(
-            pool=pool, link=link, ticket=ticket, request=request, started_at=started_at
-        )
+        link_use = _LinkUse(pool=pool, link=link, request=request)
         try:
-            outcome = await self._send(link_use, request, remaining)
+            remaining = request.budget - (now() - started_at)
+            outcome = await self._send(link_use, turn, request, remaining)
         except BaseException:
             link.close()
             link_use.release()
             raise
+        load = pool.scheduler.load()
         if request.opens_transaction and outcome.ok and not link.closed:
             transaction_id = next(self._transaction_ids)
             self._transactions[transaction_id] = link_use
-            return StatementResponse(outcome=outcome, transaction_id=transaction_id)
+            return StatementResponse(outcome=outcome, transaction_id=transaction_id, load=load)
         if outcome.state is not TransactionState.IDLE:
             link.close()
         link_use.release()
-        return StatementResponse(outcome=outcome)
+        return StatementResponse(outcome=outcome, load=load)
+
+    def _refusal_of_new(
+        self, request: StatementRequest, target: Target, waited: float
+    ) -> StatementResult | None:
+        """Return why a statement that got its turn after so many seconds may not begin."""
+        if self._is_stopping:
+            return STOPPING
+        if request.require_primary:
+            may_use = self._directory.may_use_as_primary(request.group, request.target)
+            if not may_use or not self._directory.accepts_new_work(target):
+                return not_executed(Kind.NO_PRIMARY, "this host may not use the target as primary")
+        remaining = request.budget - waited
+        if request.bound.statement.writes and remaining < MIN_WRITE_BUDGET_S:
+            return not_executed(Kind.DEADLINE, f"{remaining:.3f} s left are too few for a write")
+        return None
 
     async def _run_in_transaction(self, request: StatementRequest) -> StatementResponse:
         transaction = self._transactions.get(request.transaction_id)
@@ -254,7 +267,7 @@
             self._log_aged_assignment(request)
         transaction.busy = True
         try:
-            outcome = await self._send(transaction, request, request.budget)
+            outcome = await self._send_in_turn(transaction, request)
         except BaseException:
             transaction.link.close()
             raise
@@ -262,15 +275,56 @@
             transaction.busy = False
             if transaction.link.closed and self._transactions.pop(request.transaction_id, None):
                 transaction.release()
+        load = transaction.pool.scheduler.load()
         if outcome.state is TransactionState.OPEN and not transaction.link.closed:
-            return StatementResponse(outcome=outcome, transaction_id=request.transaction_id)
+            return StatementResponse(
+                outcome=outcome, transaction_id=request.transaction_id, load=load
+            )
         if self._transactions.pop(request.transaction_id, None):
             if outcome.state is not TransactionState.IDLE:
                 transaction.link.close()
             transaction.release()
-        return StatementResponse(outcome=outcome)
+        return StatementResponse(outcome=outcome, load=load)
+
+    async def _send_in_turn(
+        self, transaction: _LinkUse, request: StatementRequest
+    ) -> StatementResult:
+        """Wait for the turn of a statement of an open transaction, and run it."""
+        if request.bound.statement.verb is Verb.ROLLBACK:  # takes no slot at the target
+            return await self._send(transaction, None, request, request.budget)
+        started_at = now()
+        try:
+            turn = await transaction.pool.scheduler.begin(
+                _turn_request(request, started_at + request.budget)
+            )
+        except NotSent as exc:
+            transaction.link.close()
+            return not_executed(Kind.TRANSACTION_LOST, str(exc))
+        if transaction.request.require_primary and not self._directory.may_use_as_primary(
+            request.group, request.target
+        ):
+            turn.end(TurnOutcome.ABANDONED)
+            transaction.link.close()
+            return not_executed(Kind.TRANSACTION_LOST, "the primary is being replaced")
+        remaining = request.budget - (now() - started_at)
+        return await self._send(transaction, turn, request, remaining)
 
     async def _send(
+        self, link_use: _LinkUse, turn: Turn | None, request: StatementRequest, budget: float
+    ) -> StatementResult:
+        """Send a statement, and end its turn once it is answered or given up."""
+        sent_at = now()
+        turn_outcome = TurnOutcome.ABANDONED
+        try:
+            outcome = await self._send_on_link(link_use, request, budget)
+            if request.bound.statement.verb not in BEGIN_VERBS:  # these take no slot at the target
+                turn_outcome = _turn_outcome(outcome)
+            return outcome
+        finally:
+            if turn is not None:
+                turn.end(turn_outcome, now() - sent_at)
+
+    async def _send_on_link(
         self, link_use: _LinkUse, request: StatementRequest, budget: float
     ) -> StatementResult:
         link = link_use.link
@@ -367,6 +421,27 @@
         self.on_unresponsive(group, target, f"no response for {now() - sent_at:.3f} s")
 
 
+def _turn_request(request: StatementRequest, deadline: float) -> TurnRequest:
+    bound = request.bound
+    variables = sum(len(n) + len(v) for n, v in bound.session_variables.items())
+    return TurnRequest(
+        team=request.team,
+        deadline=deadline,
+        priority=request.priority,
+        in_transaction=bool(request.transaction_id),
+        chars=len(bound.statement.text) + len(bound.statement.argument) + variables,
+    )
+
+
+def _turn_outcome(outcome: StatementResult) -> TurnOutcome:
+    """Return what the result of a statement tells about its target."""
+    if outcome.ok:
+        return TurnOutcome.OK
+    if outcome.kind is Kind.TARGET_BUSY:
+        return TurnOutcome.SHED
+    return TurnOutcome.FAILED if outcome.kind in FAILURES_OF_TARGET else TurnOutcome.ABANDONED
+
+
 def _confirms_commit(request: StatementRequest) -> bool:
     """Return whether success of the request means that a commit was acknowledged."""
     statement = request.bound.statement
