--- a/features/steps/units.py
+++ b/features/steps/units.py
@@ -15,6 +15,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from features.virtual_time import run_virtual
 from wagtailloft import clock, logs
 from wagtailloft.controllers.concurrency import TurnOutcome
 from wagtailloft.controllers.scheduling import TurnRequest
@@ -560,15 +561,12 @@
     async def check():
         pool = LinkPool(target=make_target(), limit=4, link_factory=FakeLinkFactory(limit=16))
         for _ in range(40):
-            link, turn = await pool.acquire(turn_request("t", 1))
-            turn.end(TurnOutcome.OK, 0.01)
-            await asyncio.sleep(0.02)  # the caller pauses
+            link = await acquire_link(pool, "t", 1)
+            await asyncio.sleep(0.8)  # the caller pauses in its transaction
             pool.release(link)
-        link, turn = await pool.acquire(turn_request("t", 0.25))
-        turn.end(TurnOutcome.OK, 0.01)
-        pool.release(link)
+        pool.release(await acquire_link(pool, "t", 0.25))
 
-    asyncio.run(check())
+    run_virtual(check())
 
 
 @then("after a burst a link pool of {limit:d} connections at {slots:d} slots keeps {kept:d}")
@@ -588,21 +586,11 @@
 
 async def acquire_link(pool, team, wait):
     """Acquire a link as a transaction does that runs nothing yet."""
-    link, turn = await pool.acquire(turn_request(team, wait))
+    link, turn = await pool.acquire(TurnRequest(team=team, deadline=clock.now() + wait))
     turn.end(TurnOutcome.OK, 0.01)
     return link
 
 
-def turn_request(team, wait):
-    """Return a request for a turn within wait seconds."""
-    return TurnRequest(team=team, deadline=pool_now() + wait)
-
-
-def pool_now():
-    """Return the time of the clock that link pools use, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class FakeStore:
     """A store with one object, the promotion lease; writes are conditional on its revision."""
 
--- a/src/wagtailloft/controllers/scheduling.py
+++ b/src/wagtailloft/controllers/scheduling.py
@@ -13,6 +13,7 @@
 INITIAL_COST_S = 0.01  # of a statement at a target, before one was seen
 MAX_QUEUED_PER_TEAM = 200  # statements that may wait for one target
 MAX_QUEUED_CHARS = 8 << 20  # of the statements that wait for one target
+MEAN_COST_STEP = 0.1  # weight of the latest statement in the moving average
 # While statements of a lower priority wait, they get at least one of so many turns.
 TURNS_PER_LOWER_PRIORITY = 8
 
@@ -54,6 +55,7 @@
             for _ in range(PRIORITY_CLASSES)
         )
         self._requests: dict[int, TurnRequest] = {}  # by ticket number, until charged or removed
+        self._mean_cost = INITIAL_COST_S
         self._queued_chars = 0
         self._turns_since_lowest = 0
 
@@ -61,8 +63,13 @@
         """Return how many statements wait."""
         return len(self._in_transactions) + sum(len(queue) for queue in self._classes)
 
-    def push(self, request: TurnRequest, *, now: float) -> Result[Ticket, Refusal]:
-        """Queue a statement, or refuse it if the queue is full or its deadline can't be met."""
+    def push(
+        self, request: TurnRequest, *, now: float, in_progress: int = 0
+    ) -> Result[Ticket, Refusal]:
+        """Queue a statement, or refuse it if the queue is full or its deadline can't be met.
+
+        in_progress counts the turns that have to end before another one begins.
+        """
         if self._queued_chars + request.chars > MAX_QUEUED_CHARS:
             return Err(Refusal(kind=Kind.QUEUE_FULL, detail="the queue's texts are too large"))
         if request.in_transaction:
@@ -78,7 +85,7 @@
                 deadline=request.deadline,
                 limit=MAX_QUEUED_PER_TEAM,
                 now=now,
-                wait_ahead=self._wait_ahead(request.priority_class),
+                wait_ahead=self._wait_ahead(request.priority_class, in_progress),
             )
         if isinstance(pushed, Ok):
             self._requests[pushed.ok_value.number] = request
@@ -118,21 +125,23 @@
     def charge(self, ticket: Ticket, used: float) -> None:
         """Charge a team the seconds for which its statement had a turn."""
         request = self._requests.pop(ticket.number)
+        if used:
+            self._mean_cost += (used - self._mean_cost) * MEAN_COST_STEP
         if not request.in_transaction:
             self._classes[request.priority_class].charge(ticket, used)
 
-    def waits(self) -> tuple[float, float, float]:
+    def waits(self, in_progress: int) -> tuple[float, float, float]:
         """Return the expected wait, for each class, of a statement whose team has none queued."""
         first, second, third = (
-            self._wait_ahead(number) + queue.wait_of_idle_team()
+            self._wait_ahead(number, in_progress) + queue.wait_of_idle_team()
             for number, queue in enumerate(self._classes)
         )
         return first, second, third
 
-    def _wait_ahead(self, priority_class: int) -> float:
+    def _wait_ahead(self, priority_class: int, in_progress: int) -> float:
         """Return the seconds that what ranks before a class needs."""
-        transactions = len(self._in_transactions) * INITIAL_COST_S / self._slots
-        return transactions + sum(
+        first = (in_progress + len(self._in_transactions)) * self._mean_cost / self._slots
+        return first + sum(
             queue.drain_time(self._slots) for queue in self._classes[:priority_class]
         )
 
--- a/src/wagtailloft/groups/target_scheduler.py
+++ b/src/wagtailloft/groups/target_scheduler.py
@@ -66,8 +66,9 @@
 
     def load(self) -> TargetLoad:
         """Return the load of the target, for the hosts that choose among targets."""
-        busy = self.queued > 0 or self.in_progress >= self.limit.limit
-        first, second, third = self._schedule.waits() if busy else (0.0, 0.0, 0.0)
+        is_full = self.queued > 0 or self.in_progress >= self.limit.limit
+        waits = self._schedule.waits(self.in_progress) if is_full else (0.0, 0.0, 0.0)
+        first, second, third = waits
         return TargetLoad(
             waits_ms=(_to_ms(first), _to_ms(second), _to_ms(third)),
             service_ms=_to_ms(self._service_s),
@@ -75,7 +76,9 @@
 
     async def begin(self, request: TurnRequest) -> Turn:
         """Wait for a turn, and for new work a reserved link; raise NotSent with a kind."""
-        pushed = self._schedule.push(request, now=now())
+        is_full = self.in_progress >= self.limit.limit
+        in_progress = self.in_progress if is_full else 0
+        pushed = self._schedule.push(request, now=now(), in_progress=in_progress)
         if pushed.is_err():
             self._log_refusal(pushed.err_value.kind, pushed.err_value.detail)
             raise _not_sent(pushed.err_value.kind, pushed.err_value.detail)
