--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -78,6 +78,7 @@
 
     def __init__(self, *, directory: GroupDirectory, link_factory: LinkFactory) -> None:
         self.on_unresponsive: Callable[[str, str, str], None] = lambda group, target, reason: None
+        self.on_turn: Callable[[int, float], None] = lambda priority_class, waited: None
         self._directory = directory
         self._link_factory = link_factory
         self._pools: dict[tuple[str, str, int], LinkPool] = {}
@@ -94,6 +95,11 @@
         """Return how many statements and transactions hold a link or wait for one."""
         return self._acquiring + sum(len(p.in_use) for p in self._pools.values())
 
+    @property
+    def pools(self) -> tuple[LinkPool, ...]:
+        """Return the pools of links to the targets that this host has used."""
+        return tuple(self._pools.values())
+
     async def run(self, request: StatementRequest) -> StatementResponse:
         """Run one statement, in the open transaction that the request names, if any."""
         if request.transaction_id:
@@ -194,8 +200,9 @@
             request.budget if request.require_primary else min(request.budget, LINK_WAIT_LIMIT_S)
         )
         self._acquiring += 1
+        turn_request = _turn_request(request, started_at + link_wait)
         try:
-            link, turn = await pool.acquire(_turn_request(request, started_at + link_wait))
+            link, turn = await pool.acquire(turn_request)
         except NotSent as exc:
             kind = exc.kind or Kind.TARGET_UNREACHABLE
             if kind is Kind.TARGET_UNREACHABLE:
@@ -206,6 +213,7 @@
         finally:
             self._acquiring -= 1
         pool.in_use.add(link)
+        self.on_turn(turn_request.priority_class, turn.waited)
         refusal = self._refusal_of_new(request, target, now() - started_at)
         if refusal is not None:
             turn.end(TurnOutcome.ABANDONED)
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -157,6 +157,9 @@
         )
         self.directory = GroupDirectory(cache=self.cache, member_drain=cfg.bounds.member_drain)
         self.local_executor = LocalExecutor(directory=self.directory, link_factory=link_factory)
+        self.local_executor.on_turn = lambda priority_class, waited: (
+            self.metrics.turn_wait.labels(str(priority_class)).observe(waited)
+        )
         self.relay = Relay(hosts=self.hosts, mesh=self.mesh, local_executor=self.local_executor)
         self.dispatcher = Dispatcher(
             directory=self.directory,
@@ -338,6 +341,17 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self.local_executor.close_stale()
             self._close_unowned_links()
+            self._report_pools()
+
+    def _report_pools(self) -> None:
+        gauges = (self.metrics.queued, self.metrics.busy, self.metrics.links)
+        for gauge in gauges:
+            gauge.clear()
+        for pool in self.local_executor.pools:
+            scheduler = pool.scheduler
+            values = (scheduler.queued, scheduler.in_progress, pool.link_count)
+            for gauge, value in zip(gauges, values, strict=True):
+                gauge.labels(pool.target.group, pool.target.name).set(value)
 
     def _hosts_changed(self) -> None:
         try:
--- a/src/wagtailloft/metrics.py
+++ b/src/wagtailloft/metrics.py
@@ -41,6 +41,13 @@
         self.queued = self._gauge("queued", "Requests that wait for a slot", "group", "member")
         self.busy = self._gauge("slots_busy", "Slots in use", "group", "member")
         self.links = self._gauge("connections", "Connections open", "group", "member")
+        self.turn_wait = Histogram(
+            "wagtailloft_turn_wait_seconds",
+            "Time that new work waited for a turn at its target, by priority class",
+            ("priority",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self.term = self._gauge("term", "Term of the group", "group")
         self.lag = self._gauge("lag_entries", "Entries not yet applied", "group", "member")
         self.tokens_out = self._gauge("tokens_out", "Rate tokens held by hosts", "team")
