--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -80,7 +80,8 @@
 class HostSettings(Record):
     """Settings of one host process; both addresses are IP:PORT, seeds are IP addresses of hosts.
 
-    starts_fleet tells that no process of the fleet has run before.
+    starts_fleet tells that no process of the fleet has run before. Without adaptive_pace, the limit
+    on the statements at a target is fixed.
     """
 
     own: Host
@@ -90,6 +91,7 @@
     seeds: tuple[str, ...] = ()
     max_fds: int = 1024
     starts_fleet: bool = False
+    adaptive_pace: bool = True
 
 
 class CallerServer(Protocol):
--- a/src/wagtailloft/metrics.py
+++ b/src/wagtailloft/metrics.py
@@ -40,6 +40,9 @@
         )
         self.queued = self._gauge("queued", "Requests that wait for a slot", "group", "member")
         self.busy = self._gauge("slots_busy", "Slots in use", "group", "member")
+        self.pace_limit = self._gauge(
+            "pace_limit", "Statements that may be in progress at once", "group", "member"
+        )
         self.links = self._gauge("connections", "Connections open", "group", "member")
         self.term = self._gauge("term", "Term of the group", "group")
         self.lag = self._gauge("lag_entries", "Entries not yet applied", "group", "member")
