--- a/features/pace.feature
+++ b/features/pace.feature
@@ -8,6 +8,9 @@
   Scenario: A member that is slow for a moment keeps its limit
     Then 2 windows of answers that take 20 times longer do not lower the limit, the next ones do
 
+  Scenario: Neither the time on the network nor an idle time hides that a member is slow
+    Then slow answers of a member in another zone, or after an idle time, lower the limit
+
   Scenario: A member that becomes slow gets fewer statements, but keeps a share and is tried again
     Then a member that becomes 6 times slower gets a limit of 3 within 6 s
     And if it stays 6 times slower, it has its full limit again 40 s later
--- a/features/steps/pace.py
+++ b/features/steps/pace.py
@@ -170,17 +170,31 @@
         assert limits == [upper], (seed, load, limits)
 
 
+def answer(limit, count, seconds, outcome=TurnOutcome.OK, at=0.0):
+    """Answer statements one after the other, 100 a second; return the limits after each."""
+    limits = []
+    for number in range(count):
+        limit.started(at + number / 100)
+        limit.finished(at + number / 100, seconds, outcome)
+        limits.append(limit.limit)
+    return limits
+
+
 @then("2 windows of answers that take 20 times longer do not lower the limit, the next ones do")
 def step_short_trouble(context):
     limit = PaceLimit(upper=6, slots=5, start=TargetStart.WARM)
-    limits = []
-    for number in range(150):
-        limit.started(number)
-        limit.finished(number, 0.02 if number < 100 else 0.4, TurnOutcome.OK)
-        limits.append(limit.limit)
+    limits = answer(limit, 100, 0.02) + answer(limit, 50, 0.4, at=1.0)
     assert set(limits[20:120]) == {6} and limits[-1] < 6, limits
 
 
+@then("slow answers of a member in another zone, or after an idle time, lower the limit")
+def step_slow_elsewhere(context):
+    for usual, slow, round_trip, idle in ((0.015, 0.031, 0.011, 0.0), (0.02, 0.4, 0.0, 100.0)):
+        limit = PaceLimit(upper=6, slots=5, start=TargetStart.WARM, round_trip=round_trip)
+        answer(limit, 100, usual)
+        assert answer(limit, 100, slow, at=1.0 + idle)[-1] < 6, usual
+
+
 @then("a member that becomes {factor:d} times slower gets a limit of 3 within {seconds:d} s")
 def step_slow(context, factor, seconds):
     context.runs = [Run(seed=seed) for seed in SEEDS]
@@ -193,6 +207,9 @@
 @then("if it stays {factor:d} times slower, it has its full limit again {seconds:d} s later")
 def step_permanently_slow(context, factor, seconds):
     for run in context.runs:
+        run.pass_time(0.5, slowdown=factor, failed_share=1)
+        _, limits = run.pass_time(4, slowdown=factor)
+        assert limits[0] == 1 and limits[-1] >= 3, limits  # its half of the slots comes back
         _, limits = run.pass_time(seconds, slowdown=factor)
         assert min(limits) >= 3 and run.limit.limit == run.upper, limits
 
@@ -284,19 +301,19 @@
             limit.finished(0.0, 0.01, outcome)
         assert limit.limit == expected, (limit.limit, outcome)
     assert limit.reason == "shed"
-    limit.started(0.0)
-    limit.finished(0.0, 0.01, TurnOutcome.SHED)
-    assert limit.limit == 1
+    assert answer(limit, 2, 0.01, TurnOutcome.SHED) == [1, 1]
+    limit = PaceLimit(upper=6, slots=6, start=TargetStart.NEW)
+    assert answer(limit, 1, 0.01) == [2] and answer(limit, 1, 0.01, TurnOutcome.SHED) == [1]
+    assert answer(limit, 4, 0.01) == [2, 2, 2, 3]  # no longer doubling
 
 
 @then("changes of the limit are reported at most once a second, with the reason")
 def step_reported(context):
     limit = PaceLimit(upper=6, slots=6, start=TargetStart.WARM)
     assert limit.take_change(0.0) == PaceChange(limit=6, lowest=6, reason="warm")
-    for number in range(32):
-        limit.started(0.1)
-        limit.finished(0.1, 0.01, TurnOutcome.OK if number > 1 else TurnOutcome.FAILED)
-        assert limit.take_change(0.1) is None
+    for count, outcome in ((2, TurnOutcome.FAILED), (30, TurnOutcome.OK)):
+        answer(limit, count, 0.01, outcome, at=0.1)
+        assert limit.take_change(0.5) is None
     assert limit.take_change(1.0) == PaceChange(limit=6, lowest=1, reason="failed")
     assert limit.take_change(9.0) is None
 
