--- a/src/wagtailloft/metrics.py
+++ b/src/wagtailloft/metrics.py
@@ -40,6 +40,9 @@
         )
         self.queued = self._gauge("queued", "Requests that wait for a slot", "group", "member")
         self.busy = self._gauge("slots_busy", "Slots in use", "group", "member")
+        self.pace_limit = self._gauge(
+            "pace_limit", "Statements that may be in progress at once", "group", "member"
+        )
         self.links = self._gauge("connections", "Connections open", "group", "member")
         self.turn_wait = Histogram(
             "wagtailloft_turn_wait_seconds",
