Use the adaptive limit at each target

The owner creates a limit for each target that begins low if the target is cold, new or newly promoted. The directory tells since when a member has been listed or primary.

--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -72,6 +72,7 @@
     """A member of a group, as it reports itself.
 
     started is its start time in milliseconds of its own clock; sequence counts its reports since.
+    cold_left is for how many seconds more it is slow after its start.
     """
 
     name: str
@@ -83,6 +84,7 @@
     role: Role | None = None
     started: Count = 0
     sequence: Count = 0
+    cold_left: Amount = 0.0
 
     @property
     def sort_key(self) -> tuple[int, int]:
--- a/src/wagtailloft/groups/directory.py
+++ b/src/wagtailloft/groups/directory.py
@@ -19,6 +19,7 @@
 
 # Until a host that reaches the store hears that a member is leaving, also if a watch misses it.
 LEAVING_NOTICE_S = 1.5
+FIRST_SNAPSHOT_S = 3.0  # until a process that starts has read what was stored before
 ENTRY_RETURN_S = 2.2  # entries of members that live are back within 2 s
 
 
@@ -34,7 +35,11 @@
         self._samples: dict[str, PositionSamples] = {}
         self._revisions: dict[str, int] = {}
         self._unlisted_at: dict[str, dict[str, float]] = {}  # by group and member
+        self._first_listed_at = math.inf
+        self._listed_at: dict[str, float] = {}  # of members that came after the first snapshot
+        self._promoted_at: dict[str, tuple[str, float]] = {}  # primary and time, by group
         cache.on_change(Topic.TARGETS, self._handle_target_change)
+        cache.on_change(Topic.FLEET, self._handle_assignment)
 
     def target(self, group: str, name: str) -> Target | None:
         """Return a member of a group, or None if it is not listed."""
@@ -58,6 +63,15 @@
         self._unlisted_at[group] = recent
         return tuple(recent)
 
+    def listed_for(self, name: str) -> float:
+        """Return for how many seconds a member has been listed, infinite if since the beginning."""
+        return now() - self._listed_at.get(name, -math.inf)
+
+    def promoted_at(self, group: str, name: str) -> float:
+        """Return when this process saw a member become primary, minus infinity if it did not."""
+        primary, at = self._promoted_at.get(group, ("", -math.inf))
+        return at if primary == name else -math.inf
+
     def groups(self) -> tuple[str, ...]:
         """Return the groups that have members."""
         return tuple(g for g, members in self._targets.items() if members)
@@ -140,6 +154,19 @@
         others = (m for m in members.values() if m.name != assigned.name)
         return assigned.role is Role.REPLICA and any(m.role is Role.PRIMARY for m in others)
 
+    def _handle_assignment(self, entry: Entry) -> None:
+        assignment = entry.value
+        if not isinstance(assignment, PrimaryAssignment) or not assignment.settled:
+            return
+        known, _ = self._promoted_at.get(assignment.group, ("", 0.0))
+        if known != assignment.primary:
+            at = now() if self._knew_members() else -math.inf
+            self._promoted_at[assignment.group] = (assignment.primary, at)
+
+    def _knew_members(self) -> bool:
+        """Tell whether a change is new, and not one that a process finds when it starts."""
+        return now() - self._first_listed_at > FIRST_SNAPSHOT_S
+
     def _handle_target_change(self, entry: Entry) -> None:
         self._revisions[entry.name] = entry.revision
         was_known = any(entry.name in members for members in self._targets.values())
@@ -151,9 +178,13 @@
         self._follow_leaving(entry, was_known=was_known)
         target = entry.value
         if not isinstance(target, Target):
+            self._listed_at.pop(entry.name, None)
             logs.event("target_removed", target=entry.name, revision=entry.revision)
             return
         target = msgspec.structs.replace(target, name=entry.name)
+        self._first_listed_at = min(self._first_listed_at, now())
+        if not was_known and self._knew_members():
+            self._listed_at[entry.name] = now()
         self._targets.setdefault(target.group, {})[entry.name] = target
         self._unlisted_at.get(target.group, {}).pop(entry.name, None)
         logs.event(
--- a/src/wagtailloft/groups/link_pool.py
+++ b/src/wagtailloft/groups/link_pool.py
@@ -73,8 +73,9 @@
             return idle, turn
         try:
             return await self._open_link(request.team), turn
-        except BaseException:
-            turn.end(TurnOutcome.ABANDONED)
+        except BaseException as exc:
+            is_unreachable = isinstance(exc, NotSent) and exc.kind is None
+            turn.end(TurnOutcome.FAILED if is_unreachable else TurnOutcome.ABANDONED)
             raise
 
     def release(self, link: Link) -> None:
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -15,6 +15,7 @@
 from wagtailloft.fleet.store_cache import OLD_CACHE_AGE_S
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.link_pool import LinkPool
+from wagtailloft.groups.pace_control import PaceControl
 from wagtailloft.groups.ports import Link, LinkFactory
 from wagtailloft.groups.target_scheduler import Turn
 from wagtailloft.models import Position
@@ -76,11 +77,14 @@
 class LocalExecutor:
     """Run statements over this host's links and keep its open transactions."""
 
-    def __init__(self, *, directory: GroupDirectory, link_factory: LinkFactory) -> None:
+    def __init__(
+        self, *, directory: GroupDirectory, link_factory: LinkFactory, adaptive_pace: bool = False
+    ) -> None:
         self.on_unresponsive: Callable[[str, str, str], None] = lambda group, target, reason: None
         self.on_turn: Callable[[int, float], None] = lambda priority_class, waited: None
         self._directory = directory
         self._link_factory = link_factory
+        self._pace = PaceControl(directory=directory, adaptive=adaptive_pace)
         self._pools: dict[tuple[str, str, int], LinkPool] = {}
         self._transactions: dict[int, _LinkUse] = {}
         # Other hosts call an earlier process's transactions at this one.
@@ -183,7 +187,12 @@
         key = (target.group, target.name, target.started)
         if key not in self._pools:
             limit = self._directory.rule(target.group).max_links
-            self._pools[key] = LinkPool(target=target, limit=limit, link_factory=self._link_factory)
+            self._pools[key] = LinkPool(
+                target=target,
+                limit=limit,
+                link_factory=self._link_factory,
+                concurrency=self._pace.limit_for(target),
+            )
         return self._pools[key]
 
     async def _run_new(self, request: StatementRequest) -> StatementResponse:
@@ -195,6 +204,8 @@
                 outcome=not_executed(Kind.TARGET_UNREACHABLE, "the target is not listed")
             )
         pool = self._pool(target)
+        if request.require_primary:
+            self._pace.use_as_primary(pool)
         started_at = now()
         link_wait = (
             request.budget if request.require_primary else min(request.budget, LINK_WAIT_LIMIT_S)
--- /dev/null
+++ b/src/wagtailloft/groups/pace_control.py
@@ -0,0 +1,59 @@
+"""Choose the limit on the statements in progress at each target that this host owns."""
+
+from wagtailloft import logs
+from wagtailloft.clock import now
+from wagtailloft.controllers.concurrency import ConcurrencyLimit, FixedLimit
+from wagtailloft.controllers.pace import PaceLimit, choose_start
+from wagtailloft.fleet.records import Target
+from wagtailloft.groups.directory import GroupDirectory
+from wagtailloft.groups.link_pool import TURNS_IN_TRANSIT, LinkPool
+
+
+class PaceControl:
+    """Create the limit of each target, and begin it anew when the target is promoted.
+
+    Unless adaptive, each target has a constant limit.
+    """
+
+    def __init__(self, *, directory: GroupDirectory, adaptive: bool) -> None:
+        self._directory = directory
+        self._adaptive = adaptive
+        self._promotions: dict[str, float] = {}  # by group, those that a limit began anew for
+
+    def limit_for(self, target: Target) -> ConcurrencyLimit:
+        """Return the limit of a target that this host begins to use."""
+        upper = target.slots + TURNS_IN_TRANSIT
+        if not self._adaptive:
+            return FixedLimit(limit=upper)
+        start = choose_start(
+            cold_left=target.cold_left,
+            age=self._directory.listed_for(target.name),
+            since_promotion=now() - self._directory.promoted_at(target.group, target.name),
+        )
+        return PaceLimit(upper=upper, slots=target.slots, start=start)
+
+    def use_as_primary(self, pool: LinkPool) -> None:
+        """Note that a target is used as primary: the only member that can run writes."""
+        if not self._adaptive:
+            return
+        target = pool.target
+        promoted_at = self._directory.promoted_at(target.group, target.name)
+        if self._promotions.get(target.group, promoted_at) != promoted_at:
+            pool.scheduler.replace_limit(self.limit_for(target))
+        self._promotions[target.group] = promoted_at
+        pool.scheduler.limit.is_only_choice = True
+
+
+def log_pace_change(pool: LinkPool) -> None:
+    """Log the limit of a pool's target if it moved since the last call."""
+    limit = pool.scheduler.limit
+    change = limit.take_change(now()) if isinstance(limit, PaceLimit) else None
+    if change is not None:
+        logs.event(
+            "pace_changed",
+            group=pool.target.group,
+            target=pool.target.name,
+            limit=change.limit,
+            lowest=change.lowest,
+            why=change.reason,
+        )
--- a/src/wagtailloft/groups/target_scheduler.py
+++ b/src/wagtailloft/groups/target_scheduler.py
@@ -125,6 +125,13 @@
             self._service_s = SERVICE_SMOOTHING * self._service_s + share * seconds
         self.wake()
 
+    def replace_limit(self, limit: ConcurrencyLimit) -> None:
+        """Use another limit; the turns in progress count towards it."""
+        for _ in range(self.in_progress):
+            limit.started(now())
+        self.limit = limit
+        self.wake()
+
     def reject_waiters(self, exc: NotSent) -> None:
         """End the wait of all statements that have no turn yet."""
         for future in self._waiters.values():
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -24,6 +24,7 @@
 from wagtailloft.groups.dispatch import Dispatcher
 from wagtailloft.groups.failover import COORDINATOR_KEY, FailoverCoordinator
 from wagtailloft.groups.local_executor import LocalExecutor
+from wagtailloft.groups.pace_control import log_pace_change
 from wagtailloft.groups.ports import LinkFactory, PromotionApi
 from wagtailloft.groups.promotion_lease import PromotionLease
 from wagtailloft.groups.relay import Relay
@@ -158,7 +159,11 @@
             on_failure=self._supervisor.report,
         )
         self.directory = GroupDirectory(cache=self.cache, member_drain=cfg.bounds.member_drain)
-        self.local_executor = LocalExecutor(directory=self.directory, link_factory=link_factory)
+        self.local_executor = LocalExecutor(
+            directory=self.directory,
+            link_factory=link_factory,
+            adaptive_pace=cfg.adaptive_pace,
+        )
         self.local_executor.on_turn = lambda priority_class, waited: (
             self.metrics.turn_wait.labels(str(priority_class)).observe(waited)
         )
@@ -346,14 +351,17 @@
             self._report_pools()
 
     def _report_pools(self) -> None:
-        gauges = (self.metrics.queued, self.metrics.busy, self.metrics.links)
+        metrics = self.metrics
+        gauges = (metrics.queued, metrics.busy, metrics.links, metrics.pace_limit)
         for gauge in gauges:
             gauge.clear()
         for pool in self.local_executor.pools:
             scheduler = pool.scheduler
-            values = (scheduler.queued, scheduler.in_progress, pool.link_count)
+            limit = scheduler.limit.limit
+            values = (scheduler.queued, scheduler.in_progress, pool.link_count, limit)
             for gauge, value in zip(gauges, values, strict=True):
                 gauge.labels(pool.target.group, pool.target.name).set(value)
+            log_pace_change(pool)
 
     def _hosts_changed(self) -> None:
         try:
