Place statements by the reported load and learned distance of members

The choice knew this host's own statements in flight only, with constants for the distance of zones and the time of a statement, so a member with a queue at its owner kept its share. TargetLoads keeps the reports of the owners, their age, and the round trips; the choice takes the least expected delay, varied at random by what is not known. Without reports it is as before, but for replicas of one zone, which are chosen at random instead of by name.

Every StatementRequest carries the route's priority now.

Failed before: placement.feature, 'A queue at the replica in this zone sends reads to the other zone'.

--- /dev/null
+++ b/src/wagtailloft/controllers/target_loads.py
@@ -0,0 +1,226 @@
+"""What this host knows of the load, speed and failures of targets, to choose among them.
+
+Times are arguments, in seconds of one clock.
+"""
+
+import math
+import statistics
+from collections import deque
+from enum import Enum
+
+from wagtailloft.fleet.messages import TargetLoad
+from wagtailloft.fleet.records import Target
+from wagtailloft.models import Record
+
+ZONE_ROUND_TRIP_S = 0.0005  # prior, until a round trip to the target is known
+CROSS_ZONE_ROUND_TRIP_S = 0.010  # prior
+TYPICAL_SERVICE_S = 0.015  # prior of the time of a statement at a target
+PRIORITY_CLASSES = 3  # as in TargetLoad.waits_ms
+WAIT_LIFETIME_S = 1.0  # a reported wait decays to 0 over this time
+FRESH_REPORT_S = 0.3  # only a younger report may refuse a statement
+ROUND_TRIP_WINDOW_S = 30.0
+MAX_ROUND_TRIPS = 32
+MIN_ROUND_TRIPS = 5  # fewer may all be of slow statements
+FAILURE_GAIN = 0.25  # two failures in a row exceed the limit, one does not
+FAILURE_HALF_LIFE_S = 5.0
+FAILURE_COST_S = 0.05  # expected delay of a target at which every attempt fails: that of a retry
+MAX_FAILURE_SCORE = 0.3
+SLOW_FACTOR = 3.0  # times the median service time of the group
+# Members with different statements differ by SLOW_FACTOR at short times; below this, the expected
+# delay alone decides.
+MIN_SLOW_SERVICE_S = 0.04
+SERVICE_LIFETIME_S = 10.0  # an older service time is not compared with those of other members
+PROBE_INTERVAL_S = 0.5
+MAX_PROBE_INTERVAL_S = 4.0  # a host with few reads would send most of them as probes otherwise
+IDLE_LIFETIME_S = 60.0  # targets that were not used for this long are forgotten
+
+
+class AttemptResult(Enum):
+    """What an attempt tells about its target; NEUTRAL is not caused by the target."""
+
+    OK = "ok"
+    FAILED = "failed"
+    NEUTRAL = "neutral"
+
+
+class Ejection(Record):
+    """Report that a target was ejected, or readmitted if not is_ejected."""
+
+    target: str
+    is_ejected: bool
+    reason: str
+    score: float
+    service: float
+
+
+class _Target:
+    """The state of one target."""
+
+    def __init__(self) -> None:
+        self.owner = ""
+        self.in_flight = 0
+        self.sent_since_report = 0
+        self.waits = (0.0,) * PRIORITY_CLASSES
+        self.reported_at = -math.inf
+        self.service = TYPICAL_SERVICE_S
+        self.round_trips: deque[tuple[float, float]] = deque(maxlen=MAX_ROUND_TRIPS)
+        self.score = 0.0
+        self.used_at = -math.inf
+        self.last_result = AttemptResult.NEUTRAL
+        self.ejected_for = ""
+        self.probe_interval = PROBE_INTERVAL_S
+        self.next_probe_at = -math.inf
+
+    def score_at(self, at: float) -> float:
+        return self.score * 0.5 ** (max(0.0, at - self.used_at) / FAILURE_HALF_LIFE_S)
+
+    def wait_at(self, priority: int, at: float) -> float:
+        share = 1 - (at - self.reported_at) / WAIT_LIFETIME_S
+        return self.waits[_class_of(priority)] * max(0.0, share)
+
+    def round_trip(self, prior: float, at: float) -> float:
+        recent = [s for when, s in self.round_trips if at - when <= ROUND_TRIP_WINDOW_S]
+        return min(recent) if len(recent) >= MIN_ROUND_TRIPS else prior
+
+    def drop_reports(self) -> None:
+        self.reported_at = -math.inf
+        self.sent_since_report = 0
+        self.round_trips.clear()
+
+
+class TargetLoads:
+    """Keep the load, speed and failures of targets as this host's attempts show them."""
+
+    def __init__(self) -> None:
+        self._targets: dict[str, _Target] = {}
+
+    def sent(self, target: str, owner: str, at: float) -> None:
+        """Count a statement that is sent; another owner than before drops the reports."""
+        state = self._targets.get(target)
+        if state is None:
+            self._forget_idle(at)
+            state = self._targets[target] = _Target()
+        if state.owner != owner:
+            state.drop_reports()
+            state.owner = owner
+        state.in_flight += 1
+        state.sent_since_report += 1
+        if state.ejected_for:
+            state.next_probe_at = at + state.probe_interval
+
+    def returned(self, target: str) -> None:
+        """Count a statement as finished, with or without an answer."""
+        self._targets[target].in_flight -= 1
+
+    def observe(
+        self, target: str, *, result: AttemptResult, load: TargetLoad | None, at: float
+    ) -> None:
+        """Take the result of a statement, and the load that was reported with it."""
+        state = self._targets.setdefault(target, _Target())
+        if load is not None:
+            state.waits = tuple(w / 1000 for w in load.waits_ms)
+            state.service = max(1, load.service_ms) / 1000
+            state.reported_at = at
+            state.sent_since_report = 0
+        state.score = state.score_at(at)
+        if result is not AttemptResult.NEUTRAL:
+            has_failed = result is AttemptResult.FAILED
+            state.score += FAILURE_GAIN * (has_failed - state.score)
+            state.last_result = result
+            if state.ejected_for:
+                state.probe_interval = (
+                    min(MAX_PROBE_INTERVAL_S, 2 * state.probe_interval)
+                    if has_failed
+                    else PROBE_INTERVAL_S
+                )
+                state.next_probe_at = at + state.probe_interval
+        state.used_at = at
+
+    def observe_answer_time(self, target: str, *, priority: int, seconds: float, at: float) -> None:
+        """Learn the round trip from the time of a single statement that has been answered.
+
+        The shortest recent time at an owner without a queue is taken: it includes the time of the
+        cheapest statements, as that of the other members does. Subtracting the average service time
+        instead would give round trips of 0 and below.
+        """
+        state = self._targets[target]
+        if state.reported_at == at and state.wait_at(priority, at) == 0:
+            state.round_trips.append((at, seconds))
+
+    def expected_delay(
+        self, target: Target, *, zone: str, priority: int, round_trips: int, at: float
+    ) -> float:
+        """Return the expected delay of a statement or transaction before and after its service."""
+        delay = self.round_trip(target, zone, at) * round_trips
+        state = self._targets.get(target.name)
+        if state is None:
+            return delay
+        slots = max(1, target.slots)
+        wait = state.wait_at(priority, at)
+        # With a wait the slots are in use already, so all that was sent since queues up.
+        queued = state.sent_since_report if wait else max(0, state.in_flight + 1 - slots)
+        return delay + wait + state.service * queued / slots + FAILURE_COST_S * state.score_at(at)
+
+    def round_trip(self, target: Target, zone: str, at: float) -> float:
+        """Return the learned time of a round trip to a target, or the prior of its zone."""
+        prior = ZONE_ROUND_TRIP_S if target.zone == zone else CROSS_ZONE_ROUND_TRIP_S
+        state = self._targets.get(target.name)
+        return state.round_trip(prior, at) if state else prior
+
+    def service(self, target: str) -> float:
+        """Return the last reported time of a statement at a target, or the prior."""
+        state = self._targets.get(target)
+        return state.service if state else TYPICAL_SERVICE_S
+
+    def is_reported(self, target: str, at: float) -> bool:
+        """Tell whether the last report of a target is fresh enough to refuse a statement by."""
+        state = self._targets.get(target)
+        return state is not None and at - state.reported_at < FRESH_REPORT_S
+
+    def is_ejected(self, target: str) -> bool:
+        """Tell whether a target gets only probes while others are eligible."""
+        state = self._targets.get(target)
+        return state is not None and bool(state.ejected_for)
+
+    def is_probe_due(self, target: str, at: float) -> bool:
+        """Tell whether an ejected target is to get a statement as a probe."""
+        state = self._targets.get(target)
+        return state is not None and bool(state.ejected_for) and at >= state.next_probe_at
+
+    def review(self, members: tuple[str, ...], at: float) -> tuple[Ejection, ...]:
+        """Eject and readmit members of a group by their failures and service times."""
+        known = {n: self._targets[n] for n in members if n in self._targets}
+        services = [s.service for s in known.values() if at - s.reported_at <= SERVICE_LIFETIME_S]
+        limit = math.inf
+        if services:
+            limit = max(MIN_SLOW_SERVICE_S, SLOW_FACTOR * statistics.median(services))
+        changes = []
+        for name, state in known.items():
+            score = state.score_at(at)
+            is_slow = at - state.reported_at <= SERVICE_LIFETIME_S and state.service > limit
+            reason = "failures" if score > MAX_FAILURE_SCORE else "slow" if is_slow else ""
+            if bool(reason) == bool(state.ejected_for):
+                continue
+            if not reason and state.last_result is not AttemptResult.OK:
+                continue
+            change = Ejection(
+                target=name,
+                is_ejected=bool(reason),
+                reason=reason or state.ejected_for,
+                score=score,
+                service=state.service,
+            )
+            changes.append(change)
+            state.ejected_for = reason
+            state.probe_interval = PROBE_INTERVAL_S
+            state.next_probe_at = at + PROBE_INTERVAL_S
+        return tuple(changes)
+
+    def _forget_idle(self, at: float) -> None:
+        for name, state in list(self._targets.items()):
+            if not state.in_flight and at - state.used_at > IDLE_LIFETIME_S:
+                del self._targets[name]
+
+
+def _class_of(priority: int) -> int:
+    return min(priority, PRIORITY_CLASSES - 1)
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -7,6 +7,7 @@
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.controllers.retries import retry_delay
+from wagtailloft.controllers.target_loads import AttemptResult, TargetLoads
 from wagtailloft.errors import Kind
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
 from wagtailloft.fleet.records import RouteRule
@@ -47,6 +48,16 @@
 )
 # Errors after which the next host in the target's owner ranking is tried.
 OWNER_FAULTS = frozenset({Kind.NO_OWNER, Kind.TARGET_UNREACHABLE, Kind.STOPPING})
+# Errors that the target causes.
+TARGET_FAULTS = frozenset(
+    {
+        Kind.TARGET_FAILED,
+        Kind.NO_ANSWER,
+        Kind.TARGET_UNREACHABLE,
+        Kind.TARGET_BUSY,
+        Kind.OUTCOME_UNKNOWN,
+    }
+)
 
 
 class StatementContext(Record):
@@ -87,7 +98,7 @@
         self._sample_exchange = sample_exchange
         self._zone = zone
         self._metrics = metrics
-        self._in_flight: Counter[str] = Counter()
+        self._loads = TargetLoads()
         self._rng = random.Random()
 
     async def run_single(self, context: StatementContext, bound: BoundStatement) -> StatementResult:
@@ -114,8 +125,10 @@
             budget=context.rule.timeout,
             require_primary=transaction.is_primary,
             transaction_id=transaction.transaction_id,
+            priority=context.rule.priority,
         )
         response = await self._relay.run(transaction.owner, request)
+        self._observe(request, response, now())
         self._record_position(transaction.group, transaction.is_primary, response.outcome, sent_at)
         choice = TargetChoice(
             target=transaction.target, is_primary=transaction.is_primary, reason="transaction"
@@ -204,13 +217,23 @@
             budget=budget,
             require_primary=choice.is_primary,
             opens_transaction=opens_transaction,
+            priority=context.rule.priority,
         )
         samples = self._directory.samples(context.rule.group)
-        self._in_flight[choice.target] += 1
+        self._loads.sent(choice.target, owner, sent_at)
         try:
             response = await self._relay.run(owner, request)
         finally:
-            self._in_flight[choice.target] -= 1
+            self._loads.returned(choice.target)
+        answered_at = now()
+        self._observe(request, response, answered_at)
+        if response.outcome.ok and not opens_transaction:
+            self._loads.observe_answer_time(
+                choice.target,
+                priority=context.rule.priority,
+                seconds=answered_at - sent_at,
+                at=answered_at,
+            )
         self._record_position(context.rule.group, choice.is_primary, response.outcome, sent_at)
         if response.outcome.kind is Kind.TARGET_BEHIND:
             samples.mark_behind(choice.target, now())
@@ -256,7 +279,7 @@
             targets=self._directory.targets(group),
             primary=primary,
             zone=self._zone,
-            in_flight=dict(self._in_flight),
+            loads=self._loads,
         )
         needs = StatementNeeds(
             rule=context.rule,
@@ -265,7 +288,13 @@
             avoid=avoid,
             opens_transaction=opens_transaction,
         )
-        return choose(needs, snapshot, self._directory.samples(group), now())
+        return choose(needs, snapshot, self._directory.samples(group), now(), self._rng)
+
+    def _observe(self, request: StatementRequest, response: StatementResponse, at: float) -> None:
+        """Learn from a response how loaded its target is, and whether it fails."""
+        self._loads.observe(
+            request.target, result=_attempt_result(request, response), load=response.load, at=at
+        )
 
     def _owner(self, group: str, name: str, fault_count: int) -> str | None:
         target = self._directory.target(group, name)
@@ -281,6 +310,19 @@
             self._directory.samples(group).add(sent_at, outcome.position)
 
 
+def _attempt_result(request: StatementRequest, response: StatementResponse) -> AttemptResult:
+    """Return what a response tells about its target."""
+    outcome = response.outcome
+    if outcome.ok:
+        return AttemptResult.OK
+    if outcome.kind in TARGET_FAULTS:
+        return AttemptResult.FAILED
+    # A transaction that is lost before it is sent has expired, or its owner ended it.
+    if outcome.kind is Kind.TRANSACTION_LOST and outcome.sent:
+        return AttemptResult.FAILED
+    return AttemptResult.NEUTRAL
+
+
 def _log_statement(
     context: StatementContext,
     bound: BoundStatement,
--- a/src/wagtailloft/groups/target_choice.py
+++ b/src/wagtailloft/groups/target_choice.py
@@ -1,19 +1,26 @@
 """Choose the member that runs a statement, from this host's view of the group, without I/O."""
 
+import random
+
 import msgspec
 
+from wagtailloft.controllers.target_loads import TargetLoads
 from wagtailloft.fleet.records import Freshness, RouteRule, Target
 from wagtailloft.groups.samples import PositionSamples
 from wagtailloft.models import Position, Record
 
 NO_SAMPLE = "no position sample is recent enough"
 SAMPLE_MARGIN_S = 0.45  # covers LINK_WAIT_LIMIT_S and a round trip across zones
-CROSS_ZONE_COST_S = 0.012  # a round trip across zones with jitter
 STATEMENTS_PER_TRANSACTION = 5  # about half of the largest number that callers send
-# Moves reads to replicas so that the primary's slots stay free for writes. It is below
-# CROSS_ZONE_COST_S, so that a primary in this zone is preferred to a replica in another.
+# Moves reads to replicas so that the primary's slots stay free for writes. It is below the time of
+# a round trip across zones, so that a primary in this zone is preferred to a replica in another.
 PRIMARY_PENALTY_S = 0.005
-TYPICAL_STATEMENT_S = 0.015  # execution time at a member
+# Of the difference in distance between a primary in this zone and a replica in another, for zones
+# that are nearer to each other than PRIMARY_PENALTY_S.
+PRIMARY_PENALTY_SHARE = 0.5
+DELAY_RESOLUTION_S = 0.001  # members whose expected delays differ by less are chosen at random
+# Hosts that have the same report of a queue spread their next statements by this share of it.
+WAIT_SPREAD = 0.25
 
 
 class TargetChoice(Record):
@@ -37,20 +44,32 @@
     avoid: tuple[str, ...] = ()
     opens_transaction: bool = False
 
+    @property
+    def round_trips(self) -> int:
+        """Return the expected number of round trips to the member."""
+        return STATEMENTS_PER_TRANSACTION if self.opens_transaction else 1
+
 
 class GroupSnapshot(Record):
-    """Describe a group as this host sees it, with its statements in flight by target."""
+    """Describe a group as this host sees it, with what is known of its targets' loads."""
 
     targets: tuple[Target, ...]
     primary: Target | None
     zone: str
-    in_flight: dict[str, int] = {}
+    loads: TargetLoads = msgspec.field(default_factory=TargetLoads)
 
 
 def choose(
-    needs: StatementNeeds, snapshot: GroupSnapshot, samples: PositionSamples, at: float
+    needs: StatementNeeds,
+    snapshot: GroupSnapshot,
+    samples: PositionSamples,
+    at: float,
+    rng: random.Random | None = None,
 ) -> TargetChoice | None:
-    """Return the member to send the statement to, or None if none can run it at present."""
+    """Return the member to send the statement to, or None if none can run it at present.
+
+    rng decides among members that are about equal; without it, the first by name is chosen.
+    """
     primary_choice = _primary_choice(snapshot)
     if needs.writes or needs.rule.freshness is Freshness.LATEST:
         return primary_choice
@@ -64,11 +83,8 @@
     ]
     if not eligible:
         return primary_choice
-    round_trips = STATEMENTS_PER_TRANSACTION if needs.opens_transaction else 1
-    best = min(eligible, key=lambda t: (_cost(t, snapshot, round_trips), t.name))
-    if primary_choice and _cost(snapshot.primary, snapshot, round_trips) < _cost(
-        best, snapshot, round_trips
-    ):
+    best = _least_delayed(eligible, needs, snapshot, at, rng)
+    if primary_choice and _is_primary_preferred(best, needs, snapshot, at):
         return primary_choice
     return TargetChoice(
         target=best.name, is_primary=False, min_position=min_position, reason="replica"
@@ -80,6 +96,19 @@
     return rule.max_age - SAMPLE_MARGIN_S
 
 
+def expected_delay(
+    target: Target, needs: StatementNeeds, snapshot: GroupSnapshot, at: float
+) -> float:
+    """Return the expected delay of a statement or transaction at a member, in seconds."""
+    return snapshot.loads.expected_delay(
+        target,
+        zone=snapshot.zone,
+        priority=needs.rule.priority,
+        round_trips=needs.round_trips,
+        at=at,
+    )
+
+
 def _primary_choice(snapshot: GroupSnapshot) -> TargetChoice | None:
     if snapshot.primary is None:
         return None
@@ -100,12 +129,43 @@
     return not samples.in_backoff(target.name, at)
 
 
-def _cost(target: Target, snapshot: GroupSnapshot, round_trips: int) -> float:
-    """Return the expected delay of a statement or transaction at a member, in seconds."""
-    queued = max(0, snapshot.in_flight.get(target.name, 0) + 1 - target.slots)
-    cost = TYPICAL_STATEMENT_S * queued / target.slots
-    if target.zone != snapshot.zone:
-        cost += CROSS_ZONE_COST_S * round_trips
-    if snapshot.primary and target.name == snapshot.primary.name:
-        cost += PRIMARY_PENALTY_S
-    return cost
+def _least_delayed(
+    targets: list[Target],
+    needs: StatementNeeds,
+    snapshot: GroupSnapshot,
+    at: float,
+    rng: random.Random | None,
+) -> Target:
+    """Return the least delayed of two random members and the best known one.
+
+    Their delays are varied at random by about what is not known of them: hosts that have the same
+    report would all send their next statements to the same member otherwise.
+    """
+    delays = {t.name: expected_delay(t, needs, snapshot, at) for t in targets}
+    ranked = sorted(targets, key=lambda t: (delays[t.name], t.name))
+    if rng is None:
+        return ranked[0]
+    candidates = ranked[:1] + rng.sample(ranked[1:], min(2, len(ranked) - 1))
+
+    def varied_delay(target: Target) -> float:
+        near = snapshot.loads.round_trip(target, snapshot.zone, at) * needs.round_trips
+        queue = max(0.0, delays[target.name] - near)
+        return delays[target.name] + rng.uniform(0, DELAY_RESOLUTION_S + WAIT_SPREAD * queue)
+
+    return min(candidates, key=varied_delay)
+
+
+def _is_primary_preferred(
+    replica: Target, needs: StatementNeeds, snapshot: GroupSnapshot, at: float
+) -> bool:
+    """Tell whether a read goes to the primary rather than to the best replica."""
+    primary, loads = snapshot.primary, snapshot.loads
+    penalty = PRIMARY_PENALTY_S
+    if primary.zone == snapshot.zone != replica.zone:
+        nearer = loads.round_trip(replica, snapshot.zone, at) - loads.round_trip(
+            primary, snapshot.zone, at
+        )
+        penalty = min(penalty, PRIMARY_PENALTY_SHARE * max(0.0, nearer) * needs.round_trips)
+    return expected_delay(primary, needs, snapshot, at) + penalty < expected_delay(
+        replica, needs, snapshot, at
+    )
