Eject members that fail or are much slower than their group

A member that reset or failed everything while its health was good kept its share: 116 of 281 statements failed in 7 s, since nothing counted failures by member. TargetLoads scores failures by attempt, which adds to the expected delay; a score over 0.3, or a service time over three times the group's median, ejects a member. It gets one read as a probe after 0.5 s, later ones at up to 4 s, since a host with one read a second for a group would send half of them as probes otherwise. A probe that succeeds readmits it.

Failed before: placement.feature, 'A member that fails everything while its health is good is ejected, probed and readmitted'.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -32,3 +32,41 @@
     And the replica in this zone and the primary report a wait of 0.2 s
     When both get another owner, and 200 reads are placed
     Then all go to the replica in this zone
+
+  Scenario: A member that fails everything while its health is good is ejected, probed and readmitted
+    Given a group whose primary is in another zone, with two replicas in this zone
+    And the other members have a wait of 0.1 s
+    When one replica fails every statement for 10 s of 20 reads a second
+    Then it was ejected after 2 failures, and got at most 6 probes
+    And no probe followed another within 0.5 s
+    When it recovers, and 10 s more pass
+    Then it was readmitted within 4.5 s of its recovery
+
+  Scenario: After one failure another member without load is preferred for some seconds
+    Given a group whose primary is in another zone, with two replicas in this zone
+    When one replica fails every statement for 10 s of 20 reads a second
+    Then it got at most 2 statements
+
+  Scenario: A single failure ejects nobody
+    Given a group whose primary is in another zone, with two replicas in this zone
+    When one replica fails one statement of 20
+    Then no member is ejected
+
+  Scenario: A member that answers several times slower than the others is ejected
+    Given a group whose primary is in this zone, with a replica in this zone and one in another
+    When the members report service times of 0.015 s, 0.12 s and 0.016 s
+    Then only the replica in this zone is ejected
+    When the members report service times of 0.015 s, 0.02 s and 0.016 s
+    Then no member is ejected
+
+  Scenario: Replicas that shed an overload do not move all reads to a loaded primary
+    Given a group whose primary is in this zone, with a replica in this zone and one in another
+    And both replicas shed every second statement, and the primary reports a wait of 0.3 s
+    When 200 reads are placed
+    Then none go to the primary
+
+  Scenario: Both replicas fail everything
+    Given a group whose primary is in this zone, with a replica in this zone and one in another
+    And both replicas failed their last 20 statements
+    When 200 reads are placed
+    Then all but probes go to the primary
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -28,6 +28,7 @@
         }
         self.loads, self.samples = TargetLoads(), PositionSamples()
         self.rng, self.at = random.Random(7), 100.0
+        self.waits_ms = Counter()
         self.owners = dict.fromkeys(self.targets, "h1")
 
     def choose(self, **needs):
@@ -51,6 +52,27 @@
         if seconds is not None:
             self.loads.observe_answer_time(name, priority=1, seconds=seconds, at=self.at)
 
+    def review(self):
+        """Eject and readmit members; return the names of all that are ejected."""
+        self.loads.review(tuple(self.targets), self.at)
+        return {n for n in self.targets if self.loads.is_ejected(n)}
+
+    def play(self, seconds, rate, failing=()):
+        """Place and run reads for a while; return the time and member of each."""
+        sent = []
+        for _ in range(int(seconds * rate)):
+            self.at += 1 / rate
+            name = self.choose().target
+            failed = name in failing
+            self.run(
+                name,
+                AttemptResult.FAILED if failed else AttemptResult.OK,
+                wait_ms=self.waits_ms[name],
+            )
+            self.review()
+            sent.append((self.at, name))
+        return sent
+
 
 @given("a group whose primary is in this zone, with a replica in this zone and one in another")
 def step_group(context):
@@ -78,6 +100,13 @@
         context.model.run(name, wait_ms=int(seconds * 1000))
 
 
+@given("the other members have a wait of {seconds:g} s")
+def step_others_wait(context, seconds):
+    context.model.waits_ms.update(dict.fromkeys("ps", int(seconds * 1000)))
+    for name in "ps":
+        context.model.run(name, wait_ms=context.model.waits_ms[name])
+
+
 @given("the replicas report waits of {first:g} s and {second:g} s, and the primary one of 1 s")
 def step_two_queues(context, first, second):
     context.model.run("r", wait_ms=int(first * 1000))
@@ -130,3 +159,94 @@
 @then("each replica gets at least {count:d} of them")
 def step_both(context, count):
     assert min(context.placed["r"], context.placed["s"]) >= count, context.placed
+
+
+@when("one replica fails every statement for {seconds:g} s of {rate:d} reads a second")
+def step_fail_all(context, seconds, rate):
+    sent = context.model.play(seconds, rate, failing=("r",))
+    context.attempts = [at for at, name in sent if name == "r"]
+
+
+@then("it was ejected after {count:d} failures, and got at most {probes:d} probes")
+def step_ejected(context, count, probes):
+    assert context.model.loads.is_ejected("r")
+    assert count < len(context.attempts) <= count + probes, context.attempts
+
+
+@then("it got at most {count:d} statements")
+def step_few_attempts(context, count):
+    assert len(context.attempts) <= count, context.attempts
+
+
+@then("no probe followed another within {seconds:g} s")
+def step_probe_interval(context, seconds):
+    probes = context.attempts[2:]
+    gaps = [b - a for a, b in zip(probes, probes[1:], strict=False)]
+    assert min(gaps) >= seconds - 1e-6, gaps
+
+
+@when("it recovers, and {seconds:g} s more pass")
+def step_recover(context, seconds):
+    context.recovered_at = context.model.at
+    context.after = [at for at, name in context.model.play(seconds, 20) if name == "r"]
+
+
+@then("it was readmitted within {seconds:g} s of its recovery")
+def step_readmitted(context, seconds):
+    assert not context.model.loads.is_ejected("r")
+    later = [at for at in context.after if at > context.recovered_at + seconds]
+    assert len(later) > 30, context.after
+
+
+@when("one replica fails one statement of 20")
+def step_fail_once(context):
+    for number in range(20):
+        context.model.at += 0.05
+        failed = number == 10
+        context.model.run("r", AttemptResult.FAILED if failed else AttemptResult.OK, wait_ms=0)
+        context.model.run("s", wait_ms=0)
+        assert not context.model.review()
+
+
+@when("the members report service times of {p:g} s, {r:g} s and {s:g} s")
+def step_service_times(context, p, r, s):
+    for name, seconds in {"p": p, "r": r, "s": s}.items():
+        context.model.run(name, wait_ms=0, service_ms=int(seconds * 1000))
+    context.ejected = context.model.review()
+
+
+@then("only the replica in this zone is ejected")
+def step_only_r_ejected(context):
+    assert context.ejected == {"r"}, context.ejected
+
+
+@then("no member is ejected")
+def step_none_ejected(context):
+    assert not context.model.review()
+
+
+@given("both replicas shed every second statement, and the primary reports a wait of {wait:g} s")
+def step_both_shed(context, wait):
+    for number in range(20):
+        for name in "rs":
+            shed = number % 2
+            context.model.run(name, AttemptResult.FAILED if shed else AttemptResult.OK, wait_ms=20)
+    context.model.run("p", wait_ms=int(wait * 1000))
+    assert context.model.review() == {"r", "s"}
+
+
+@given("both replicas failed their last {count:d} statements")
+def step_both_failed(context, count):
+    for name in "rs" * count:
+        context.model.run(name, AttemptResult.FAILED)
+    assert context.model.review() == {"r", "s"}
+
+
+@then("none go to the primary")
+def step_none_primary(context):
+    assert not context.placed["p"], context.placed
+
+
+@then("all but probes go to the primary")
+def step_primary_and_probes(context):
+    assert context.placed["p"] >= 198, context.placed
--- a/src/wagtailloft/controllers/target_loads.py
+++ b/src/wagtailloft/controllers/target_loads.py
@@ -23,7 +23,8 @@
 MIN_ROUND_TRIPS = 5  # fewer may all be of slow statements
 FAILURE_GAIN = 0.25  # two failures in a row exceed the limit, one does not
 FAILURE_HALF_LIFE_S = 5.0
-FAILURE_COST_S = 0.05  # expected delay of a target at which every attempt fails: that of a retry
+FAILURE_COST_S = 0.025  # of one failed attempt, which a retry repeats
+MAX_COUNTED_SCORE = 0.98  # bounds the expected number of attempts
 MAX_FAILURE_SCORE = 0.3
 SLOW_FACTOR = 3.0  # times the median service time of the group
 # Members with different statements differ by SLOW_FACTOR at short times; below this, the expected
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -295,6 +295,16 @@
         self._loads.observe(
             request.target, result=_attempt_result(request, response), load=response.load, at=at
         )
+        members = tuple(t.name for t in self._directory.targets(request.group))
+        for change in self._loads.review(members, at):
+            fields = {"target": change.target, "group": request.group, "why": change.reason}
+            fields["failure_score"] = round(change.score, 2)
+            fields["service_ms"] = round(change.service * 1000, 1)
+            if not change.is_ejected:
+                logs.event("target_readmitted", **fields)
+                continue
+            logs.warn("target_ejected", **fields)
+            self._metrics.ejections.labels(request.group, change.target, change.reason).inc()
 
     def _owner(self, group: str, name: str, fault_count: int) -> str | None:
         target = self._directory.target(group, name)
--- a/src/wagtailloft/groups/target_choice.py
+++ b/src/wagtailloft/groups/target_choice.py
@@ -10,6 +10,8 @@
 from wagtailloft.models import Position, Record
 
 NO_SAMPLE = "no position sample is recent enough"
+REPLICA = "replica"
+PROBE = "probe of an ejected replica"
 SAMPLE_MARGIN_S = 0.45  # covers LINK_WAIT_LIMIT_S and a round trip across zones
 STATEMENTS_PER_TRANSACTION = 5  # about half of the largest number that callers send
 # Moves reads to replicas so that the primary's slots stay free for writes. It is below the time of
@@ -83,12 +85,18 @@
     ]
     if not eligible:
         return primary_choice
-    best = _least_delayed(eligible, needs, snapshot, at, rng)
-    if primary_choice and _is_primary_preferred(best, needs, snapshot, at):
+    loads = snapshot.loads
+    probed = [t for t in eligible if loads.is_probe_due(t.name, at)]
+    if probed and not needs.opens_transaction and not needs.avoid:
+        return _replica_choice(probed[0], min_position, PROBE)
+    healthy = [t for t in eligible if not loads.is_ejected(t.name)]
+    best = _least_delayed(healthy or eligible, needs, snapshot, at, rng)
+    # Without a healthy replica the primary competes with the ejected ones by its expected delay:
+    # replicas that shed an overload would otherwise move all reads to the primary.
+    may_use_primary = primary_choice and not (healthy and loads.is_ejected(snapshot.primary.name))
+    if may_use_primary and _is_primary_preferred(best, needs, snapshot, at):
         return primary_choice
-    return TargetChoice(
-        target=best.name, is_primary=False, min_position=min_position, reason="replica"
-    )
+    return _replica_choice(best, min_position, REPLICA)
 
 
 def usable_sample_age(rule: RouteRule) -> float:
@@ -115,6 +123,12 @@
     return TargetChoice(target=snapshot.primary.name, is_primary=True, reason="primary")
 
 
+def _replica_choice(target: Target, min_position: Position, reason: str) -> TargetChoice:
+    return TargetChoice(
+        target=target.name, is_primary=False, min_position=min_position, reason=reason
+    )
+
+
 def _is_eligible_replica(
     target: Target,
     needs: StatementNeeds,
--- a/src/wagtailloft/metrics.py
+++ b/src/wagtailloft/metrics.py
@@ -41,6 +41,12 @@
         self.queued = self._gauge("queued", "Requests that wait for a slot", "group", "member")
         self.busy = self._gauge("slots_busy", "Slots in use", "group", "member")
         self.links = self._gauge("connections", "Connections open", "group", "member")
+        self.target_delay = self._gauge(
+            "target_delay_seconds", "Expected delay of the last read placed", "group", "member"
+        )
+        self.ejections = self._counter(
+            "target_ejections", "Members ejected", "group", "member", "reason"
+        )
         self.term = self._gauge("term", "Term of the group", "group")
         self.lag = self._gauge("lag_entries", "Entries not yet applied", "group", "member")
         self.tokens_out = self._gauge("tokens_out", "Rate tokens held by hosts", "team")
