Don't offer reads to replicas that are known to lag; repeat failed reads elsewhere

While both replicas of a group lagged, every read tried both (14 ms each) and then went to the primary: backoffs of 50 ms had ended before a host's next read. The backoff of a replica now starts at the age of the position that it lacked, counts only for positions that it may still lack, and holds for the other replicas that may lag; a read tries one such replica at most. Reads that need an older position than the one lacked are offered as before.

A read that a member ran and failed is repeated at another member, and one that was shed goes to a member that did not shed it.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -70,3 +70,21 @@
     And both replicas failed their last 20 statements
     When 200 reads are placed
     Then all but probes go to the primary
+
+  Scenario: Reads are not offered to replicas that are known to lag
+    Given a played group whose primary is in another zone
+    And both replicas lag
+    When 40 reads are sent, one every 0.8 s
+    Then all are answered within 0.05 s
+    And all were served by the primary, after at most 22 attempts at replicas
+
+  Scenario Outline: A read that one replica fails or sheds is served by another member
+    Given a played group
+    And the replica in this zone answers <kind> to everything
+    When 20 reads are sent, one every 0.1 s
+    Then all are answered within 0.05 s
+
+    Examples:
+      | kind          |
+      | target_failed |
+      | target_busy   |
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -2,15 +2,15 @@
 
 import asyncio
 import random
-from collections import Counter
 
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.controllers.retries import retry_delay
-from wagtailloft.controllers.target_loads import AttemptResult, TargetLoads
+from wagtailloft.controllers.target_loads import TargetLoads
 from wagtailloft.errors import Kind
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
 from wagtailloft.fleet.records import RouteRule
+from wagtailloft.groups.attempts import Attempts, attempt_result
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.groups.relay import Relay
@@ -48,16 +48,6 @@
 )
 # Errors after which the next host in the target's owner ranking is tried.
 OWNER_FAULTS = frozenset({Kind.NO_OWNER, Kind.TARGET_UNREACHABLE, Kind.STOPPING})
-# Errors that the target causes.
-TARGET_FAULTS = frozenset(
-    {
-        Kind.TARGET_FAILED,
-        Kind.NO_ANSWER,
-        Kind.TARGET_UNREACHABLE,
-        Kind.TARGET_BUSY,
-        Kind.OUTCOME_UNKNOWN,
-    }
-)
 
 
 class StatementContext(Record):
@@ -146,34 +136,37 @@
         self, context: StatementContext, bound: BoundStatement, *, opens_transaction: bool
     ) -> tuple[StatementResult, OpenTransaction | None]:
         group = context.rule.group
-        deadline = now() + context.rule.timeout
+        attempts = Attempts(now() + context.rule.timeout)
         writes = bound.statement.writes or bound.statement.verb is Verb.BEGIN
-        avoid: tuple[str, ...] = ()
-        owner_faults: Counter[str] = Counter()
         outcome = not_executed(Kind.NO_PRIMARY, "the group has no primary")
-        attempt = 0
-        wait_logged = sample_fetched = False
-        while now() < deadline:
-            choice = self._choose(context, writes, avoid, opens_transaction)
+        while now() < attempts.deadline:
+            choice = self._choose(context, writes, attempts, opens_transaction)
             if choice is None:
-                if not wait_logged:
-                    wait_logged = True
+                if not attempts.wait_logged:
+                    attempts.wait_logged = True
                     self._log_wait(context, bound)
-                await asyncio.sleep(min(FAILOVER_POLL_S, max(0.0, deadline - now())))
+                await asyncio.sleep(min(FAILOVER_POLL_S, max(0.0, attempts.deadline - now())))
                 continue
-            if choice.reason == NO_SAMPLE and not sample_fetched:
-                sample_fetched = True
+            if choice.reason == NO_SAMPLE and not attempts.sample_fetched:
+                attempts.sample_fetched = True
                 if await self._sample_exchange.fetch(group, usable_sample_age(context.rule)):
                     continue
-            owner = self._owner(group, choice.target, owner_faults[choice.target])
+            owner = self._owner(group, choice.target, attempts.owner_faults[choice.target])
             if owner is None:
                 await asyncio.sleep(FAILOVER_POLL_S)
                 continue
             outcome, transaction = await self._attempt(
-                context, bound, choice, owner, deadline, opens_transaction
+                context, bound, choice, owner, attempts, opens_transaction
             )
             if outcome.ok:
                 return outcome, transaction
+            is_single_read = not writes and not opens_transaction
+            if outcome.kind is Kind.TARGET_FAILED and is_single_read:
+                attempts.avoid = (*attempts.avoid, choice.target)
+                other = self._choose(context, writes, attempts, opens_transaction)
+                if other is not None and other.target not in attempts.avoid:
+                    self._metrics.retries.labels(outcome.kind.value).inc()
+                    continue
             safe_to_repeat = outcome.kind is Kind.NO_ANSWER or (
                 opens_transaction and outcome.kind is Kind.TRANSACTION_LOST
             )
@@ -181,14 +174,18 @@
                 return outcome, None
             self._metrics.retries.labels(outcome.kind.value).inc()
             if outcome.kind in OWNER_FAULTS:
-                owner_faults[choice.target] += 1
-            if not choice.is_primary and outcome.kind is not Kind.TARGET_BUSY:
-                avoid = (*avoid, choice.target)
-            if choice.is_primary or safe_to_repeat:
-                await asyncio.sleep(
-                    min(retry_delay(attempt, self._rng), max(0.0, deadline - now()))
-                )
-            attempt += 1
+                attempts.owner_faults[choice.target] += 1
+            is_repeatedly_shed = choice.target in attempts.shed
+            if outcome.kind is Kind.TARGET_BEHIND:
+                attempts.has_lagged = True
+            elif not choice.is_primary and outcome.kind is Kind.TARGET_BUSY:
+                attempts.shed = (*attempts.shed, choice.target)
+            elif not choice.is_primary:
+                attempts.avoid = (*attempts.avoid, choice.target)
+            if choice.is_primary or safe_to_repeat or is_repeatedly_shed:
+                pause = retry_delay(attempts.count, self._rng)
+                await asyncio.sleep(min(pause, max(0.0, attempts.deadline - now())))
+            attempts.count += 1
         return outcome, None
 
     async def _attempt(
@@ -197,11 +194,11 @@
         bound: BoundStatement,
         choice: TargetChoice,
         owner: str,
-        deadline: float,
+        attempts: Attempts,
         opens_transaction: bool,
     ) -> tuple[StatementResult, OpenTransaction | None]:
         sent_at = now()
-        budget = deadline - sent_at
+        budget = attempts.deadline - sent_at
         if not bound.statement.writes:
             budget = min(budget, READ_ATTEMPT_TIMEOUT_S)
         request = StatementRequest(
@@ -236,9 +233,9 @@
             )
         self._record_position(context.rule.group, choice.is_primary, response.outcome, sent_at)
         if response.outcome.kind is Kind.TARGET_BEHIND:
-            samples.mark_behind(choice.target, now())
+            samples.mark_behind(choice.target, answered_at, choice.min_position)
         elif response.outcome.ok and not choice.is_primary:
-            samples.mark_caught_up(choice.target)
+            samples.mark_caught_up(choice.target, choice.min_position)
         transaction = None
         if response.transaction_id:
             transaction = OpenTransaction(
@@ -268,7 +265,7 @@
         self,
         context: StatementContext,
         writes: bool,
-        avoid: tuple[str, ...],
+        attempts: Attempts,
         opens_transaction: bool,
     ) -> TargetChoice | None:
         group = context.rule.group
@@ -285,7 +282,9 @@
             rule=context.rule,
             writes=writes,
             session_position=context.session_position,
-            avoid=avoid,
+            avoid=attempts.avoid,
+            shed=attempts.shed,
+            has_lagged=attempts.has_lagged,
             opens_transaction=opens_transaction,
         )
         return choose(needs, snapshot, self._directory.samples(group), now(), self._rng)
@@ -293,7 +292,7 @@
     def _observe(self, request: StatementRequest, response: StatementResponse, at: float) -> None:
         """Learn from a response how loaded its target is, and whether it fails."""
         self._loads.observe(
-            request.target, result=_attempt_result(request, response), load=response.load, at=at
+            request.target, result=attempt_result(response), load=response.load, at=at
         )
         members = tuple(t.name for t in self._directory.targets(request.group))
         for change in self._loads.review(members, at):
@@ -320,19 +319,6 @@
             self._directory.samples(group).add(sent_at, outcome.position)
 
 
-def _attempt_result(request: StatementRequest, response: StatementResponse) -> AttemptResult:
-    """Return what a response tells about its target."""
-    outcome = response.outcome
-    if outcome.ok:
-        return AttemptResult.OK
-    if outcome.kind in TARGET_FAULTS:
-        return AttemptResult.FAILED
-    # A transaction that is lost before it is sent has expired, or its owner ended it.
-    if outcome.kind is Kind.TRANSACTION_LOST and outcome.sent:
-        return AttemptResult.FAILED
-    return AttemptResult.NEUTRAL
-
-
 def _log_statement(
     context: StatementContext,
     bound: BoundStatement,
--- a/src/wagtailloft/groups/samples.py
+++ b/src/wagtailloft/groups/samples.py
@@ -8,7 +8,9 @@
 RETENTION_S = 4.0  # more than the largest read age that a deployment allows, 2.5 s
 MIN_SPACING_S = 0.05  # age bounds are seconds long, so closer samples add nothing
 INITIAL_BACKOFF_S = 0.05  # about the usual lag of a replica
-MAX_BACKOFF_S = 0.8  # a replica is tried again soon after a lag of seconds ends
+# A replica is tried again soon after a lag of seconds ends, but not by every read of a host that
+# has one a second for its group.
+MAX_BACKOFF_S = 1.6
 
 
 class PositionSamples:
@@ -21,6 +23,8 @@
     def __init__(self) -> None:
         self._samples: deque[tuple[float, Position]] = deque()
         self._backoffs: dict[str, tuple[float, float]] = {}
+        self._lacked: dict[str, Position] = {}  # by replica in _backoffs
+        self._applied: dict[str, Position] = {}  # by replica, known from reads that it served
         self.in_flight = 0
 
     def statement_sent(self) -> None:
@@ -78,17 +82,70 @@
         """Return the term of the latest sample, 0 if there is none."""
         return self._samples[-1][1].term if self._samples else 0
 
-    def mark_behind(self, target: str, at: float) -> None:
-        """Back off from a target that lacked a position; the pause doubles while it lags."""
+    def mark_behind(self, target: str, at: float, position: Position | None = None) -> None:
+        """Back off from a target that lacked a position; the pause doubles while it lags.
+
+        It lags by the age of the position at least, and is not expected to make up for it sooner.
+        Other targets that may lag are not tried sooner either: what makes one replica lag for long
+        mostly makes all of them lag, and each try in vain costs a read a round trip.
+        """
         until, pause = self._backoffs.get(target, (0.0, 0.0))
         recent = at - until < 2 * MAX_BACKOFF_S
-        pause = min(MAX_BACKOFF_S, pause * 2) if recent and pause else INITIAL_BACKOFF_S
+        pause = pause * 2 if recent and pause else INITIAL_BACKOFF_S
+        if position is not None:
+            pause = max(pause, min(MAX_BACKOFF_S / 2, self._age_of(position, at)))
+            self._lacked[target] = position
+            if self._has(target, position):  # it was restarted from an older copy
+                del self._applied[target]
+        else:
+            self._lacked.pop(target, None)
+        pause = min(MAX_BACKOFF_S, pause)
         self._backoffs[target] = (at + pause, pause)
+        for other, (other_until, other_pause) in list(self._backoffs.items()):
+            if other != target and self.may_lag(other, at, position):
+                self._backoffs[other] = (max(other_until, at + pause), other_pause)
 
-    def mark_caught_up(self, target: str) -> None:
-        """End the backoff of a target that had the required position."""
-        self._backoffs.pop(target, None)
+    def mark_caught_up(self, target: str, position: Position | None = None) -> None:
+        """End the backoff of a target that had the required position.
 
-    def in_backoff(self, target: str, at: float) -> bool:
-        """Tell whether reads should not be sent to a target yet."""
-        return target in self._backoffs and at < self._backoffs[target][0]
+        It goes on if the target lacked a later position than this one.
+        """
+        if position is not None and not self._has(target, position):
+            self._applied[target] = position
+        lacked = self._lacked.get(target)
+        if position is None or lacked is None or position >= lacked:
+            self._backoffs.pop(target, None)
+            self._lacked.pop(target, None)
+
+    def in_backoff(self, target: str, at: float, needed: Position | None = None) -> bool:
+        """Tell whether reads that need a position should not be sent to a target yet."""
+        return self._is_suspect(target, needed) and at < self._backoffs[target][0]
+
+    def may_lag(self, target: str, at: float, needed: Position | None = None) -> bool:
+        """Tell whether a target lagged lately and has not served such a read since."""
+        if not self._is_suspect(target, needed):
+            return False
+        return at - self._backoffs[target][0] < 2 * MAX_BACKOFF_S
+
+    def backoff_end(self, target: str) -> float:
+        """Return when reads may be sent to a target again."""
+        return self._backoffs.get(target, (0.0, 0.0))[0]
+
+    def _is_suspect(self, target: str, needed: Position | None) -> bool:
+        if target not in self._backoffs:
+            return False
+        lacked = self._lacked.get(target)
+        if needed is None or lacked is None:
+            return True
+        return needed >= lacked and not self._has(target, needed)
+
+    def _has(self, target: str, position: Position) -> bool:
+        applied = self._applied.get(target)
+        return applied is not None and applied >= position
+
+    def _age_of(self, position: Position, at: float) -> float:
+        """Return for how many seconds the primary has had a position at least, 0 if unknown."""
+        for requested_at, sampled in self._samples:
+            if sampled >= position:
+                return max(0.0, at - requested_at)
+        return 0.0
--- a/src/wagtailloft/groups/target_choice.py
+++ b/src/wagtailloft/groups/target_choice.py
@@ -37,13 +37,17 @@
 class StatementNeeds(Record):
     """Describe what a statement or transaction requires of a member.
 
-    avoid lists the replicas at which it failed for another reason than TARGET_BUSY.
+    avoid lists the members at which it failed, and shed the replicas that refused it as busy.
+    has_lagged tells that a replica lacked the position, so that another one that may lag as well
+    is not tried in vain.
     """
 
     rule: RouteRule
     writes: bool
     session_position: Position | None = None
     avoid: tuple[str, ...] = ()
+    shed: tuple[str, ...] = ()
+    has_lagged: bool = False
     opens_transaction: bool = False
 
     @property
@@ -81,7 +85,7 @@
     if needs.session_position and needs.session_position.term >= min_position.term:
         min_position = max(min_position, needs.session_position)
     eligible = [
-        t for t in snapshot.targets if _is_eligible_replica(t, needs, snapshot, samples, at)
+        t for t in _replicas(needs, snapshot) if not _is_behind(t, min_position, needs, samples, at)
     ]
     if not eligible:
         return primary_choice
@@ -90,7 +94,9 @@
     if probed and not needs.opens_transaction and not needs.avoid:
         return _replica_choice(probed[0], min_position, PROBE)
     healthy = [t for t in eligible if not loads.is_ejected(t.name)]
-    best = _least_delayed(healthy or eligible, needs, snapshot, at, rng)
+    candidates = healthy or eligible
+    untried = [t for t in candidates if t.name not in needs.shed]
+    best = _least_delayed(untried or candidates, needs, snapshot, at, rng)
     # Without a healthy replica the primary competes with the ejected ones by its expected delay:
     # replicas that shed an overload would otherwise move all reads to the primary.
     may_use_primary = primary_choice and not (healthy and loads.is_ejected(snapshot.primary.name))
@@ -129,18 +135,23 @@
     )
 
 
-def _is_eligible_replica(
+def _replicas(needs: StatementNeeds, snapshot: GroupSnapshot) -> list[Target]:
+    primary = snapshot.primary.name if snapshot.primary else ""
+    excluded = {primary, *needs.avoid}
+    return [t for t in snapshot.targets if not t.leaving and t.name not in excluded]
+
+
+def _is_behind(
     target: Target,
+    min_position: Position,
     needs: StatementNeeds,
-    snapshot: GroupSnapshot,
     samples: PositionSamples,
     at: float,
 ) -> bool:
-    if target.leaving or target.name in needs.avoid:
-        return False
-    if snapshot.primary and target.name == snapshot.primary.name:
-        return False
-    return not samples.in_backoff(target.name, at)
+    """Tell whether a replica is not to be tried because it probably lacks the position."""
+    if samples.in_backoff(target.name, at, min_position):
+        return True
+    return needs.has_lagged and samples.may_lag(target.name, at, min_position)
 
 
 def _least_delayed(
