Time out attempts of reads by the learned answer times

A read waited 350 ms at any member that did not answer, whatever the members' usual times. The limit is now the expected delay, the average answer time and four deviations, at least 150 ms and 1.5 times the slowest recent answer; it doubles with each attempt of the same read that was in vain, and is at most half of the time left while another member can run the read. While fewer than 8 answers are known it is 350 ms as before, also at a primary that nothing can replace.

Failed before: placement.feature, 'A read at a member that hangs is tried elsewhere soon, since answer times are known'.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -88,3 +88,21 @@
       | kind          |
       | target_failed |
       | target_busy   |
+
+  Scenario: A read at a member that hangs is tried elsewhere soon, since answer times are known
+    Given a played group
+    When 30 reads are sent, one every 0.05 s
+    And the replica in this zone hangs, and 30 reads are sent, one every 0.05 s
+    Then all are answered within 0.25 s
+
+  Scenario: A slow statement is not given up after the time of usual ones
+    Given a played group
+    When 30 reads are sent, one every 0.05 s
+    And a read of 0.3 s is sent
+    Then all are answered within 0.8 s
+
+  Scenario: Nothing is known of a member that hangs
+    Given a played group
+    When the replica in this zone hangs, and 1 reads are sent, one every 0.05 s
+    Then all are answered within 0.4 s
+    And none is answered within 0.34 s
--- a/features/steps/placement_dispatch.py
+++ b/features/steps/placement_dispatch.py
@@ -151,3 +151,20 @@
     counts = context.group.counts()
     assert counts["p"] == len(context.answers), counts
     assert counts["r"] + counts["s"] <= count, counts
+
+
+@when("the replica in this zone hangs, and {count:d} reads are sent, one every {spacing:g} s")
+def step_hang(context, count, spacing):
+    context.group.hung = {"r"}
+    step_send_reads(context, count, spacing)
+
+
+@when("a read of {work:g} s is sent")
+def step_slow_read(context, work):
+    context.group.work = dict.fromkeys(context.group.work, work)
+    step_send_reads(context, 1, 0.0)
+
+
+@then("none is answered within {limit:g} s")
+def step_none_early(context, limit):
+    assert all(seconds > limit for _, seconds in context.answers), context.answers
--- a/src/wagtailloft/controllers/target_loads.py
+++ b/src/wagtailloft/controllers/target_loads.py
@@ -33,6 +33,15 @@
 SERVICE_LIFETIME_S = 10.0  # an older service time is not compared with those of other members
 PROBE_INTERVAL_S = 0.5
 MAX_PROBE_INTERVAL_S = 4.0  # a host with few reads would send most of them as probes otherwise
+UNKNOWN_ATTEMPT_TIMEOUT_S = 0.35  # covers a slow statement that is queued behind others
+MIN_ATTEMPT_TIMEOUT_S = 0.15
+MIN_ANSWERS = 8  # from which on answer times are taken as known
+ANSWER_GAIN = 0.125  # of moving averages, as usual for round trips
+DEVIATIONS = 4  # over the average answer time that an attempt may take
+# A statement may be several times longer than the average without being seen often; the slowest
+# answer is therefore covered too, and forgotten slowly.
+SLOWEST_FACTOR = 1.5
+SLOWEST_DECAY = 0.98
 IDLE_LIFETIME_S = 60.0  # targets that were not used for this long are forgotten
 
 
@@ -54,6 +63,29 @@
     service: float
 
 
+class _Answers:
+    """The times of a target's answers to statements of one priority."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.average = 0.0
+        self.deviation = 0.0
+        self.slowest = 0.0
+
+    def add(self, seconds: float) -> None:
+        gain = max(ANSWER_GAIN, 1 / (self.count + 1))
+        error = seconds - self.average
+        self.average += gain * error
+        self.deviation += gain * (abs(error) * bool(self.count) - self.deviation)
+        self.count += 1
+        self.slowest = max(seconds, self.slowest * SLOWEST_DECAY)
+
+    def add_timeout(self, limit: float) -> None:
+        """Count an answer that did not come in time as one that took that long at least."""
+        bound = UNKNOWN_ATTEMPT_TIMEOUT_S / SLOWEST_FACTOR
+        self.slowest = max(self.slowest, min(limit, bound))
+
+
 class _Target:
     """The state of one target."""
 
@@ -65,6 +97,7 @@
         self.reported_at = -math.inf
         self.service = TYPICAL_SERVICE_S
         self.round_trips: deque[tuple[float, float]] = deque(maxlen=MAX_ROUND_TRIPS)
+        self.answers = [_Answers() for _ in range(PRIORITY_CLASSES)]
         self.score = 0.0
         self.used_at = -math.inf
         self.last_result = AttemptResult.NEUTRAL
@@ -138,13 +171,14 @@
         state.used_at = at
 
     def observe_answer_time(self, target: str, *, priority: int, seconds: float, at: float) -> None:
-        """Learn the round trip from the time of a single statement that has been answered.
+        """Learn the round trip and the spread from the time of a single statement's answer.
 
         The shortest recent time at an owner without a queue is taken: it includes the time of the
         cheapest statements, as that of the other members does. Subtracting the average service time
         instead would give round trips of 0 and below.
         """
         state = self._targets[target]
+        state.answers[_class_of(priority)].add(seconds)
         if state.reported_at == at and state.wait_at(priority, at) == 0:
             state.round_trips.append((at, seconds))
 
@@ -162,6 +196,19 @@
         queued = state.sent_since_report if wait else max(0, state.in_flight + 1 - slots)
         return delay + wait + state.service * queued / slots + FAILURE_COST_S * state.score_at(at)
 
+    def observe_timeout(self, target: str, *, priority: int, limit: float) -> None:
+        """Learn that a read was not answered within a limit."""
+        self._targets[target].answers[_class_of(priority)].add_timeout(limit)
+
+    def attempt_timeout(self, target: str, *, priority: int, expected_delay: float) -> float:
+        """Return how long to wait for the answer to a read before it is tried elsewhere."""
+        state = self._targets.get(target)
+        answers = state.answers[_class_of(priority)] if state else None
+        if answers is None or answers.count < MIN_ANSWERS:
+            return max(UNKNOWN_ATTEMPT_TIMEOUT_S, expected_delay)
+        spread = answers.average + DEVIATIONS * answers.deviation
+        return max(MIN_ATTEMPT_TIMEOUT_S, expected_delay + spread, SLOWEST_FACTOR * answers.slowest)
+
     def round_trip(self, target: Target, zone: str, at: float) -> float:
         """Return the learned time of a round trip to a target, or the prior of its zone."""
         prior = ZONE_ROUND_TRIP_S if target.zone == zone else CROSS_ZONE_ROUND_TRIP_S
--- a/src/wagtailloft/groups/attempts.py
+++ b/src/wagtailloft/groups/attempts.py
@@ -24,6 +24,7 @@
     def __init__(self, deadline: float) -> None:
         self.deadline = deadline
         self.count = 0
+        self.unanswered = 0
         self.avoid: tuple[str, ...] = ()
         self.shed: tuple[str, ...] = ()
         self.has_lagged = False
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -6,7 +6,7 @@
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.controllers.retries import retry_delay
-from wagtailloft.controllers.target_loads import TargetLoads
+from wagtailloft.controllers.target_loads import UNKNOWN_ATTEMPT_TIMEOUT_S, TargetLoads
 from wagtailloft.errors import Kind
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
 from wagtailloft.fleet.records import RouteRule
@@ -27,8 +27,6 @@
 from wagtailloft.models import Position, Record
 from wagtailloft.sessions.statements import StatementResult, Verb, not_executed
 
-# Covers a slow statement that is queued behind others; after it, another member is tried.
-READ_ATTEMPT_TIMEOUT_S = 0.35
 FAILOVER_POLL_S = 0.03  # between checks for a primary while a failover is in progress
 
 # Errors of statements that did not run, with causes that may pass before the statement times out.
@@ -200,7 +198,7 @@
         sent_at = now()
         budget = attempts.deadline - sent_at
         if not bound.statement.writes:
-            budget = min(budget, READ_ATTEMPT_TIMEOUT_S)
+            budget = min(budget, self._attempt_timeout(context, choice, attempts, budget))
         request = StatementRequest(
             group=context.rule.group,
             target=choice.target,
@@ -217,6 +215,7 @@
             priority=context.rule.priority,
         )
         samples = self._directory.samples(context.rule.group)
+        self._metrics.target_delay.labels(request.group, request.target).set(choice.expected_delay)
         self._loads.sent(choice.target, owner, sent_at)
         try:
             response = await self._relay.run(owner, request)
@@ -224,6 +223,11 @@
             self._loads.returned(choice.target)
         answered_at = now()
         self._observe(request, response, answered_at)
+        if response.outcome.kind is Kind.NO_ANSWER:
+            attempts.unanswered += 1
+            self._loads.observe_timeout(
+                choice.target, priority=context.rule.priority, limit=answered_at - sent_at
+            )
         if response.outcome.ok and not opens_transaction:
             self._loads.observe_answer_time(
                 choice.target,
@@ -248,6 +252,23 @@
         _log_statement(context, bound, choice, owner, response, now() - sent_at, transaction)
         return response.outcome, transaction
 
+    def _attempt_timeout(
+        self, context: StatementContext, choice: TargetChoice, attempts: Attempts, left: float
+    ) -> float:
+        """Return after which time a read is tried elsewhere; longer with each that was in vain."""
+        limit = self._loads.attempt_timeout(
+            choice.target,
+            priority=context.rule.priority,
+            expected_delay=choice.expected_delay,
+        )
+        if choice.is_primary and not choice.has_alternative:
+            # A repeated attempt would only wait again, behind the first one.
+            limit = max(limit, UNKNOWN_ATTEMPT_TIMEOUT_S)
+        limit *= 2**attempts.unanswered
+        if choice.has_alternative and limit > UNKNOWN_ATTEMPT_TIMEOUT_S:
+            limit = max(UNKNOWN_ATTEMPT_TIMEOUT_S, min(limit, left / 2))
+        return limit
+
     def _log_wait(self, context: StatementContext, bound: BoundStatement) -> None:
         assignment = self._directory.assignment_or_initial(context.rule.group)
         logs.event(
--- a/src/wagtailloft/groups/target_choice.py
+++ b/src/wagtailloft/groups/target_choice.py
@@ -10,6 +10,7 @@
 from wagtailloft.models import Position, Record
 
 NO_SAMPLE = "no position sample is recent enough"
+PRIMARY = "primary"
 REPLICA = "replica"
 PROBE = "probe of an ejected replica"
 SAMPLE_MARGIN_S = 0.45  # covers LINK_WAIT_LIMIT_S and a round trip across zones
@@ -26,12 +27,17 @@
 
 
 class TargetChoice(Record):
-    """Describe the chosen member, the role it must have and the position it must have reached."""
+    """Describe the chosen member, the role it must have and the position it must have reached.
+
+    expected_delay is in seconds; has_alternative tells that another member could run it as well.
+    """
 
     target: str
     is_primary: bool
     min_position: Position | None = None
     reason: str = ""
+    expected_delay: float = 0.0
+    has_alternative: bool = False
 
 
 class StatementNeeds(Record):
@@ -76,33 +82,7 @@
 
     rng decides among members that are about equal; without it, the first by name is chosen.
     """
-    primary_choice = _primary_choice(snapshot)
-    if needs.writes or needs.rule.freshness is Freshness.LATEST:
-        return primary_choice
-    min_position = samples.position_as_of(at - usable_sample_age(needs.rule))
-    if min_position is None:
-        return primary_choice and msgspec.structs.replace(primary_choice, reason=NO_SAMPLE)
-    if needs.session_position and needs.session_position.term >= min_position.term:
-        min_position = max(min_position, needs.session_position)
-    eligible = [
-        t for t in _replicas(needs, snapshot) if not _is_behind(t, min_position, needs, samples, at)
-    ]
-    if not eligible:
-        return primary_choice
-    loads = snapshot.loads
-    probed = [t for t in eligible if loads.is_probe_due(t.name, at)]
-    if probed and not needs.opens_transaction and not needs.avoid:
-        return _replica_choice(probed[0], min_position, PROBE)
-    healthy = [t for t in eligible if not loads.is_ejected(t.name)]
-    candidates = healthy or eligible
-    untried = [t for t in candidates if t.name not in needs.shed]
-    best = _least_delayed(untried or candidates, needs, snapshot, at, rng)
-    # Without a healthy replica the primary competes with the ejected ones by its expected delay:
-    # replicas that shed an overload would otherwise move all reads to the primary.
-    may_use_primary = primary_choice and not (healthy and loads.is_ejected(snapshot.primary.name))
-    if may_use_primary and _is_primary_preferred(best, needs, snapshot, at):
-        return primary_choice
-    return _replica_choice(best, min_position, REPLICA)
+    return _Placement(needs, snapshot, samples, at, rng).choose()
 
 
 def usable_sample_age(rule: RouteRule) -> float:
@@ -110,87 +90,133 @@
     return rule.max_age - SAMPLE_MARGIN_S
 
 
-def expected_delay(
-    target: Target, needs: StatementNeeds, snapshot: GroupSnapshot, at: float
-) -> float:
-    """Return the expected delay of a statement or transaction at a member, in seconds."""
-    return snapshot.loads.expected_delay(
-        target,
-        zone=snapshot.zone,
-        priority=needs.rule.priority,
-        round_trips=needs.round_trips,
-        at=at,
-    )
-
-
-def _primary_choice(snapshot: GroupSnapshot) -> TargetChoice | None:
-    if snapshot.primary is None:
-        return None
-    return TargetChoice(target=snapshot.primary.name, is_primary=True, reason="primary")
-
-
-def _replica_choice(target: Target, min_position: Position, reason: str) -> TargetChoice:
-    return TargetChoice(
-        target=target.name, is_primary=False, min_position=min_position, reason=reason
-    )
-
-
-def _replicas(needs: StatementNeeds, snapshot: GroupSnapshot) -> list[Target]:
-    primary = snapshot.primary.name if snapshot.primary else ""
-    excluded = {primary, *needs.avoid}
-    return [t for t in snapshot.targets if not t.leaving and t.name not in excluded]
-
-
-def _is_behind(
-    target: Target,
-    min_position: Position,
-    needs: StatementNeeds,
-    samples: PositionSamples,
-    at: float,
-) -> bool:
-    """Tell whether a replica is not to be tried because it probably lacks the position."""
-    if samples.in_backoff(target.name, at, min_position):
-        return True
-    return needs.has_lagged and samples.may_lag(target.name, at, min_position)
-
+class _Placement:
+    """One choice of a member."""
+
+    def __init__(
+        self,
+        needs: StatementNeeds,
+        snapshot: GroupSnapshot,
+        samples: PositionSamples,
+        at: float,
+        rng: random.Random | None,
+    ) -> None:
+        self._needs = needs
+        self._snapshot = snapshot
+        self._primary = snapshot.primary
+        self._loads = snapshot.loads
+        self._samples = samples
+        self._at = at
+        self._rng = rng
+        members = (*snapshot.targets, *([snapshot.primary] if snapshot.primary else []))
+        self._delays = {t.name: self._expected_delay(t) for t in members}
+
+    def choose(self) -> TargetChoice | None:
+        needs = self._needs
+        if needs.writes or needs.rule.freshness is Freshness.LATEST:
+            return self._at_primary()
+        min_position = self._samples.position_as_of(self._at - usable_sample_age(needs.rule))
+        if min_position is None:
+            return self._at_primary(NO_SAMPLE)
+        if needs.session_position and needs.session_position.term >= min_position.term:
+            min_position = max(min_position, needs.session_position)
+        eligible = [t for t in self._replicas() if not self._is_behind(t, min_position)]
+        if not eligible:
+            return self._at_primary()
+        has_alternative = len(eligible) > 1 or self._primary is not None
+        probed = [t for t in eligible if self._loads.is_probe_due(t.name, self._at)]
+        if probed and not needs.opens_transaction and not needs.avoid:
+            return self._at_replica(probed[0], min_position, PROBE, has_alternative)
+        healthy = [t for t in eligible if not self._loads.is_ejected(t.name)]
+        candidates = healthy or eligible
+        best = self._least_delayed(self._not_shed(candidates) or candidates)
+        if self._may_read_at_primary(healthy) and self._is_primary_preferred(best):
+            return self._at_primary(has_alternative=True)
+        return self._at_replica(best, min_position, REPLICA, has_alternative)
+
+    def _expected_delay(self, target: Target) -> float:
+        return self._loads.expected_delay(
+            target,
+            zone=self._snapshot.zone,
+            priority=self._needs.rule.priority,
+            round_trips=self._needs.round_trips,
+            at=self._at,
+        )
 
-def _least_delayed(
-    targets: list[Target],
-    needs: StatementNeeds,
-    snapshot: GroupSnapshot,
-    at: float,
-    rng: random.Random | None,
-) -> Target:
-    """Return the least delayed of two random members and the best known one.
+    def _at_primary(
+        self, reason: str = PRIMARY, *, has_alternative: bool = False
+    ) -> TargetChoice | None:
+        if self._primary is None:
+            return None
+        return TargetChoice(
+            target=self._primary.name,
+            is_primary=True,
+            reason=reason,
+            expected_delay=self._delays[self._primary.name],
+            has_alternative=has_alternative,
+        )
 
-    Their delays are varied at random by about what is not known of them: hosts that have the same
-    report would all send their next statements to the same member otherwise.
-    """
-    delays = {t.name: expected_delay(t, needs, snapshot, at) for t in targets}
-    ranked = sorted(targets, key=lambda t: (delays[t.name], t.name))
-    if rng is None:
-        return ranked[0]
-    candidates = ranked[:1] + rng.sample(ranked[1:], min(2, len(ranked) - 1))
-
-    def varied_delay(target: Target) -> float:
-        near = snapshot.loads.round_trip(target, snapshot.zone, at) * needs.round_trips
-        queue = max(0.0, delays[target.name] - near)
-        return delays[target.name] + rng.uniform(0, DELAY_RESOLUTION_S + WAIT_SPREAD * queue)
-
-    return min(candidates, key=varied_delay)
-
-
-def _is_primary_preferred(
-    replica: Target, needs: StatementNeeds, snapshot: GroupSnapshot, at: float
-) -> bool:
-    """Tell whether a read goes to the primary rather than to the best replica."""
-    primary, loads = snapshot.primary, snapshot.loads
-    penalty = PRIMARY_PENALTY_S
-    if primary.zone == snapshot.zone != replica.zone:
-        nearer = loads.round_trip(replica, snapshot.zone, at) - loads.round_trip(
-            primary, snapshot.zone, at
+    def _at_replica(
+        self, target: Target, min_position: Position, reason: str, has_alternative: bool
+    ) -> TargetChoice:
+        return TargetChoice(
+            target=target.name,
+            is_primary=False,
+            min_position=min_position,
+            reason=reason,
+            expected_delay=self._delays[target.name],
+            has_alternative=has_alternative,
         )
-        penalty = min(penalty, PRIMARY_PENALTY_SHARE * max(0.0, nearer) * needs.round_trips)
-    return expected_delay(primary, needs, snapshot, at) + penalty < expected_delay(
-        replica, needs, snapshot, at
-    )
+
+    def _replicas(self) -> list[Target]:
+        excluded = {self._primary.name if self._primary else "", *self._needs.avoid}
+        return [t for t in self._snapshot.targets if not t.leaving and t.name not in excluded]
+
+    def _not_shed(self, targets: list[Target]) -> list[Target]:
+        return [t for t in targets if t.name not in self._needs.shed]
+
+    def _is_behind(self, target: Target, min_position: Position) -> bool:
+        """Tell whether a replica is not to be tried because it probably lacks the position."""
+        if self._samples.in_backoff(target.name, self._at, min_position):
+            return True
+        return self._needs.has_lagged and self._samples.may_lag(target.name, self._at, min_position)
+
+    def _least_delayed(self, targets: list[Target]) -> Target:
+        """Return the least delayed of two random members and the best known one.
+
+        Their delays are varied at random by about what is not known of them: hosts that have the
+        same report would all send their next statements to the same member otherwise.
+        """
+        ranked = sorted(targets, key=lambda t: (self._delays[t.name], t.name))
+        if self._rng is None:
+            return ranked[0]
+        candidates = ranked[:1] + self._rng.sample(ranked[1:], min(2, len(ranked) - 1))
+        return min(candidates, key=self._varied_delay)
+
+    def _varied_delay(self, target: Target) -> float:
+        delay = self._delays[target.name]
+        queue = max(0.0, delay - self._distance(target))
+        return delay + self._rng.uniform(0, DELAY_RESOLUTION_S + WAIT_SPREAD * queue)
+
+    def _distance(self, target: Target) -> float:
+        """Return the time of all round trips to a member."""
+        round_trip = self._loads.round_trip(target, self._snapshot.zone, self._at)
+        return round_trip * self._needs.round_trips
+
+    def _may_read_at_primary(self, healthy: list[Target]) -> bool:
+        """Tell whether the primary competes for a read that a replica can run.
+
+        Without a healthy replica it competes with the ejected ones by its expected delay: replicas
+        that shed an overload would otherwise move all reads to the primary.
+        """
+        if self._primary is None:
+            return False
+        return not (healthy and self._loads.is_ejected(self._primary.name))
+
+    def _is_primary_preferred(self, replica: Target) -> bool:
+        """Tell whether a read goes to the primary rather than to the best replica."""
+        penalty = PRIMARY_PENALTY_S
+        if self._primary.zone == self._snapshot.zone != replica.zone:
+            nearer = max(0.0, self._distance(replica) - self._distance(self._primary))
+            penalty = min(penalty, PRIMARY_PENALTY_SHARE * nearer)
+        return self._delays[self._primary.name] + penalty < self._delays[replica.name]
