Refuse at once what no member can run in time; let reads wait for replicas

Operations were sent to members whose queue was longer than their deadline, to be shed there after 192 ms on average, and reads whose replicas lagged went to an overloaded primary. The choice now compares the expected delay and service with the time left. If reports younger than 0.3 s show that no member fits, the operation is refused as deadline (not run) with the time after which the queue is expected to have room, varied by a quarter. A read whose primary does not fit waits for a replica that lags if its backoff ends in time. The retry time of a refusal counts the operation's whole timeout.

A read that an owner refuses as deadline is tried at another member.

Failed before: placement.feature, 'An operation that no member can run in time is refused at once' and 'A read is refused once its replicas lag and the primary is overloaded for too long'.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -106,3 +106,37 @@
     When the replica in this zone hangs, and 1 reads are sent, one every 0.05 s
     Then all are answered within 0.4 s
     And none is answered within 0.34 s
+
+  Scenario Outline: An operation that no member can run in time is refused at once
+    Given a played group
+    And all members report waits of <waits> s to requests of priority 0, 1 and 2
+    When a <verb> of priority <priority> is sent, then 50 more, one every 0.002 s
+    Then <refused> of the 50 are refused as deadline within 0.001 s, to be retried in 0.6 to 1.3 s
+    And refused ones were sent to no member, and are logged at most 10 times
+
+    Examples:
+      | waits         | verb  | priority | refused |
+      | 0.1, 0.2, 2.0 | read  | 2        | all     |
+      | 0.1, 0.2, 2.0 | write | 2        | all     |
+      | 0.1, 0.2, 2.0 | write | 0        | none    |
+
+  Scenario: A member whose report is too old to refuse by is tried
+    Given a played group
+    And all members report waits of 2.0, 2.0, 2.0 s to requests of priority 0, 1 and 2
+    When a write of priority 1 is sent, and 0.4 s later another
+    Then both were sent
+
+  Scenario: A read waits for a replica to catch up, since the primary is overloaded
+    Given a played group whose primary is in another zone
+    And both replicas lag, and catch up after 0.3 s
+    And the primary reports a wait of 2 s
+    When 10 reads are sent, one every 0.01 s
+    Then all are answered within 0.9 s
+    And at most 1 was sent to the primary
+
+  Scenario: A read is refused once its replicas lag and the primary is overloaded for too long
+    Given a played group whose primary is in another zone
+    And both replicas lag
+    And the primary reports a wait of 2 s
+    When 10 reads are sent, one every 0.01 s, while the primary reports that
+    Then all but 3 are refused as deadline before their deadline
--- a/features/steps/placement_dispatch.py
+++ b/features/steps/placement_dispatch.py
@@ -1,16 +1,20 @@
 """Steps for statements that a dispatcher sends to members of a played group, in virtual time."""
 
 import asyncio
+import math
 from collections import Counter
 from types import SimpleNamespace
 
+import msgspec
 from behave import given, then, when
 
+from features.captured_log import captured_log
 from features.steps.placement import OTHER_ZONE, RULE, ZONE
 from features.virtual_time import run_virtual
 from wagtailloft.clock import now
+from wagtailloft.controllers.target_loads import AttemptResult
 from wagtailloft.errors import Kind
-from wagtailloft.fleet.messages import StatementResponse
+from wagtailloft.fleet.messages import StatementResponse, TargetLoad
 from wagtailloft.fleet.records import PrimaryAssignment, Target
 from wagtailloft.groups.dispatch import Dispatcher, StatementContext
 from wagtailloft.groups.ports import BoundStatement
@@ -36,6 +40,7 @@
             for n, z in zones.items()
         }
         self.kinds, self.loads, self.hung, self.behind = {}, {}, set(), set()
+        self.behind_for, self.began = math.inf, None
         self.work = dict.fromkeys(zones, 0.01)
         self.sent, self.has_primary, self.ordered = [], True, ()
         self._samples = PositionSamples()
@@ -74,6 +79,11 @@
             self._samples.add(at - age, Position(term=1, index=int((at - age) * 100)))
         return self._samples
 
+    def lags(self, name):
+        """Tell whether a member lags."""
+        self.began = self.began or now()
+        return name in self.behind and now() < self.began + self.behind_for
+
     async def fetch(self, group, max_age):
         """Have no other host to ask for samples."""
         return False
@@ -90,7 +100,7 @@
             await asyncio.sleep(request.budget)
             return StatementResponse(outcome=StatementResult(kind=Kind.NO_ANSWER))
         kind = self.kinds.get(name)
-        if kind is None and request.bound.min_position and name in self.behind:
+        if kind is None and request.bound.min_position and self.lags(name):
             kind = Kind.TARGET_BEHIND
         await asyncio.sleep(ROUND_TRIP_S[self.members[name].zone] + self.work[name] * (not kind))
         return StatementResponse(outcome=StatementResult(kind=kind), load=self.loads.get(name))
@@ -168,3 +178,105 @@
 @then("none is answered within {limit:g} s")
 def step_none_early(context, limit):
     assert all(seconds > limit for _, seconds in context.answers), context.answers
+
+
+def report(group, names, waits):
+    """Let members report waits, in seconds, with every answer."""
+    load = TargetLoad(waits_ms=tuple(int(1000 * w) for w in waits), service_ms=10)
+    group.loads.update(dict.fromkeys(names, load))
+
+
+@given("all members report waits of {p0:g}, {p1:g}, {p2:g} s to requests of priority 0, 1 and 2")
+def step_all_wait(context, p0, p1, p2):
+    report(context.group, "prs", (p0, p1, p2))
+
+
+@given("the primary reports a wait of {seconds:g} s")
+def step_primary_waits(context, seconds):
+    report(context.group, "p", (seconds,) * 3)
+    run_virtual(context.group.send(Verb.WRITE))
+    context.group.sent.clear()
+
+
+@given("both replicas lag, and catch up after {seconds:g} s")
+def step_lag_for(context, seconds):
+    context.group.behind, context.group.behind_for = {"r", "s"}, seconds
+
+
+async def warm_up(group, statement):
+    """Hear every member's report, by writes at the primary and reads at replicas."""
+    await group.send(**{**statement, "verb": Verb.WRITE})
+    for name in "rs":
+        group.dispatcher._loads.observe(
+            name, result=AttemptResult.OK, load=group.loads[name], at=now()
+        )
+    group.sent.clear()
+
+
+@when("a {verb:w} of priority {priority:d} is sent, then {count:d} more, one every {spacing:g} s")
+def step_burst(context, verb, priority, count, spacing):
+    rule = msgspec.structs.replace(RULE, priority=priority)
+    statement = {"verb": Verb(verb), "rule": rule}
+
+    async def run():
+        await warm_up(context.group, statement)
+        return await context.group.send_spaced(count, spacing, **statement)
+
+    with captured_log() as lines:
+        context.answers = run_virtual(run())
+    context.events = [fields for name, fields in lines if name == "refused_early"]
+
+
+@then(
+    "{refused:w} of the 50 are refused as deadline within {limit:g} s, "
+    "to be retried in {least:g} to {most:g} s"
+)
+def step_refused_early(context, refused, limit, least, most):
+    early = [r for r, seconds in context.answers if r.kind is Kind.DEADLINE and seconds <= limit]
+    assert len(early) == (len(context.answers) if refused == "all" else 0), context.answers
+    waits = [float(r.detail.removeprefix("retry in ").removesuffix(" ms")) / 1000 for r in early]
+    assert all(least <= w <= most for w in waits) and (not waits or len(set(waits)) > 5), waits
+    context.refused = len(early)
+
+
+@then("refused ones were sent to no member, and are logged at most {count:d} times")
+def step_not_sent(context, count):
+    assert len(context.group.sent) == len(context.answers) - context.refused, context.group.sent
+    assert len(context.events) <= count, context.events
+    assert bool(context.events) == bool(context.refused), context.events
+
+
+@when("a write of priority 1 is sent, and {seconds:g} s later another")
+def step_two_writes(context, seconds):
+    run_virtual(context.group.send_spaced(2, seconds, verb=Verb.WRITE))
+
+
+@then("both were sent")
+def step_both_sent(context):
+    assert len(context.group.sent) == 2, context.group.sent
+
+
+@when("{count:d} reads are sent, one every {spacing:g} s, while the primary reports that")
+def step_send_reported(context, count, spacing):
+    async def run():
+        reads = asyncio.create_task(context.group.send_spaced(count, spacing))
+        while not reads.done():
+            load = context.group.loads["p"]
+            context.group.dispatcher._loads.observe(
+                "p", result=AttemptResult.OK, load=load, at=now()
+            )
+            await asyncio.sleep(0.1)
+        return await reads
+
+    context.answers = run_virtual(run())
+
+
+@then("at most {count:d} was sent to the primary")
+def step_few_at_primary(context, count):
+    assert context.group.counts()["p"] <= count, context.group.counts()
+
+
+@then("all but {count:d} are refused as deadline before their deadline")
+def step_refused_before_deadline(context, count):
+    early = [r for r, s in context.answers if r.kind is Kind.DEADLINE and s < RULE.timeout - 0.05]
+    assert len(early) >= len(context.answers) - count, context.answers
--- a/src/wagtailloft/controllers/target_loads.py
+++ b/src/wagtailloft/controllers/target_loads.py
@@ -185,7 +185,7 @@
     def expected_delay(
         self, target: Target, *, zone: str, priority: int, round_trips: int, at: float
     ) -> float:
-        """Return the expected delay of a statement or transaction before and after its service."""
+        """Return the expected time of a statement or transaction besides its service."""
         delay = self.round_trip(target, zone, at) * round_trips
         state = self._targets.get(target.name)
         if state is None:
@@ -194,7 +194,13 @@
         wait = state.wait_at(priority, at)
         # With a wait the slots are in use already, so all that was sent since queues up.
         queued = state.sent_since_report if wait else max(0, state.in_flight + 1 - slots)
-        return delay + wait + state.service * queued / slots + FAILURE_COST_S * state.score_at(at)
+        return delay + wait + state.service * queued / slots
+
+    def failure_cost(self, target: str, at: float) -> float:
+        """Return the expected time that failed attempts take before one succeeds."""
+        state = self._targets.get(target)
+        score = min(MAX_COUNTED_SCORE, state.score_at(at)) if state else 0.0
+        return FAILURE_COST_S * score / (1 - score)
 
     def observe_timeout(self, target: str, *, priority: int, limit: float) -> None:
         """Learn that a read was not answered within a limit."""
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -3,30 +3,46 @@
 import asyncio
 import random
 
-from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.controllers.retries import retry_delay
 from wagtailloft.controllers.target_loads import UNKNOWN_ATTEMPT_TIMEOUT_S, TargetLoads
 from wagtailloft.errors import Kind
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
-from wagtailloft.fleet.records import RouteRule
-from wagtailloft.groups.attempts import Attempts, attempt_result
+from wagtailloft.groups.attempts import (
+    Attempts,
+    EventLimit,
+    OpenTransaction,
+    StatementContext,
+    attempt_result,
+)
 from wagtailloft.groups.directory import GroupDirectory
+from wagtailloft.groups.placement_log import (
+    log_ejection,
+    log_refusal,
+    log_statement,
+    log_wait_for_primary,
+    log_wait_for_replica,
+)
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.groups.relay import Relay
 from wagtailloft.groups.sample_exchange import SampleExchange
 from wagtailloft.groups.target_choice import (
     NO_SAMPLE,
+    Deferral,
+    EarlyRefusal,
     GroupSnapshot,
+    Placement,
     StatementNeeds,
     TargetChoice,
     choose,
     usable_sample_age,
 )
 from wagtailloft.metrics import Metrics
-from wagtailloft.models import Position, Record
 from wagtailloft.sessions.statements import StatementResult, Verb, not_executed
 
+MIN_DEFERRAL_S = 0.005
+RETRY_JITTER = 0.25  # share by which the retry times that callers are told differ at most
+REFUSED_EARLY_EVENTS = 5  # log events a second; the counts by kind are in the metrics
 FAILOVER_POLL_S = 0.03  # between checks for a primary while a failover is in progress
 
 # Errors of statements that did not run, with causes that may pass before the statement times out.
@@ -48,27 +64,6 @@
 OWNER_FAULTS = frozenset({Kind.NO_OWNER, Kind.TARGET_UNREACHABLE, Kind.STOPPING})
 
 
-class StatementContext(Record):
-    """Describe the caller of a statement: its route, its team and its session's position.
-
-    session_position is set only if reads must see the session's own writes.
-    """
-
-    rule: RouteRule
-    team: str
-    session_position: Position | None = None
-
-
-class OpenTransaction(Record):
-    """Identify an open transaction and the host and target that hold it."""
-
-    group: str
-    target: str
-    owner: str
-    transaction_id: int
-    is_primary: bool
-
-
 class Dispatcher:
     """Send statements to members of a group and sample the primary's position from responses."""
 
@@ -88,6 +83,7 @@
         self._metrics = metrics
         self._loads = TargetLoads()
         self._rng = random.Random()
+        self._refusal_events = EventLimit(REFUSED_EARLY_EVENTS)
 
     async def run_single(self, context: StatementContext, bound: BoundStatement) -> StatementResult:
         """Run one statement outside a transaction, with retries."""
@@ -121,7 +117,7 @@
         choice = TargetChoice(
             target=transaction.target, is_primary=transaction.is_primary, reason="transaction"
         )
-        _log_statement(
+        log_statement(
             context, bound, choice, transaction.owner, response, now() - sent_at, transaction
         )
         return response.outcome
@@ -142,9 +138,21 @@
             if choice is None:
                 if not attempts.wait_logged:
                     attempts.wait_logged = True
-                    self._log_wait(context, bound)
+                    log_wait_for_primary(context, bound, self._directory)
                 await asyncio.sleep(min(FAILOVER_POLL_S, max(0.0, attempts.deadline - now())))
                 continue
+            if isinstance(choice, Deferral):
+                if not attempts.deferral_logged:
+                    attempts.deferral_logged = True
+                    log_wait_for_replica(context, bound, choice.until - now())
+                attempts.has_lagged = attempts.has_lagged and now() < choice.until
+                pause = min(FAILOVER_POLL_S, max(MIN_DEFERRAL_S, choice.until - now()))
+                await asyncio.sleep(min(pause, max(0.0, attempts.deadline - now())))
+                continue
+            if isinstance(choice, EarlyRefusal):
+                if attempts.unanswered:
+                    return outcome, None
+                return self._refuse_early(context, bound, Kind.DEADLINE, choice.retry_in), None
             if choice.reason == NO_SAMPLE and not attempts.sample_fetched:
                 attempts.sample_fetched = True
                 if await self._sample_exchange.fetch(group, usable_sample_age(context.rule)):
@@ -158,13 +166,9 @@
             )
             if outcome.ok:
                 return outcome, transaction
-            is_single_read = not writes and not opens_transaction
-            if outcome.kind is Kind.TARGET_FAILED and is_single_read:
-                attempts.avoid = (*attempts.avoid, choice.target)
-                other = self._choose(context, writes, attempts, opens_transaction)
-                if other is not None and other.target not in attempts.avoid:
-                    self._metrics.retries.labels(outcome.kind.value).inc()
-                    continue
+            if self._goes_elsewhere(context, choice, outcome, writes, attempts, opens_transaction):
+                self._metrics.retries.labels(outcome.kind.value).inc()
+                continue
             safe_to_repeat = outcome.kind is Kind.NO_ANSWER or (
                 opens_transaction and outcome.kind is Kind.TRANSACTION_LOST
             )
@@ -186,6 +190,35 @@
             attempts.count += 1
         return outcome, None
 
+    def _goes_elsewhere(
+        self,
+        context: StatementContext,
+        choice: TargetChoice,
+        outcome: StatementResult,
+        writes: bool,
+        attempts: Attempts,
+        opens_transaction: bool,
+    ) -> bool:
+        """Tell whether a read goes to another member after an error that is final at this one.
+
+        A member may fail a read that it ran, or its owner refuse one that it can't run in time.
+        """
+        if writes or opens_transaction or outcome.kind not in (Kind.TARGET_FAILED, Kind.DEADLINE):
+            return False
+        attempts.avoid = (*attempts.avoid, choice.target)
+        other = self._choose(context, writes, attempts, opens_transaction)
+        return isinstance(other, TargetChoice) and other.target not in attempts.avoid
+
+    def _refuse_early(
+        self, context: StatementContext, bound: BoundStatement, kind: Kind, retry_in: float
+    ) -> StatementResult:
+        """Refuse an operation that can't be served by its deadline, with a time to retry."""
+        retry_in *= self._rng.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+        suppressed = self._refusal_events.take(now())
+        if suppressed is not None:
+            log_refusal(context, bound, kind, retry_in, suppressed)
+        return not_executed(kind, f"retry in {max(1.0, retry_in * 1000):.0f} ms")
+
     async def _attempt(
         self,
         context: StatementContext,
@@ -249,7 +282,7 @@
                 transaction_id=response.transaction_id,
                 is_primary=choice.is_primary,
             )
-        _log_statement(context, bound, choice, owner, response, now() - sent_at, transaction)
+        log_statement(context, bound, choice, owner, response, now() - sent_at, transaction)
         return response.outcome, transaction
 
     def _attempt_timeout(
@@ -269,26 +302,14 @@
             limit = max(UNKNOWN_ATTEMPT_TIMEOUT_S, min(limit, left / 2))
         return limit
 
-    def _log_wait(self, context: StatementContext, bound: BoundStatement) -> None:
-        assignment = self._directory.assignment_or_initial(context.rule.group)
-        logs.event(
-            "waiting_for_primary",
-            request=bound.request_id,
-            team=context.team,
-            group=context.rule.group,
-            epoch=assignment.epoch,
-            settled=assignment.settled,
-            replaced=assignment.replaced,
-            age=round(self._directory.cache.assignments_age(), 3),
-        )
-
     def _choose(
         self,
         context: StatementContext,
         writes: bool,
         attempts: Attempts,
         opens_transaction: bool,
-    ) -> TargetChoice | None:
+    ) -> Placement | None:
+        at = now()
         group = context.rule.group
         primary = self._directory.primary(group)
         if primary is not None and not self._directory.accepts_new_work(primary):
@@ -306,9 +327,11 @@
             avoid=attempts.avoid,
             shed=attempts.shed,
             has_lagged=attempts.has_lagged,
+            time_left=attempts.deadline - at,
+            may_fetch_sample=not attempts.sample_fetched,
             opens_transaction=opens_transaction,
         )
-        return choose(needs, snapshot, self._directory.samples(group), now(), self._rng)
+        return choose(needs, snapshot, self._directory.samples(group), at, self._rng)
 
     def _observe(self, request: StatementRequest, response: StatementResponse, at: float) -> None:
         """Learn from a response how loaded its target is, and whether it fails."""
@@ -317,14 +340,10 @@
         )
         members = tuple(t.name for t in self._directory.targets(request.group))
         for change in self._loads.review(members, at):
-            fields = {"target": change.target, "group": request.group, "why": change.reason}
-            fields["failure_score"] = round(change.score, 2)
-            fields["service_ms"] = round(change.service * 1000, 1)
-            if not change.is_ejected:
-                logs.event("target_readmitted", **fields)
-                continue
-            logs.warn("target_ejected", **fields)
-            self._metrics.ejections.labels(request.group, change.target, change.reason).inc()
+            log_ejection(request.group, change)
+            if change.is_ejected:
+                labels = (request.group, change.target, change.reason)
+                self._metrics.ejections.labels(*labels).inc()
 
     def _owner(self, group: str, name: str, fault_count: int) -> str | None:
         target = self._directory.target(group, name)
@@ -338,34 +357,3 @@
     ) -> None:
         if is_primary and outcome.ok and outcome.position:
             self._directory.samples(group).add(sent_at, outcome.position)
-
-
-def _log_statement(
-    context: StatementContext,
-    bound: BoundStatement,
-    choice: TargetChoice,
-    owner: str,
-    response: StatementResponse,
-    seconds: float,
-    transaction: OpenTransaction | None,
-) -> None:
-    outcome = response.outcome
-    logs.event(
-        "statement",
-        request=bound.request_id,
-        team=context.team,
-        verb=bound.statement.verb.value,
-        target=choice.target,
-        holder=owner,  # The log key keeps its earlier name.
-        why=choice.reason,
-        after=_format_position(choice.min_position),
-        outcome=outcome.kind.value if outcome.kind else "ok",
-        detail=outcome.detail,
-        # Transaction ids are unique at their owner.
-        transaction=f"{owner}/{transaction.transaction_id}" if transaction else "",
-        ms=round(seconds * 1000, 1),
-    )
-
-
-def _format_position(position: Position | None) -> str:
-    return f"{position.term}.{position.index}" if position else ""
--- a/src/wagtailloft/groups/target_choice.py
+++ b/src/wagtailloft/groups/target_choice.py
@@ -1,5 +1,6 @@
 """Choose the member that runs a statement, from this host's view of the group, without I/O."""
 
+import math
 import random
 
 import msgspec
@@ -24,6 +25,7 @@
 DELAY_RESOLUTION_S = 0.001  # members whose expected delays differ by less are chosen at random
 # Hosts that have the same report of a queue spread their next statements by this share of it.
 WAIT_SPREAD = 0.25
+MIN_RETRY_S = 0.02  # callers that retry sooner find about the same queue
 
 
 class TargetChoice(Record):
@@ -40,12 +42,28 @@
     has_alternative: bool = False
 
 
+class Deferral(Record):
+    """Tell that a read waits for a replica that lags, and until when it is not to be tried."""
+
+    until: float
+
+
+class EarlyRefusal(Record):
+    """Tell that no member can run the statement in time, and in how many seconds one may."""
+
+    retry_in: float
+
+
+Placement = TargetChoice | Deferral | EarlyRefusal
+
+
 class StatementNeeds(Record):
     """Describe what a statement or transaction requires of a member.
 
     avoid lists the members at which it failed, and shed the replicas that refused it as busy.
     has_lagged tells that a replica lacked the position, so that another one that may lag as well
-    is not tried in vain.
+    is not tried in vain. time_left is until the deadline, in seconds. may_fetch_sample tells that
+    other hosts have not been asked for a position sample yet.
     """
 
     rule: RouteRule
@@ -55,6 +73,8 @@
     shed: tuple[str, ...] = ()
     has_lagged: bool = False
     opens_transaction: bool = False
+    time_left: float = math.inf
+    may_fetch_sample: bool = True
 
     @property
     def round_trips(self) -> int:
@@ -77,8 +97,8 @@
     samples: PositionSamples,
     at: float,
     rng: random.Random | None = None,
-) -> TargetChoice | None:
-    """Return the member to send the statement to, or None if none can run it at present.
+) -> Placement | None:
+    """Return where to send the statement, or None if it has to wait for a primary.
 
     rng decides among members that are about equal; without it, the first by name is chosen.
     """
@@ -111,28 +131,74 @@
         members = (*snapshot.targets, *([snapshot.primary] if snapshot.primary else []))
         self._delays = {t.name: self._expected_delay(t) for t in members}
 
-    def choose(self) -> TargetChoice | None:
+    def choose(self) -> Placement | None:
         needs = self._needs
         if needs.writes or needs.rule.freshness is Freshness.LATEST:
-            return self._at_primary()
+            return self._at_primary_in_time()
         min_position = self._samples.position_as_of(self._at - usable_sample_age(needs.rule))
         if min_position is None:
-            return self._at_primary(NO_SAMPLE)
+            return self._at_primary_in_time(NO_SAMPLE)
         if needs.session_position and needs.session_position.term >= min_position.term:
             min_position = max(min_position, needs.session_position)
-        eligible = [t for t in self._replicas() if not self._is_behind(t, min_position)]
-        if not eligible:
-            return self._at_primary()
+        replicas = self._replicas()
+        lagging = [t for t in replicas if self._is_behind(t, min_position)]
+        eligible = [t for t in replicas if t not in lagging]
+        if self._primary is None and not eligible:
+            return None
         has_alternative = len(eligible) > 1 or self._primary is not None
         probed = [t for t in eligible if self._loads.is_probe_due(t.name, self._at)]
         if probed and not needs.opens_transaction and not needs.avoid:
             return self._at_replica(probed[0], min_position, PROBE, has_alternative)
         healthy = [t for t in eligible if not self._loads.is_ejected(t.name)]
-        candidates = healthy or eligible
-        best = self._least_delayed(self._not_shed(candidates) or candidates)
-        if self._may_read_at_primary(healthy) and self._is_primary_preferred(best):
-            return self._at_primary(has_alternative=True)
-        return self._at_replica(best, min_position, REPLICA, has_alternative)
+        in_time = self._in_time(healthy) or self._in_time(eligible)
+        best = self._least_delayed(self._not_shed(in_time) or in_time)
+        if self._is_primary_preferred(best, healthy):
+            return self._at_primary(has_alternative=bool(eligible))
+        if best is not None:
+            return self._at_replica(best, min_position, REPLICA, has_alternative)
+        return self._without_known_time(eligible, lagging, min_position)
+
+    def _without_known_time(
+        self, eligible: list[Target], lagging: list[Target], min_position: Position
+    ) -> Placement:
+        """Return where a read goes if no member is expected to run it in time."""
+        caught_up = [
+            max(self._samples.backoff_end(t.name), self._at)
+            for t in lagging
+            if self._samples.backoff_end(t.name) + self._duration(t)
+            <= self._at + self._needs.time_left
+        ]
+        if caught_up:
+            return Deferral(until=min(caught_up))
+        members = [*eligible, *([self._primary] if self._primary else [])]
+        unknown = self._least_delayed([t for t in members if not self._is_refused(t)])
+        if unknown is None:
+            return self._refusal(members)
+        if unknown is self._primary:
+            return self._at_primary()
+        return self._at_replica(unknown, min_position, REPLICA, has_alternative=False)
+
+    def _duration(self, target: Target) -> float:
+        return self._delays[target.name] + self._loads.service(target.name)
+
+    def _in_time(self, targets: list[Target]) -> list[Target]:
+        return [t for t in targets if self._duration(t) <= self._needs.time_left]
+
+    def _is_refused(self, target: Target) -> bool:
+        """Tell whether a member certainly can't run the statement in time."""
+        is_late = self._duration(target) > self._needs.time_left
+        return is_late and self._loads.is_reported(target.name, self._at)
+
+    def _refusal(self, targets: list[Target]) -> EarlyRefusal:
+        """Refuse until the first queue has room for a statement with its whole time."""
+        least = min(self._duration(t) for t in targets)
+        return EarlyRefusal(retry_in=max(MIN_RETRY_S, least - self._needs.rule.timeout))
+
+    def _at_primary_in_time(self, reason: str = PRIMARY) -> Placement | None:
+        may_fetch = reason == NO_SAMPLE and self._needs.may_fetch_sample
+        if self._primary and not may_fetch and self._is_refused(self._primary):
+            return self._refusal([self._primary])
+        return self._at_primary(reason)
 
     def _expected_delay(self, target: Target) -> float:
         return self._loads.expected_delay(
@@ -181,42 +247,46 @@
             return True
         return self._needs.has_lagged and self._samples.may_lag(target.name, self._at, min_position)
 
-    def _least_delayed(self, targets: list[Target]) -> Target:
+    def _least_delayed(self, targets: list[Target]) -> Target | None:
         """Return the least delayed of two random members and the best known one.
 
         Their delays are varied at random by about what is not known of them: hosts that have the
         same report would all send their next statements to the same member otherwise.
         """
-        ranked = sorted(targets, key=lambda t: (self._delays[t.name], t.name))
-        if self._rng is None:
-            return ranked[0]
+        ranked = sorted(targets, key=lambda t: (self._cost(t), t.name))
+        if not ranked or self._rng is None:
+            return ranked[0] if ranked else None
         candidates = ranked[:1] + self._rng.sample(ranked[1:], min(2, len(ranked) - 1))
-        return min(candidates, key=self._varied_delay)
+        return min(candidates, key=self._varied_cost)
 
-    def _varied_delay(self, target: Target) -> float:
-        delay = self._delays[target.name]
-        queue = max(0.0, delay - self._distance(target))
-        return delay + self._rng.uniform(0, DELAY_RESOLUTION_S + WAIT_SPREAD * queue)
+    def _cost(self, target: Target) -> float:
+        """Return the expected delay of a member, with that of attempts that fail."""
+        return self._delays[target.name] + self._loads.failure_cost(target.name, self._at)
+
+    def _varied_cost(self, target: Target) -> float:
+        queue = max(0.0, self._delays[target.name] - self._distance(target))
+        return self._cost(target) + self._rng.uniform(0, DELAY_RESOLUTION_S + WAIT_SPREAD * queue)
 
     def _distance(self, target: Target) -> float:
         """Return the time of all round trips to a member."""
         round_trip = self._loads.round_trip(target, self._snapshot.zone, self._at)
         return round_trip * self._needs.round_trips
 
-    def _may_read_at_primary(self, healthy: list[Target]) -> bool:
-        """Tell whether the primary competes for a read that a replica can run.
+    def _is_primary_preferred(self, replica: Target | None, healthy: list[Target]) -> bool:
+        """Tell whether a read goes to the primary rather than to the best replica.
 
-        Without a healthy replica it competes with the ejected ones by its expected delay: replicas
-        that shed an overload would otherwise move all reads to the primary.
+        Without a healthy replica the primary competes with the ejected ones by its expected delay:
+        replicas that shed an overload would otherwise move all reads to the primary.
         """
-        if self._primary is None:
+        if self._primary is None or not self._in_time([self._primary]):
+            return False
+        if replica is None:
+            return True
+        has_failed = self._primary.name in self._needs.avoid
+        if has_failed or (replica in healthy and self._loads.is_ejected(self._primary.name)):
             return False
-        return not (healthy and self._loads.is_ejected(self._primary.name))
-
-    def _is_primary_preferred(self, replica: Target) -> bool:
-        """Tell whether a read goes to the primary rather than to the best replica."""
         penalty = PRIMARY_PENALTY_S
         if self._primary.zone == self._snapshot.zone != replica.zone:
             nearer = max(0.0, self._distance(replica) - self._distance(self._primary))
             penalty = min(penalty, PRIMARY_PENALTY_SHARE * nearer)
-        return self._delays[self._primary.name] + penalty < self._delays[replica.name]
+        return self._cost(self._primary) + penalty < self._cost(replica)
