Refuse writes early that can't be served before a failover ends

During a failover 365 operations ended at their deadline. A host now learns the least time from the order of a promotion to its end. While no promotion is ordered, an operation that only a primary can run and whose deadline is closer than that, less the age of what the host knows of the assignments, is refused at once as no_primary with a time to retry.

Failed before: placement.feature, 'A write that can't be served before a failover ends is refused at once'.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -140,3 +140,21 @@
     And the primary reports a wait of 2 s
     When 10 reads are sent, one every 0.01 s, while the primary reports that
     Then all but 3 are refused as deadline before their deadline
+
+  Scenario: A write that can't be served before a failover ends is refused at once
+    Given a played group
+    And a failover whose promotion took 0.4 s while writes waited
+    When a failover begins, and writes with 0.3 s and 0.6 s left are sent
+    Then the first is refused as no_primary at once, and the other when 0.4 s are left
+    And no write was sent to a member
+
+  Scenario: A write waits for a promotion that has been ordered
+    Given a played group
+    And a failover whose promotion took 0.4 s while writes waited
+    When a failover begins whose promotion is ordered, and ends after 0.2 s
+    Then a write with 0.3 s left is served
+
+  Scenario: Nothing is known of the time of promotions
+    Given a played group
+    When a failover begins, and writes with 0.3 s and 0.6 s left are sent
+    Then both are refused as no_primary at their deadline
--- a/features/steps/placement_dispatch.py
+++ b/features/steps/placement_dispatch.py
@@ -280,3 +280,70 @@
 def step_refused_before_deadline(context, count):
     early = [r for r, s in context.answers if r.kind is Kind.DEADLINE and s < RULE.timeout - 0.05]
     assert len(early) >= len(context.answers) - count, context.answers
+
+
+async def fail_over(group, seconds):
+    """Order a promotion at once, and end the failover after some time."""
+    group.has_primary, group.ordered = False, ("r",)
+    await asyncio.sleep(seconds)
+    group.has_primary, group.ordered = True, ()
+
+
+def write(group, time_left):
+    """Return a write of a route with the given timeout."""
+    rule = msgspec.structs.replace(RULE, timeout=time_left)
+    return group.send(Verb.WRITE, rule)
+
+
+@given("a failover whose promotion took {seconds:g} s while writes waited")
+def step_past_failover(context, seconds):
+    async def run():
+        return await asyncio.gather(
+            fail_over(context.group, seconds), write(context.group, seconds + 0.2)
+        )
+
+    _, (outcome, _) = run_virtual(run())
+    assert outcome.ok
+    context.group.sent.clear()
+
+
+@when("a failover begins, and writes with {first:g} s and {second:g} s left are sent")
+def step_failover_writes(context, first, second):
+    context.group.has_primary = False
+    context.timeouts = (first, second)
+
+    async def run():
+        return await asyncio.gather(write(context.group, first), write(context.group, second))
+
+    context.answers = run_virtual(run())
+
+
+@when("a failover begins whose promotion is ordered, and ends after {seconds:g} s")
+def step_ordered_failover(context, seconds):
+    async def run():
+        return await asyncio.gather(fail_over(context.group, seconds), write(context.group, 0.3))
+
+    _, context.answer = run_virtual(run())
+
+
+@then("a write with {left:g} s left is served")
+def step_write_served(context, left):
+    assert context.answer[0].ok and context.answer[1] < left, context.answer
+
+
+@then("the first is refused as no_primary at once, and the other when {left:g} s are left")
+def step_refused_in_time(context, left):
+    (first, at_once), (second, later) = context.answers
+    assert first.kind is second.kind is Kind.NO_PRIMARY, context.answers
+    assert at_once < 0.001 and abs(context.timeouts[1] - later - left) < 0.07, context.answers
+
+
+@then("no write was sent to a member")
+def step_none_sent(context):
+    assert not context.group.sent, context.group.sent
+
+
+@then("both are refused as no_primary at their deadline")
+def step_refused_at_deadline(context):
+    for (outcome, seconds), timeout in zip(context.answers, context.timeouts, strict=True):
+        assert outcome.kind is Kind.NO_PRIMARY and abs(seconds - timeout) < 0.05, context.answers
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -4,10 +4,12 @@
 import random
 
 from wagtailloft.clock import now
+from wagtailloft.controllers.promotion_times import GroupPhase, PromotionTimes
 from wagtailloft.controllers.retries import retry_delay
 from wagtailloft.controllers.target_loads import UNKNOWN_ATTEMPT_TIMEOUT_S, TargetLoads
 from wagtailloft.errors import Kind
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
+from wagtailloft.fleet.records import Freshness, Target
 from wagtailloft.groups.attempts import (
     Attempts,
     EventLimit,
@@ -82,6 +84,7 @@
         self._zone = zone
         self._metrics = metrics
         self._loads = TargetLoads()
+        self._promotion_times = PromotionTimes()
         self._rng = random.Random()
         self._refusal_events = EventLimit(REFUSED_EARLY_EVENTS)
 
@@ -136,6 +139,9 @@
         while now() < attempts.deadline:
             choice = self._choose(context, writes, attempts, opens_transaction)
             if choice is None:
+                least_wait = self._least_wait_for_primary(group, writes, context)
+                if now() + least_wait > attempts.deadline:
+                    return self._refuse_early(context, bound, Kind.NO_PRIMARY, least_wait), None
                 if not attempts.wait_logged:
                     attempts.wait_logged = True
                     log_wait_for_primary(context, bound, self._directory)
@@ -314,6 +320,7 @@
         primary = self._directory.primary(group)
         if primary is not None and not self._directory.accepts_new_work(primary):
             primary = None
+        self._promotion_times.observe(group, self._phase(group, primary), at)
         snapshot = GroupSnapshot(
             targets=self._directory.targets(group),
             primary=primary,
@@ -333,6 +340,22 @@
         )
         return choose(needs, snapshot, self._directory.samples(group), at, self._rng)
 
+    def _phase(self, group: str, primary: Target | None) -> GroupPhase:
+        if primary is not None:
+            return GroupPhase.HAS_PRIMARY
+        assignment = self._directory.assignment_or_initial(group)
+        if assignment.settled:
+            return GroupPhase.OTHER
+        return GroupPhase.ORDERED if assignment.ordered else GroupPhase.UNORDERED
+
+    def _least_wait_for_primary(self, group: str, writes: bool, context: StatementContext) -> float:
+        """Return how long an operation that only a primary can run still has to wait at least."""
+        if not writes and context.rule.freshness is not Freshness.LATEST:
+            return 0.0
+        least = self._promotion_times.least_wait(self._phase(group, self._directory.primary(group)))
+        # The promotion may have been ordered since this host last heard of the assignments.
+        return max(0.0, least - self._directory.cache.assignments_age())
+
     def _observe(self, request: StatementRequest, response: StatementResponse, at: float) -> None:
         """Learn from a response how loaded its target is, and whether it fails."""
         self._loads.observe(
--- a/src/wagtailloft/groups/placement_log.py
+++ b/src/wagtailloft/groups/placement_log.py
@@ -91,6 +91,7 @@
         target=choice.target,
         holder=owner,  # The log key keeps its earlier name.
         why=choice.reason,
+        expected_ms=round(choice.expected_delay * 1000, 1),
         after=_format_position(choice.min_position),
         outcome=outcome.kind.value if outcome.kind else "ok",
         detail=outcome.detail,
