--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -2,32 +2,49 @@
 
 import asyncio
 import random
-from collections import Counter
 
-from wagtailloft import logs
 from wagtailloft.clock import now
+from wagtailloft.controllers.promotion_times import GroupPhase, PromotionTimes
 from wagtailloft.controllers.retries import retry_delay
+from wagtailloft.controllers.target_loads import UNKNOWN_ATTEMPT_TIMEOUT_S, TargetLoads
 from wagtailloft.errors import Kind
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
-from wagtailloft.fleet.records import RouteRule
+from wagtailloft.fleet.records import Freshness, Target
+from wagtailloft.groups.attempts import (
+    Attempts,
+    EventLimit,
+    OpenTransaction,
+    StatementContext,
+    attempt_result,
+)
 from wagtailloft.groups.directory import GroupDirectory
+from wagtailloft.groups.placement_log import (
+    log_ejection,
+    log_refusal,
+    log_statement,
+    log_wait_for_primary,
+    log_wait_for_replica,
+)
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.groups.relay import Relay
 from wagtailloft.groups.sample_exchange import SampleExchange
 from wagtailloft.groups.target_choice import (
     NO_SAMPLE,
+    Deferral,
+    EarlyRefusal,
     GroupSnapshot,
+    Placement,
     StatementNeeds,
     TargetChoice,
     choose,
     usable_sample_age,
 )
 from wagtailloft.metrics import Metrics
-from wagtailloft.models import Position, Record
 from wagtailloft.sessions.statements import StatementResult, Verb, not_executed
 
-# Covers a slow statement that is queued behind others; after it, another member is tried.
-READ_ATTEMPT_TIMEOUT_S = 0.35
+MIN_DEFERRAL_S = 0.005
+RETRY_JITTER = 0.25  # share by which the retry times that callers are told differ at most
+REFUSED_EARLY_EVENTS = 5  # log events a second; the counts by kind are in the metrics
 FAILOVER_POLL_S = 0.03  # between checks for a primary while a failover is in progress
 
 # Errors of statements that did not run, with causes that may pass before the statement times out.
@@ -49,27 +66,6 @@
 OWNER_FAULTS = frozenset({Kind.NO_OWNER, Kind.TARGET_UNREACHABLE, Kind.STOPPING})
 
 
-class StatementContext(Record):
-    """Describe the caller of a statement: its route, its team and its session's position.
-
-    session_position is set only if reads must see the session's own writes.
-    """
-
-    rule: RouteRule
-    team: str
-    session_position: Position | None = None
-
-
-class OpenTransaction(Record):
-    """Identify an open transaction and the host and target that hold it."""
-
-    group: str
-    target: str
-    owner: str
-    transaction_id: int
-    is_primary: bool
-
-
 class Dispatcher:
     """Send statements to members of a group and sample the primary's position from responses."""
 
@@ -87,8 +83,10 @@
         self._sample_exchange = sample_exchange
         self._zone = zone
         self._metrics = metrics
-        self._in_flight: Counter[str] = Counter()
+        self._loads = TargetLoads()
+        self._promotion_times = PromotionTimes()
         self._rng = random.Random()
+        self._refusal_events = EventLimit(REFUSED_EARLY_EVENTS)
 
     async def run_single(self, context: StatementContext, bound: BoundStatement) -> StatementResult:
         """Run one statement outside a transaction, with retries."""
@@ -114,13 +112,15 @@
             budget=context.rule.timeout,
             require_primary=transaction.is_primary,
             transaction_id=transaction.transaction_id,
+            priority=context.rule.priority,
         )
         response = await self._relay.run(transaction.owner, request)
+        self._observe(request, response, now())
         self._record_position(transaction.group, transaction.is_primary, response.outcome, sent_at)
         choice = TargetChoice(
             target=transaction.target, is_primary=transaction.is_primary, reason="transaction"
         )
-        _log_statement(
+        log_statement(
             context, bound, choice, transaction.owner, response, now() - sent_at, transaction
         )
         return response.outcome
@@ -133,34 +133,48 @@
         self, context: StatementContext, bound: BoundStatement, *, opens_transaction: bool
     ) -> tuple[StatementResult, OpenTransaction | None]:
         group = context.rule.group
-        deadline = now() + context.rule.timeout
+        attempts = Attempts(now() + context.rule.timeout)
         writes = bound.statement.writes or bound.statement.verb is Verb.BEGIN
-        avoid: tuple[str, ...] = ()
-        owner_faults: Counter[str] = Counter()
         outcome = not_executed(Kind.NO_PRIMARY, "the group has no primary")
-        attempt = 0
-        wait_logged = sample_fetched = False
-        while now() < deadline:
-            choice = self._choose(context, writes, avoid, opens_transaction)
+        while now() < attempts.deadline:
+            choice = self._choose(context, writes, attempts, opens_transaction)
             if choice is None:
-                if not wait_logged:
-                    wait_logged = True
-                    self._log_wait(context, bound)
-                await asyncio.sleep(min(FAILOVER_POLL_S, max(0.0, deadline - now())))
+                least_wait = self._least_wait_for_primary(group, writes, context)
+                if now() + least_wait > attempts.deadline:
+                    return self._refuse_early(context, bound, Kind.NO_PRIMARY, least_wait), None
+                if not attempts.wait_logged:
+                    attempts.wait_logged = True
+                    log_wait_for_primary(context, bound, self._directory)
+                await asyncio.sleep(min(FAILOVER_POLL_S, max(0.0, attempts.deadline - now())))
+                continue
+            if isinstance(choice, Deferral):
+                if not attempts.deferral_logged:
+                    attempts.deferral_logged = True
+                    log_wait_for_replica(context, bound, choice.until - now())
+                attempts.has_lagged = attempts.has_lagged and now() < choice.until
+                pause = min(FAILOVER_POLL_S, max(MIN_DEFERRAL_S, choice.until - now()))
+                await asyncio.sleep(min(pause, max(0.0, attempts.deadline - now())))
                 continue
-            if choice.reason == NO_SAMPLE and not sample_fetched:
-                sample_fetched = True
+            if isinstance(choice, EarlyRefusal):
+                if attempts.unanswered:
+                    return outcome, None
+                return self._refuse_early(context, bound, Kind.DEADLINE, choice.retry_in), None
+            if choice.reason == NO_SAMPLE and not attempts.sample_fetched:
+                attempts.sample_fetched = True
                 if await self._sample_exchange.fetch(group, usable_sample_age(context.rule)):
                     continue
-            owner = self._owner(group, choice.target, owner_faults[choice.target])
+            owner = self._owner(group, choice.target, attempts.owner_faults[choice.target])
             if owner is None:
                 await asyncio.sleep(FAILOVER_POLL_S)
                 continue
             outcome, transaction = await self._attempt(
-                context, bound, choice, owner, deadline, opens_transaction
+                context, bound, choice, owner, attempts, opens_transaction
             )
             if outcome.ok:
                 return outcome, transaction
+            if self._goes_elsewhere(context, choice, outcome, writes, attempts, opens_transaction):
+                self._metrics.retries.labels(outcome.kind.value).inc()
+                continue
             safe_to_repeat = outcome.kind is Kind.NO_ANSWER or (
                 opens_transaction and outcome.kind is Kind.TRANSACTION_LOST
             )
@@ -168,29 +182,62 @@
                 return outcome, None
             self._metrics.retries.labels(outcome.kind.value).inc()
             if outcome.kind in OWNER_FAULTS:
-                owner_faults[choice.target] += 1
-            if not choice.is_primary and outcome.kind is not Kind.TARGET_BUSY:
-                avoid = (*avoid, choice.target)
-            if choice.is_primary or safe_to_repeat:
-                await asyncio.sleep(
-                    min(retry_delay(attempt, self._rng), max(0.0, deadline - now()))
-                )
-            attempt += 1
+                attempts.owner_faults[choice.target] += 1
+            is_repeatedly_shed = choice.target in attempts.shed
+            if outcome.kind is Kind.TARGET_BEHIND:
+                attempts.has_lagged = True
+            elif not choice.is_primary and outcome.kind is Kind.TARGET_BUSY:
+                attempts.shed = (*attempts.shed, choice.target)
+            elif not choice.is_primary:
+                attempts.avoid = (*attempts.avoid, choice.target)
+            if choice.is_primary or safe_to_repeat or is_repeatedly_shed:
+                pause = retry_delay(attempts.count, self._rng)
+                await asyncio.sleep(min(pause, max(0.0, attempts.deadline - now())))
+            attempts.count += 1
         return outcome, None
 
+    def _goes_elsewhere(
+        self,
+        context: StatementContext,
+        choice: TargetChoice,
+        outcome: StatementResult,
+        writes: bool,
+        attempts: Attempts,
+        opens_transaction: bool,
+    ) -> bool:
+        """Tell whether a read goes to another member after an error that is final at this one.
+
+        A member may fail a read that it ran, or its owner refuse one that it can't run in time.
+        """
+        if writes or opens_transaction or outcome.kind not in (Kind.TARGET_FAILED, Kind.DEADLINE):
+            return False
+        attempts.avoid = (*attempts.avoid, choice.target)
+        other = self._choose(context, writes, attempts, opens_transaction)
+        return isinstance(other, TargetChoice) and other.target not in attempts.avoid
+
+    def _refuse_early(
+        self, context: StatementContext, bound: BoundStatement, kind: Kind, retry_in: float
+    ) -> StatementResult:
+        """Refuse an operation that can't be served by its deadline, with a time to retry."""
+        retry_in *= self._rng.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+        suppressed = self._refusal_events.take(now())
+        if suppressed is not None:
+            log_refusal(context, bound, kind, retry_in, suppressed)
+        return not_executed(kind, f"retry in {max(1.0, retry_in * 1000):.0f} ms")
+
     async def _attempt(
         self,
         context: StatementContext,
         bound: BoundStatement,
         choice: TargetChoice,
         owner: str,
-        deadline: float,
+        attempts: Attempts,
         opens_transaction: bool,
     ) -> tuple[StatementResult, OpenTransaction | None]:
         sent_at = now()
-        budget = deadline - sent_at
+        budget = attempts.deadline - sent_at
         if not bound.statement.writes:
-            budget = min(budget, READ_ATTEMPT_TIMEOUT_S)
+            budget = min(budget, self._attempt_timeout(context, choice, attempts, budget))
         request = StatementRequest(
             group=context.rule.group,
             target=choice.target,
@@ -204,18 +251,34 @@
             budget=budget,
             require_primary=choice.is_primary,
             opens_transaction=opens_transaction,
+            priority=context.rule.priority,
         )
         samples = self._directory.samples(context.rule.group)
-        self._in_flight[choice.target] += 1
+        self._metrics.target_delay.labels(request.group, request.target).set(choice.expected_delay)
+        self._loads.sent(choice.target, owner, sent_at)
         try:
             response = await self._relay.run(owner, request)
         finally:
-            self._in_flight[choice.target] -= 1
+            self._loads.returned(choice.target)
+        answered_at = now()
+        self._observe(request, response, answered_at)
+        if response.outcome.kind is Kind.NO_ANSWER:
+            attempts.unanswered += 1
+            self._loads.observe_timeout(
+                choice.target, priority=context.rule.priority, limit=answered_at - sent_at
+            )
+        if response.outcome.ok and not opens_transaction:
+            self._loads.observe_answer_time(
+                choice.target,
+                priority=context.rule.priority,
+                seconds=answered_at - sent_at,
+                at=answered_at,
+            )
         self._record_position(context.rule.group, choice.is_primary, response.outcome, sent_at)
         if response.outcome.kind is Kind.TARGET_BEHIND:
-            samples.mark_behind(choice.target, now())
+            samples.mark_behind(choice.target, answered_at, choice.min_position)
         elif response.outcome.ok and not choice.is_primary:
-            samples.mark_caught_up(choice.target)
+            samples.mark_caught_up(choice.target, choice.min_position)
         transaction = None
         if response.transaction_id:
             transaction = OpenTransaction(
@@ -225,47 +288,85 @@
                 transaction_id=response.transaction_id,
                 is_primary=choice.is_primary,
             )
-        _log_statement(context, bound, choice, owner, response, now() - sent_at, transaction)
+        log_statement(context, bound, choice, owner, response, now() - sent_at, transaction)
         return response.outcome, transaction
 
-    def _log_wait(self, context: StatementContext, bound: BoundStatement) -> None:
-        assignment = self._directory.assignment_or_initial(context.rule.group)
-        logs.event(
-            "waiting_for_primary",
-            request=bound.request_id,
-            team=context.team,
-            group=context.rule.group,
-            epoch=assignment.epoch,
-            settled=assignment.settled,
-            replaced=assignment.replaced,
-            age=round(self._directory.cache.assignments_age(), 3),
+    def _attempt_timeout(
+        self, context: StatementContext, choice: TargetChoice, attempts: Attempts, left: float
+    ) -> float:
+        """Return after which time a read is tried elsewhere; longer with each that was in vain."""
+        limit = self._loads.attempt_timeout(
+            choice.target,
+            priority=context.rule.priority,
+            expected_delay=choice.expected_delay,
         )
+        if choice.is_primary and not choice.has_alternative:
+            # A repeated attempt would only wait again, behind the first one.
+            limit = max(limit, UNKNOWN_ATTEMPT_TIMEOUT_S)
+        limit *= 2**attempts.unanswered
+        if choice.has_alternative and limit > UNKNOWN_ATTEMPT_TIMEOUT_S:
+            limit = max(UNKNOWN_ATTEMPT_TIMEOUT_S, min(limit, left / 2))
+        return limit
 
     def _choose(
         self,
         context: StatementContext,
         writes: bool,
-        avoid: tuple[str, ...],
+        attempts: Attempts,
         opens_transaction: bool,
-    ) -> TargetChoice | None:
+    ) -> Placement | None:
+        at = now()
         group = context.rule.group
         primary = self._directory.primary(group)
         if primary is not None and not self._directory.accepts_new_work(primary):
             primary = None
+        self._promotion_times.observe(group, self._phase(group, primary), at)
         snapshot = GroupSnapshot(
             targets=self._directory.targets(group),
             primary=primary,
             zone=self._zone,
-            in_flight=dict(self._in_flight),
+            loads=self._loads,
         )
         needs = StatementNeeds(
             rule=context.rule,
             writes=writes,
             session_position=context.session_position,
-            avoid=avoid,
+            avoid=attempts.avoid,
+            shed=attempts.shed,
+            has_lagged=attempts.has_lagged,
+            time_left=attempts.deadline - at,
+            may_fetch_sample=not attempts.sample_fetched,
             opens_transaction=opens_transaction,
         )
-        return choose(needs, snapshot, self._directory.samples(group), now())
+        return choose(needs, snapshot, self._directory.samples(group), at, self._rng)
+
+    def _phase(self, group: str, primary: Target | None) -> GroupPhase:
+        if primary is not None:
+            return GroupPhase.HAS_PRIMARY
+        assignment = self._directory.assignment_or_initial(group)
+        if assignment.settled:
+            return GroupPhase.OTHER
+        return GroupPhase.ORDERED if assignment.ordered else GroupPhase.UNORDERED
+
+    def _least_wait_for_primary(self, group: str, writes: bool, context: StatementContext) -> float:
+        """Return how long an operation that only a primary can run still has to wait at least."""
+        if not writes and context.rule.freshness is not Freshness.LATEST:
+            return 0.0
+        least = self._promotion_times.least_wait(self._phase(group, self._directory.primary(group)))
+        # The promotion may have been ordered since this host last heard of the assignments.
+        return max(0.0, least - self._directory.cache.assignments_age())
+
+    def _observe(self, request: StatementRequest, response: StatementResponse, at: float) -> None:
+        """Learn from a response how loaded its target is, and whether it fails."""
+        self._loads.observe(
+            request.target, result=attempt_result(response), load=response.load, at=at
+        )
+        members = tuple(t.name for t in self._directory.targets(request.group))
+        for change in self._loads.review(members, at):
+            log_ejection(request.group, change)
+            if change.is_ejected:
+                labels = (request.group, change.target, change.reason)
+                self._metrics.ejections.labels(*labels).inc()
 
     def _owner(self, group: str, name: str, fault_count: int) -> str | None:
         target = self._directory.target(group, name)
@@ -279,34 +380,3 @@
     ) -> None:
         if is_primary and outcome.ok and outcome.position:
             self._directory.samples(group).add(sent_at, outcome.position)
-
-
-def _log_statement(
-    context: StatementContext,
-    bound: BoundStatement,
-    choice: TargetChoice,
-    owner: str,
-    response: StatementResponse,
-    seconds: float,
-    transaction: OpenTransaction | None,
-) -> None:
-    outcome = response.outcome
-    logs.event(
-        "statement",
-        request=bound.request_id,
-        team=context.team,
-        verb=bound.statement.verb.value,
-        target=choice.target,
-        holder=owner,  # The log key keeps its earlier name.
-        why=choice.reason,
-        after=_format_position(choice.min_position),
-        outcome=outcome.kind.value if outcome.kind else "ok",
-        detail=outcome.detail,
-        # Transaction ids are unique at their owner.
-        transaction=f"{owner}/{transaction.transaction_id}" if transaction else "",
-        ms=round(seconds * 1000, 1),
-    )
-
-
-def _format_position(position: Position | None) -> str:
-    return f"{position.term}.{position.index}" if position else ""
--- a/src/wagtailloft/metrics.py
+++ b/src/wagtailloft/metrics.py
@@ -51,6 +51,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.target_delay = self._gauge(
+            "target_delay_seconds", "Expected delay of the last read placed", "group", "member"
+        )
+        self.ejections = self._counter(
+            "target_ejections", "Members ejected", "group", "member", "reason"
+        )
         self.term = self._gauge("term", "Term of the group", "group")
         self.lag = self._gauge("lag_entries", "Entries not yet applied", "group", "member")
         self.tokens_out = self._gauge("tokens_out", "Rate tokens held by hosts", "team")
