Bound the time of an attempt without the wait for its turn

A read at a primary was refused as too late for the limit of one attempt while its deadline was seconds away, since both the wait and the attempt were counted.

--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -106,7 +106,8 @@
 
     transaction_id is 0 outside a transaction. require_primary refuses the statement unless the
     target is known to be the primary. ends is unused and keeps its place in the array. priority is
-    the route's, 0 first.
+    the route's, 0 first. attempt_timeout bounds the time from sending the statement to its answer,
+    without the wait for its turn; 0 stands for no bound but the budget.
     """
 
     group: str
@@ -119,6 +120,7 @@
     ends: bool = False
     opens_transaction: bool = False
     priority: Count = 1
+    attempt_timeout: Seconds = 0.0
 
 
 class TargetLoad(Record, array_like=True):
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -236,8 +236,11 @@
     ) -> tuple[StatementResult, OpenTransaction | None]:
         sent_at = now()
         budget = attempts.deadline - sent_at
+        attempt_timeout = 0.0
         if not bound.statement.writes:
-            budget = min(budget, self._attempt_timeout(context, choice, attempts, budget))
+            attempt_timeout = self._attempt_timeout(context, choice, attempts, budget)
+        if attempt_timeout and choice.has_alternative:
+            budget = min(budget, attempt_timeout)
         request = StatementRequest(
             group=context.rule.group,
             target=choice.target,
@@ -252,6 +255,7 @@
             require_primary=choice.is_primary,
             opens_transaction=opens_transaction,
             priority=context.rule.priority,
+            attempt_timeout=attempt_timeout,
         )
         samples = self._directory.samples(context.rule.group)
         self._metrics.target_delay.labels(request.group, request.target).set(choice.expected_delay)
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -236,7 +236,8 @@
         link_use = _LinkUse(pool=pool, link=link, request=request)
         try:
             remaining = request.budget - (now() - started_at)
-            outcome = await self._send(link_use, turn, request, remaining)
+            limit = min(remaining, request.attempt_timeout or remaining)
+            outcome = await self._send(link_use, turn, request, limit)
         except BaseException:
             link.close()
             link_use.release()
