--- a/features/steps/spread.py
+++ b/features/steps/spread.py
@@ -89,7 +89,7 @@
 
     def full_pull_hosts(self):
         """Return the hosts from which every topic was pulled."""
-        return {n for n, topics in self.mesh.pulls.items() if topics == set(Topic)}
+        return {n for n, topics in self.mesh.pulls.items() if topics == set(self.cache.topics)}
 
     def assignment_only_hosts(self):
         """Return the hosts from which only primary assignments were pulled."""
--- a/src/wagtailloft/errors.py
+++ b/src/wagtailloft/errors.py
@@ -49,6 +49,7 @@
     UNKNOWN_STATEMENT = "unknown_statement"
     TARGET_UNREACHABLE = "target_unreachable"
     NO_ANSWER = "no_answer"
+    ZONE_EVACUATED = "zone_evacuated"
     STOPPING = "stopping"
     INTERNAL = "internal"
 
@@ -121,6 +122,9 @@
     Kind.NO_ANSWER: _spec(
         504, Execution.UNKNOWN, False, "a read was sent and not answered in time"
     ),
+    Kind.ZONE_EVACUATED: _spec(
+        503, Execution.NO, True, "only members in evacuated zones could run it"
+    ),
     Kind.STOPPING: _spec(503, Execution.NO, True, "the host is stopping"),
     Kind.INTERNAL: _spec(500, Execution.UNKNOWN, False, "internal error of wagtailloft"),
 }
--- a/src/wagtailloft/fleet/peer_pulls.py
+++ b/src/wagtailloft/fleet/peer_pulls.py
@@ -42,6 +42,7 @@
 class PulledCache(Protocol):
     """The cache that pulls keep current and answer from. Ages are in seconds."""
 
+    topics: tuple[Topic, ...]
     assignment_max_age: float
     assignments_digest: int
     store_unreachable: bool
@@ -108,7 +109,7 @@
                 source = self._reader(self._hosts.own.zone)
                 pull_count = 0 if source in ("", self._hosts.own.name) else 1
                 if pull_count:
-                    await self._try_pull(source, tuple(Topic))
+                    await self._try_pull(source, self._cache.topics)
             await asyncio.sleep(DELAY_PER_PULL_S * pull_count)
 
     def is_reader(self) -> bool:
@@ -132,7 +133,7 @@
         reporters = [n for zone in self._hosts.zones() for n in self._reporters(zone)]
         sources = self._wide_sources(reporters)
         asked = [
-            self._try_pull(n, tuple(Topic), names_only=True, collect=n in reporters)
+            self._try_pull(n, self._cache.topics, names_only=True, collect=n in reporters)
             for n in sources
         ]
         zone_hosts = self._zone_hosts_to_hear(sources)
--- a/src/wagtailloft/fleet/records.py
+++ b/src/wagtailloft/fleet/records.py
@@ -17,6 +17,7 @@
     SETTINGS = "settings"
     TARGETS = "targets"
     FLEET = "fleet"
+    EVACUATIONS = "evacuations"
 
 
 class Freshness(Enum):
@@ -41,11 +42,17 @@
 
 
 class GroupRule(Record):
-    """The limits of a group; sync_replicas is the number of replicas that a commit waits for."""
+    """The limits of a group; sync_replicas is the number of replicas that a commit waits for.
+
+    A member is slow for cold_start seconds after its start; it is to get cold_rate statements a
+    second then, 0 for no limit.
+    """
 
     name: str
     max_links: Count = 16
     sync_replicas: Count = 0
+    cold_start: Amount = 0.0
+    cold_rate: Amount = 0.0
 
 
 class TeamRule(Record):
@@ -72,6 +79,7 @@
     """A member of a group, as it reports itself.
 
     started is its start time in milliseconds of its own clock; sequence counts its reports since.
+    cold_left is for how many seconds after the report it is still slow.
     """
 
     name: str
@@ -83,6 +91,7 @@
     role: Role | None = None
     started: Count = 0
     sequence: Count = 0
+    cold_left: Amount = 0.0
 
     @property
     def sort_key(self) -> tuple[int, int]:
@@ -155,6 +164,10 @@
     hosts: tuple[Text, ...]
 
 
+class EvacuationRecord(Record, tag="evacuation"):
+    """The order that members in a zone get no more statements; the zone is the object's name."""
+
+
 def host_record_name(host: str) -> str:
     """Return the name of the store object that registers a host."""
     return f"{HOST_RECORD_PREFIX}{host}"
@@ -168,6 +181,7 @@
     | HostRecord
     | EraRecord
     | CountedHostsRecord
+    | EvacuationRecord
 )
 
 
--- a/src/wagtailloft/fleet/store_cache.py
+++ b/src/wagtailloft/fleet/store_cache.py
@@ -39,7 +39,12 @@
 from wagtailloft.revisions import era_of, make_revision
 
 # Each call to the store has a price; longer polls need fewer calls.
-LONG_POLL_S = {Topic.SETTINGS: 1.0, Topic.FLEET: 0.5, Topic.TARGETS: 2.0}
+LONG_POLL_S = {
+    Topic.SETTINGS: 1.0,
+    Topic.FLEET: 0.5,
+    Topic.TARGETS: 2.0,
+    Topic.EVACUATIONS: 1.0,
+}
 # A poll may be answered early, or miss changes, and its answer be late. Without changes it only
 # proves that there were none when the poll was sent, and so counts as of then for assignments,
 # which are used almost until a fence gives a host up. Keys are used so much shorter than their
@@ -62,12 +67,17 @@
 OUTAGE_ASSIGNMENT_MAX_AGE_S = 10.0
 EXPIRY_MARGIN_S = 0.3  # of an assignment; covers late timers and bytes in transit
 FRESHNESS_TOPICS = (Topic.SETTINGS, Topic.FLEET)  # they hold the keys and the primary assignments
+# Read on every deployment. Topic.EVACUATIONS is read only where evacuations are bounded in time.
+BASE_TOPICS = (Topic.SETTINGS, Topic.TARGETS, Topic.FLEET)
+# What exists without a value that can be read still counts.
+COUNTED_IF_UNREADABLE = (Topic.TARGETS, Topic.EVACUATIONS)
 
 
 class StoreCache:
     """Keep this host's caches of the store current, and tell how far they can be trusted.
 
     Ages are in seconds. max_age limits the use of keys, assignment_max_age that of assignments.
+    topics are those that are read; the others stay empty.
     """
 
     def __init__(
@@ -78,12 +88,14 @@
         mesh: Mesh,
         max_age: float,
         assignment_max_age: float,
+        topics: tuple[Topic, ...] = BASE_TOPICS,
         starts_fleet: bool = False,
         on_new_era: Callable[[], None] = lambda: None,
         on_failure: Callable[[str, Exception], None] = lambda name, exc: None,
     ) -> None:
         self.max_age = max_age
         self.assignment_max_age = assignment_max_age
+        self.topics = topics
         self._store = store
         self._hosts = hosts
         self._topics = {topic: TopicCache(topic=topic) for topic in Topic}
@@ -95,8 +107,9 @@
         self._in_force = RecordsInForce(
             era=self.era,
             notify=self._notify,
-            is_stored=lambda topic, name: self.get(topic, name) is not None,
+            is_stored=self._is_stored,
         )
+        self._current_before_change = dict.fromkeys(Topic, NEVER)
         self._known_complete_at = dict.fromkeys(FRESHNESS_TOPICS, NEVER)
         # When all assignments were last known, and a group's present one was not among them.
         self._known_without: dict[str, float] = {}
@@ -131,6 +144,10 @@
         """Return the seconds since a topic was last known to be current."""
         return self._topics[topic].age(now())
 
+    def current_before_change(self, topic: Topic) -> float:
+        """Return when a topic was last known to be current before its latest changes arrived."""
+        return self._current_before_change[topic]
+
     def age(self) -> float:
         """Return the seconds since the caches of settings and fleet last mirrored the store."""
         at = now()
@@ -273,14 +290,15 @@
     async def watch_store(self, topic: Topic) -> None:
         """Read a topic from the store while this host is its zone's reader or its cache is old.
 
-        While the store is unreachable, only OUTAGE_PROBE_TOPIC is read.
+        While the store is unreachable, only OUTAGE_PROBE_TOPIC is read. A topic that is not among
+        this cache's topics is not read at all.
         """
         while True:
-            unreachable, is_old = self.store_unreachable, self.age() > OLD_CACHE_AGE_S
+            unreachable, is_old = self.store_unreachable, self._is_old(topic)
             should_read = (
                 topic is OUTAGE_PROBE_TOPIC if unreachable else is_old or self._pulls.is_reader()
             )
-            if not should_read:
+            if not should_read or topic not in self.topics:
                 await asyncio.sleep(PULL_INTERVAL_S / 2)
                 continue
             try:
@@ -293,6 +311,14 @@
                 self._mark_store_unreachable(topic, exc)
                 await asyncio.sleep(self._store_retry_delay() * self._rng.uniform(0.8, 1.4))
 
+    def _is_old(self, topic: Topic) -> bool:
+        """Tell whether this host has to read a topic itself.
+
+        The age of the evacuations counts only for themselves.
+        """
+        own_age = self.topic_age(topic) if topic is Topic.EVACUATIONS else 0.0
+        return max(self.age(), own_age) > OLD_CACHE_AGE_S
+
     def _would_grow_old(self, topic: Topic) -> bool:
         """Tell whether the topic's cache is old, or could become so before a long poll ends.
 
@@ -357,6 +383,7 @@
             return False
         self.era.observe(era_of(changes.revision))
         is_new_era = cached > 0 and era_of(changes.revision) != era_of(cached)
+        self._current_before_change[changes.topic] = self._topics[changes.topic].confirmed_at
         entries = tuple(_with_possible_holder(changes.topic, e) for e in changes.entries)
         changes = msgspec.structs.replace(changes, entries=entries)
         for entry in self._topics[changes.topic].apply(changes, confirmed_at):
@@ -398,7 +425,7 @@
                 revision=entry.revision,
                 removed=not entry.exists,
             )
-        if value is None and entry.exists and topic is not Topic.TARGETS:
+        if value is None and entry.exists and topic not in COUNTED_IF_UNREADABLE:
             return  # what was known of it stays in force
         self._in_force.accept(topic, entry)
 
@@ -421,14 +448,23 @@
         for (topic, number, _), entry in list(self._unapplied.items()):
             self._notify_listener(topic, number, entry)
 
+    def _is_stored(self, topic: Topic, name: str) -> bool:
+        if topic is Topic.EVACUATIONS:
+            return self._topics[topic].stored_revision(name) is not None
+        return self.get(topic, name) is not None
+
     def _mark_store_unreachable(self, topic: Topic, exc: StoreDown) -> None:
+        if topic is Topic.EVACUATIONS:
+            # The use of keys and assignments must not depend on whether this kind can be read.
+            logs.warn("evacuations_unread", why=str(exc), age=round(self.topic_age(topic), 3))
+            return
         self._pulls.mark_store(unreachable=True)
         if not self.store_unreachable:
             self.store_unreachable = True
             logs.warn("store_lost", topic=topic.value, why=str(exc), age=self.age())
 
     def _mark_store_recovered(self, topic: Topic) -> None:
-        if self.store_unreachable:
+        if self.store_unreachable and topic is not Topic.EVACUATIONS:
             self.store_unreachable = False
             self._pulls.mark_store(unreachable=False)
             logs.event("store_recovered", topic=topic.value, at=self.revision(topic))
--- a/src/wagtailloft/groups/candidates.py
+++ b/src/wagtailloft/groups/candidates.py
@@ -80,19 +80,23 @@
     last_acknowledged: Position | None,
     *,
     longest_log: bool,
+    evacuated: frozenset[str] = frozenset(),
 ) -> TargetStatus | None:
     """Return the best member to promote, or None if there is none.
 
     Members that have the last acknowledged position come first, then those that are not leaving,
     then those with the longest log. With longest_log, only the log counts: that position is a lower
-    bound, since a host that is lost does not report its own.
+    bound, since a host that is lost does not report its own. Members in evacuated zones come last,
+    with longest_log of those with the same log.
     """
     targets_by_name = {t.name: t for t in targets}
 
-    def rank(status: TargetStatus) -> tuple[bool, bool, Position, str]:
+    def rank(status: TargetStatus) -> tuple[bool, bool, bool, Position, bool, str]:
         target = targets_by_name.get(status.target)
         caught_up = last_acknowledged is None or status.received >= last_acknowledged
         staying = longest_log or (target is not None and not target.leaving)
-        return caught_up, staying, status.received, status.target
+        remains = status.target not in evacuated
+        first = longest_log or remains
+        return first, caught_up, staying, status.received, remains, status.target
 
     return max(statuses, key=rank, default=None)
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -11,6 +11,7 @@
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
 from wagtailloft.fleet.records import RouteRule
 from wagtailloft.groups.directory import GroupDirectory
+from wagtailloft.groups.member_gate import Gate, OpenGate
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.groups.relay import Relay
 from wagtailloft.groups.sample_exchange import SampleExchange
@@ -43,6 +44,7 @@
         Kind.NO_OWNER,
         Kind.QUEUE_FULL,
         Kind.STOPPING,
+        Kind.ZONE_EVACUATED,
     }
 )
 # Errors after which the next host in the target's owner ranking is tried.
@@ -81,7 +83,9 @@
         sample_exchange: SampleExchange,
         zone: str,
         metrics: Metrics,
+        gate: Gate | None = None,
     ) -> None:
+        self._gate = gate or OpenGate()
         self._directory = directory
         self._relay = relay
         self._sample_exchange = sample_exchange
@@ -136,13 +140,21 @@
         deadline = now() + context.rule.timeout
         writes = bound.statement.writes or bound.statement.verb is Verb.BEGIN
         avoid: tuple[str, ...] = ()
+        paced: tuple[str, ...] = ()  # cold members that had their share when they were asked
         owner_faults: Counter[str] = Counter()
         outcome = not_executed(Kind.NO_PRIMARY, "the group has no primary")
         attempt = 0
         wait_logged = sample_fetched = False
         while now() < deadline:
-            choice = self._choose(context, writes, avoid, opens_transaction)
+            refused = self._gate.refuse_all(self._directory.targets(group))
+            if refused is not None:
+                return refused, None
+            choice = self._choose(context, writes, avoid + paced, opens_transaction)
             if choice is None:
+                refused = self._refusal_without_choice(group)
+                if refused is not None:
+                    return refused, None
+                paced = ()
                 if not wait_logged:
                     wait_logged = True
                     self._log_wait(context, bound)
@@ -166,11 +178,15 @@
             )
             if outcome.kind not in RETRYABLE and not safe_to_repeat:
                 return outcome, None
+            if choice.is_primary and outcome.kind is Kind.ZONE_EVACUATED:
+                return outcome, None
             self._metrics.retries.labels(outcome.kind.value).inc()
             if outcome.kind in OWNER_FAULTS:
                 owner_faults[choice.target] += 1
             if not choice.is_primary and outcome.kind is not Kind.TARGET_BUSY:
                 avoid = (*avoid, choice.target)
+            elif not choice.is_primary and not outcome.sent:
+                paced = (*paced, choice.target)
             if choice.is_primary or safe_to_repeat:
                 await asyncio.sleep(
                     min(retry_delay(attempt, self._rng), max(0.0, deadline - now()))
@@ -241,6 +257,11 @@
             age=round(self._directory.cache.assignments_age(), 3),
         )
 
+    def _refusal_without_choice(self, group: str) -> StatementResult | None:
+        return self._gate.refuse_group(
+            self._directory.targets(group), self._directory.primary(group)
+        )
+
     def _choose(
         self,
         context: StatementContext,
@@ -252,8 +273,11 @@
         primary = self._directory.primary(group)
         if primary is not None and not self._directory.accepts_new_work(primary):
             primary = None
+        if primary is not None and not self._gate.may_begin(primary, as_primary=True):
+            primary = None
+        targets = self._directory.targets(group)
         snapshot = GroupSnapshot(
-            targets=self._directory.targets(group),
+            targets=tuple(t for t in targets if self._gate.may_begin(t, as_primary=False)),
             primary=primary,
             zone=self._zone,
             in_flight=dict(self._in_flight),
--- a/src/wagtailloft/groups/failover.py
+++ b/src/wagtailloft/groups/failover.py
@@ -46,8 +46,8 @@
 class FailoverCoordinator:
     """Run on every host: report suspected primaries and, on the coordinator, fail them over.
 
-    The coordinator also replaces primaries that are leaving or missing. A host that is no longer
-    the coordinator completes the failovers that it has started.
+    The coordinator also replaces primaries that are leaving or missing, or whose zone is evacuated.
+    A host that is no longer the coordinator completes the failovers that it has started.
     """
 
     def __init__(
@@ -63,6 +63,7 @@
         promotion_api: PromotionApi,
         lease: PromotionLease,
         count_failover: Callable[[str, str], None],
+        is_evacuated: Callable[[str], bool] = lambda zone: False,
     ) -> None:
         self._hosts = hosts
         self._cache = cache
@@ -75,8 +76,13 @@
         self._lease = lease
         self._repair = RecordRepair(cache=cache)
         self._counted_hosts = CountedHosts(hosts=hosts, cache=cache)
+        self._is_evacuated = is_evacuated
         self._promotion = MemberPromotion(
-            directory=directory, queries=self._queries, promotion_api=promotion_api, lease=lease
+            directory=directory,
+            queries=self._queries,
+            promotion_api=promotion_api,
+            lease=lease,
+            is_evacuated=is_evacuated,
         )
         self._count_failover = count_failover
         self._failovers: dict[str, asyncio.Task] = {}
@@ -156,17 +162,22 @@
         if assignment:
             self._demote_others(group, primary.name, assignment.term)
         if self._is_replaceable(group):
-            self._start_failover(group, primary.name, "the primary is leaving", planned=True)
+            reason = "is leaving" if primary.leaving else "is in an evacuated zone"
+            self._start_failover(group, primary.name, f"the primary {reason}", planned=True)
 
     def _is_replaceable(self, group: str) -> bool:
-        """Tell whether a group's primary is leaving, and a planned replacement may begin."""
+        """Tell whether a planned replacement of a group's primary may begin.
+
+        The primary is leaving or its zone is evacuated, and another member stays.
+        """
         assignment = self._cache.assignment(group)
         if assignment and self._promotion.orders.is_pending(assignment):
             return False  # it would wait with the primary fenced
         primary = self._directory.primary(group)
-        if primary is None or not primary.leaving:
+        if primary is None or not (primary.leaving or self._is_evacuated(primary.zone)):
             return False
-        return any(not t.leaving for t in self._directory.other_targets(group, primary.name))
+        others = self._directory.other_targets(group, primary.name)
+        return any(not t.leaving and not self._is_evacuated(t.zone) for t in others)
 
     async def _unregister_lost_host(self) -> None:
         """Unregister one host that has long been unreachable, if most hosts are live.
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -14,6 +14,7 @@
 from wagtailloft.fleet.store_cache import OLD_CACHE_AGE_S
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.link_pool import LinkPool
+from wagtailloft.groups.member_gate import Gate, OpenGate
 from wagtailloft.groups.ports import Link, LinkFactory
 from wagtailloft.models import Position
 from wagtailloft.sessions.statements import (
@@ -66,7 +67,10 @@
 class LocalExecutor:
     """Run statements over this host's links and keep its open transactions."""
 
-    def __init__(self, *, directory: GroupDirectory, link_factory: LinkFactory) -> None:
+    def __init__(
+        self, *, directory: GroupDirectory, link_factory: LinkFactory, gate: Gate | None = None
+    ) -> None:
+        self._gate = gate or OpenGate()
         self.on_unresponsive: Callable[[str, str, str], None] = lambda group, target, reason: None
         self._directory = directory
         self._link_factory = link_factory
@@ -100,6 +104,24 @@
             del self._transactions[transaction_id]
             transaction.release()
 
+    def end_refused(self, may_continue: Callable[[Target, bool], bool]) -> int:
+        """Roll back idle transactions at members that may not go on; return their number.
+
+        may_continue takes a member and whether it is used as primary. What waits for a link to a
+        member that may not go on either way is refused.
+        """
+        for pool in self._pools.values():
+            if not may_continue(pool.target, True):
+                pool.reject_waiters(_not_sent(Kind.ZONE_EVACUATED, "the zone is evacuated"))
+        ended = [
+            transaction_id
+            for transaction_id, use in self._transactions.items()
+            if not use.busy and not may_continue(use.pool.target, use.request.require_primary)
+        ]
+        for transaction_id in ended:
+            self.rollback(transaction_id)
+        return len(ended)
+
     async def fence(self, assignment: PrimaryAssignment, immediate: bool) -> Position | None:
         """Stop the work that uses the replaced target as primary.
 
@@ -144,7 +166,7 @@
         """
         self._is_stopping = True
         for pool in self._pools.values():
-            pool.reject_waiters(_stopping())
+            pool.reject_waiters(_not_sent(STOPPING.kind, STOPPING.detail))
         while self.active and now() < until:
             for transaction_id, transaction in list(self._transactions.items()):
                 if not transaction.busy:
@@ -178,6 +200,9 @@
             return StatementResponse(
                 outcome=not_executed(Kind.TARGET_UNREACHABLE, "the target is not listed")
             )
+        refused = self._gate.refuse_new(target, request)
+        if refused is not None:
+            return StatementResponse(outcome=refused)
         pool = self._pool(target)
         started_at = now()
         link_wait = (
@@ -188,7 +213,7 @@
             link, ticket = await pool.acquire(request.team, started_at + link_wait)
             if self._is_stopping:
                 pool.release(link, ticket, 0.0)
-                raise _stopping()
+                raise _not_sent(STOPPING.kind, STOPPING.detail)
         except NotSent as exc:
             kind = exc.kind or Kind.TARGET_UNREACHABLE
             if kind is Kind.TARGET_UNREACHABLE:
@@ -274,12 +299,21 @@
         self, link_use: _LinkUse, request: StatementRequest, budget: float
     ) -> StatementResult:
         link = link_use.link
+        at_primary = link_use.request.require_primary
+        began = now()
+        refused = await self._gate.admit(
+            link_use.pool.target, request, as_primary=at_primary, budget=budget
+        )
+        if refused is not None:
+            if request.transaction_id:
+                link.close()
+            return refused
         sent_at = now()
+        budget -= sent_at - began
         timer = asyncio.get_running_loop().call_later(
             UNRESPONSIVE_S, self._report_if_unresponsive, link_use.pool, link, sent_at
         )
         samples = self._directory.samples(request.group)
-        at_primary = link_use.request.require_primary
         basis = self._directory.basis(request.group) if at_primary else None
         if at_primary:
             samples.statement_sent()
@@ -375,9 +409,9 @@
     return statement.writes and not request.transaction_id
 
 
-def _stopping() -> NotSent:
-    exc = NotSent(STOPPING.detail)
-    exc.kind = STOPPING.kind
+def _not_sent(kind: Kind, detail: str) -> NotSent:
+    exc = NotSent(detail)
+    exc.kind = kind
     return exc
 
 
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -1,6 +1,7 @@
 """Choose the member to promote, order its promotion and demote the old primary."""
 
 import asyncio
+from collections.abc import Callable
 
 from wagtailloft import logs
 from wagtailloft.clock import now
@@ -46,7 +47,9 @@
         queries: TargetQueries,
         promotion_api: PromotionApi,
         lease: PromotionLease,
+        is_evacuated: Callable[[str], bool] = lambda zone: False,
     ) -> None:
+        self._is_evacuated = is_evacuated
         self._directory = directory
         self._queries = queries
         self._lease = lease
@@ -60,8 +63,9 @@
         While an order may still take effect, only its member is eligible. Wait for one that is
         caught up in a planned failover or a group with synchronous replicas. After
         CATCH_UP_LIMIT_S, return the best replica as it is or, with synchronous replicas or without
-        an eligible replica, the old primary if it still is primary. A member that has already taken
-        over is returned as it is.
+        an eligible replica, the old primary if it still is primary. The same holds for one that is
+        replaced as planned because its zone is evacuated: it keeps running, so no commit needs to
+        be lost. A member that has already taken over is returned as it is.
         """
         sync = self._directory.rule(claim.group).sync_replicas
         deadline = now() + CATCH_UP_LIMIT_S
@@ -79,14 +83,18 @@
             leading += [s for s in eligible if still_leads(s, claim)]
             if leading:
                 return max(leading, key=lambda s: s.term)
+            evacuated = frozenset(t.name for t in targets if self._is_evacuated(t.zone))
             candidate = best_candidate(
                 [s for s in (statuses if sync else eligible) if may_be_ordered(s, claim)],
                 targets,
                 last_acknowledged,
                 longest_log=sync > 0,
+                evacuated=evacuated,
             )
             if candidate not in eligible:
                 candidate = None  # with synchronous replicas, only the longest log will do
+            if candidate and candidate.target in evacuated:
+                candidate = None
             caught_up = candidate and (
                 last_acknowledged is None or candidate.received >= last_acknowledged
             )
@@ -98,11 +106,18 @@
             if candidate and (caught_up or not (sync or planned)):
                 return candidate
             if now() > deadline and not pending:
-                if candidate and not sync:
+                if candidate and not sync and not (planned and self._keeps_running(claim)):
                     return candidate
                 return await self._fall_back(claim, last_acknowledged, sync)
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    def _keeps_running(self, claim: PrimaryAssignment) -> bool:
+        """Tell whether the replaced primary is only replaced because its zone is evacuated."""
+        replaced = self._directory.target(claim.group, claim.replaced)
+        if replaced is None or replaced.leaving:
+            return False
+        return self._is_evacuated(replaced.zone)
+
     async def _fall_back(
         self, claim: PrimaryAssignment, last_acknowledged: Position | None, sync: int
     ) -> TargetStatus | None:
@@ -151,6 +166,9 @@
         target = self._directory.target(claim.group, candidate.target)
         if target is None:
             return None
+        if self._is_evacuated(target.zone):
+            logs.warn("promotion_withheld", group=claim.group, target=target.name, zone=target.zone)
+            return None
         deadline = now() + PROMOTION_TIMEOUT_S
         while now() < deadline:
             ready = await self._prepare_order(claim, candidate)
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -19,11 +19,13 @@
 from wagtailloft.fleet.mesh import Mesh
 from wagtailloft.fleet.ports import Store, StoreDown
 from wagtailloft.fleet.records import HostRecord, Topic, host_record_name
-from wagtailloft.fleet.store_cache import StoreCache
+from wagtailloft.fleet.store_cache import BASE_TOPICS, StoreCache
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.dispatch import Dispatcher
+from wagtailloft.groups.evacuation import ColdPace, Evacuations
 from wagtailloft.groups.failover import COORDINATOR_KEY, FailoverCoordinator
 from wagtailloft.groups.local_executor import LocalExecutor
+from wagtailloft.groups.member_gate import MemberGate
 from wagtailloft.groups.ports import LinkFactory, PromotionApi
 from wagtailloft.groups.promotion_lease import PromotionLease
 from wagtailloft.groups.relay import Relay
@@ -67,7 +69,9 @@
 
     key_withdrawal and config_apply are the times until withdrawn keys are refused and new
     configurations are in force; stop_grace is the time for a graceful stop, member_drain that for
-    which a member goes on after it has reported that it is leaving.
+    which a member goes on after it has reported that it is leaving. evacuation is the time until
+    members in an evacuated zone get nothing more, 0 if zones are not evacuated. In any second, a
+    cold member may get its group's cold_rate times cold_excess, plus cold_slack statements.
     """
 
     key_withdrawal: float
@@ -75,6 +79,9 @@
     stop_grace: float
     member_drain: float
     tolerance: Tolerance
+    evacuation: float = 0.0
+    cold_excess: float = 1.5
+    cold_slack: float = 5.0
 
 
 class HostSettings(Record):
@@ -145,18 +152,30 @@
         self.hosts = Hosts(own=own, mesh=self.mesh)
         self.host_watch = HostWatch(hosts=self.hosts, key=COORDINATOR_KEY)
         max_age = cfg.bounds.key_withdrawal * MAX_AGE_SHARE
+        self.evacuations = Evacuations(bound=cfg.bounds.evacuation)
+        evacuation_topics = (Topic.EVACUATIONS,) if self.evacuations.is_enabled else ()
         self.cache = StoreCache(
             store=store,
             hosts=self.hosts,
             mesh=self.mesh,
             max_age=max_age,
             assignment_max_age=cfg.bounds.key_withdrawal * ASSIGNMENT_MAX_AGE_SHARE,
+            topics=BASE_TOPICS + evacuation_topics,
             starts_fleet=cfg.starts_fleet,
             on_new_era=self.metrics.store_eras.inc,
             on_failure=self._supervisor.report,
         )
         self.directory = GroupDirectory(cache=self.cache, member_drain=cfg.bounds.member_drain)
-        self.local_executor = LocalExecutor(directory=self.directory, link_factory=link_factory)
+        self.gate = MemberGate(
+            cache=self.cache,
+            directory=self.directory,
+            evacuations=self.evacuations,
+            pace=ColdPace(excess=cfg.bounds.cold_excess, slack=cfg.bounds.cold_slack),
+            metrics=self.metrics,
+        )
+        self.local_executor = LocalExecutor(
+            directory=self.directory, link_factory=link_factory, gate=self.gate
+        )
         self.relay = Relay(hosts=self.hosts, mesh=self.mesh, local_executor=self.local_executor)
         self.dispatcher = Dispatcher(
             directory=self.directory,
@@ -166,6 +185,7 @@
             ),
             zone=own.zone,
             metrics=self.metrics,
+            gate=self.gate,
         )
         self.tokens = TokenClient(hosts=self.hosts, mesh=self.mesh, tolerance=cfg.bounds.tolerance)
         self.admission = Admission(
@@ -189,6 +209,7 @@
                 has_ended=self.hosts.has_ended,
             ),
             count_failover=lambda group, why: self.metrics.failovers.labels(group, why).inc(),
+            is_evacuated=self.gate.is_evacuated,
         )
         max_callers = max(1, int((cfg.max_fds - RESERVED_FDS) * CALLER_FD_SHARE))
         self.caller_server = caller_server_factory(self._open_session, max_callers)
@@ -233,7 +254,7 @@
 
     def _start_tasks(self) -> None:
         start = self._supervisor.start_task
-        for topic in Topic:
+        for topic in self.cache.topics:
             start(f"watch_store_{topic.value}", partial(self.cache.watch_store, topic))
         start("pull_from_peers", self.cache.pull_from_peers)
         start("retry_suspected", self.hosts.retry_suspected)
@@ -241,6 +262,8 @@
         start("request_tokens", self.tokens.run)
         start("watch_groups", self.coordinator.watch)
         start("expire_transactions", self.caller_server.expire_transactions)
+        if self.evacuations.is_enabled:
+            start("end_evacuated", partial(self.gate.run, self.local_executor.end_refused))
         start("keep_registered", self._keep_registered)
         start("maintenance", self._run_maintenance)
         join = partial(self.cache.join_through_seeds, self._cfg.seeds)
@@ -300,7 +323,7 @@
             return False
         if not self.admission.ready or not self.cache.is_registered():
             return False
-        if not self.cache.knows_settings():
+        if not self.cache.knows_settings() or not self.gate.is_known:
             return False
         # While most hosts can't reach the store, their caches are as old as this one, so other
         # hosts would not serve callers better.
--- a/src/wagtailloft/metrics.py
+++ b/src/wagtailloft/metrics.py
@@ -29,6 +29,10 @@
         self.retries = self._counter("retries", "Retries by reason", "reason")
         self.reads = self._counter("reads", "Reads by the role that served them", "role")
         self.failovers = self._counter("elections", "Promotions started", "group", "reason")
+        self.member_refusals = self._counter(
+            "member_refusals", "Statements refused before a member", "group", "member", "reason"
+        )
+        self.evacuated = self._gauge("zone_evacuated", "Whether a zone is evacuated", "zone")
         self.store_eras = self._counter("store_eras", "New eras of the store that were met")
         self.task_failures = self._counter("task_failures", "Failures of background work", "task")
         self.latency = Histogram(
