--- a/standins/ledger_group.py
+++ b/standins/ledger_group.py
@@ -16,7 +16,8 @@
     """Describe a statement that a member executed.
 
     `connection` identifies the connection that carried it. `committed` is set for a write outside
-    a transaction and for a COMMIT, not for the writes inside the transaction.
+    a transaction and for a COMMIT, not for the writes inside the transaction. `at` is the
+    monotonic time at which it was done.
     """
 
     member: str
@@ -26,6 +27,7 @@
     text: str
     session_variables: tuple[tuple[str, str], ...]
     committed: bool
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass(kw_only=True)
--- a/standins/site.py
+++ b/standins/site.py
@@ -123,7 +123,8 @@
 class Site:
     """Run a store, groups and host processes until the context ends.
 
-    `rate` (statements per second) and `burst` are the limits of each team.
+    `rate` (statements per second) and `burst` are the limits of each team. `bounds` and `service`
+    add to the section of that name in the settings and to each group in the configuration.
     """
 
     def __init__(
@@ -135,7 +136,11 @@
         burst: float = 1000,
         sync_replicas: int = 0,
         max_fds: int = 4000,
+        bounds: Mapping[str, float] | None = None,
+        service: Mapping[str, float] | None = None,
     ) -> None:
+        self.bounds = {**BOUNDS, **(bounds or {})}
+        self.service = dict(service or {})
         self.max_fds = max_fds
         self.store = FakeObjectStore()
         self.groups = {
@@ -283,7 +288,8 @@
             for database, route_type in self.databases.items()
         ]
         services = [
-            {"name": n, "max_conns": 16, "sync_replicas": self.sync_replicas} for n in self.groups
+            {"name": n, "max_conns": 16, "sync_replicas": self.sync_replicas, **self.service}
+            for n in self.groups
         ]
         tenants = [
             {"name": n, "api_keys": k, "priority": 1, "rate_per_s": self.rate, "burst": self.burst}
@@ -295,7 +301,7 @@
 
     def _settings(self, name: str, ip: str, zone: str) -> str:
         peers = self._ports["peers"]
-        bound_lines = "\n".join(f"{k} = {v}" for k, v in BOUNDS.items())
+        bound_lines = "\n".join(f"{k} = {v}" for k, v in self.bounds.items())
         return f"""
 node_name = "{name}"
 ip = "{ip}"
