--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -48,8 +48,8 @@
 
   Scenario: Replicas are evacuated and come back cold
     Given a site of 3 hosts whose bound for evacuations is 4 s and whose members start cold
-    When the zone of a replica with open transactions is evacuated under load
-    Then the replica's transactions are aborted, and it gets no statement after the bound
+    When the zone of a replica with an open transaction is evacuated under load
+    Then the replica's transaction is aborted, and it gets no statement after the bound
     And callers' reads go on elsewhere
     When the evacuation is withdrawn, and the replica has restarted cold
     Then it gets statements again, and never more in a second than it may
