--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -18,6 +18,7 @@
     attempt_result,
 )
 from wagtailloft.groups.directory import GroupDirectory
+from wagtailloft.groups.member_gate import Gate, OpenGate
 from wagtailloft.groups.placement_log import (
     log_ejection,
     log_refusal,
@@ -60,6 +61,7 @@
         Kind.NO_OWNER,
         Kind.QUEUE_FULL,
         Kind.STOPPING,
+        Kind.ZONE_EVACUATED,
     }
 )
 # Errors after which the next host in the target's owner ranking is tried.
@@ -77,7 +79,9 @@
         sample_exchange: SampleExchange,
         zone: str,
         metrics: Metrics,
+        gate: Gate | None = None,
     ) -> None:
+        self._gate = gate or OpenGate()
         self._directory = directory
         self._relay = relay
         self._sample_exchange = sample_exchange
@@ -137,8 +141,14 @@
         writes = bound.statement.writes or bound.statement.verb is Verb.BEGIN
         outcome = not_executed(Kind.NO_PRIMARY, "the group has no primary")
         while now() < attempts.deadline:
+            refused = self._gate.refuse_all(self._directory.targets(group))
+            if refused is not None:
+                return refused, None
             choice = self._choose(context, writes, attempts, opens_transaction)
             if choice is None:
+                refused = self._refusal_without_choice(group)
+                if refused is not None:
+                    return refused, None
                 least_wait = self._least_wait_for_primary(group, writes, context)
                 if now() + least_wait > attempts.deadline:
                     return self._refuse_early(context, bound, Kind.NO_PRIMARY, least_wait), None
@@ -180,6 +190,8 @@
             )
             if outcome.kind not in RETRYABLE and not safe_to_repeat:
                 return outcome, None
+            if choice.is_primary and outcome.kind is Kind.ZONE_EVACUATED:
+                return outcome, None
             self._metrics.retries.labels(outcome.kind.value).inc()
             if outcome.kind in OWNER_FAULTS:
                 attempts.owner_faults[choice.target] += 1
@@ -312,6 +324,11 @@
             limit = max(UNKNOWN_ATTEMPT_TIMEOUT_S, min(limit, left / 2))
         return limit
 
+    def _refusal_without_choice(self, group: str) -> StatementResult | None:
+        return self._gate.refuse_group(
+            self._directory.targets(group), self._directory.primary(group)
+        )
+
     def _choose(
         self,
         context: StatementContext,
@@ -324,9 +341,12 @@
         primary = self._directory.primary(group)
         if primary is not None and not self._directory.accepts_new_work(primary):
             primary = None
+        if primary is not None and not self._gate.may_begin(primary, as_primary=True):
+            primary = None
         self._promotion_times.observe(group, self._phase(group, primary), at)
+        targets = self._directory.targets(group)
         snapshot = GroupSnapshot(
-            targets=self._directory.targets(group),
+            targets=tuple(t for t in targets if self._gate.may_begin(t, as_primary=False)),
             primary=primary,
             zone=self._zone,
             loads=self._loads,
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -8,13 +8,20 @@
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.controllers.concurrency import TurnOutcome
-from wagtailloft.controllers.scheduling import TurnRequest
 from wagtailloft.errors import Kind, NoResponse, NotSent
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
 from wagtailloft.fleet.records import PrimaryAssignment, Target
 from wagtailloft.fleet.store_cache import OLD_CACHE_AGE_S
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.link_pool import LinkPool
+from wagtailloft.groups.link_use import (
+    LinkUse,
+    confirms_commit,
+    kind_without_response,
+    turn_outcome_of,
+    turn_request_for,
+)
+from wagtailloft.groups.member_gate import Gate, OpenGate
 from wagtailloft.groups.pace_control import PaceControl
 from wagtailloft.groups.ports import Link, LinkFactory
 from wagtailloft.groups.target_scheduler import Turn
@@ -36,57 +43,28 @@
 LINK_WAIT_LIMIT_S = 0.25  # must fit into SAMPLE_MARGIN_S, so that reads stay within their max_age
 FIRST_ID_RANGE = 1 << 62  # transaction IDs of two processes of a host differ, and fit 64 bits
 BEGIN_VERBS = (Verb.BEGIN, Verb.BEGIN_READ)
-# Results that a target in good order gives only seldom.
-FAILURES_OF_TARGET = frozenset(
-    {
-        Kind.NO_ANSWER,
-        Kind.OUTCOME_UNKNOWN,
-        Kind.TARGET_FAILED,
-        Kind.TARGET_TIMEOUT,
-        Kind.TARGET_UNREACHABLE,
-        Kind.TRANSACTION_LOST,
-    }
-)
 DRAIN_LIMIT_S = 1.0  # time for running statements to end in a planned change of primary
 
 
-class _LinkUse:
-    """Track the use of a link by a statement or transaction."""
-
-    def __init__(
-        self,
-        *,
-        pool: LinkPool,
-        link: Link,
-        request: StatementRequest,
-    ) -> None:
-        self.pool = pool
-        self.link = link
-        self.request = request
-        self.busy = False
-
-    def release(self) -> None:
-        """Return the link to its pool, which drops a closed one.
-
-        The caller first closes a link that is still inside a transaction, so that the target rolls
-        back.
-        """
-        self.pool.release(self.link)
-
-
 class LocalExecutor:
     """Run statements over this host's links and keep its open transactions."""
 
     def __init__(
-        self, *, directory: GroupDirectory, link_factory: LinkFactory, adaptive_pace: bool = False
+        self,
+        *,
+        directory: GroupDirectory,
+        link_factory: LinkFactory,
+        adaptive_pace: bool = False,
+        gate: Gate | None = None,
     ) -> None:
+        self._gate = gate or OpenGate()
         self.on_unresponsive: Callable[[str, str, str], None] = lambda group, target, reason: None
         self.on_turn: Callable[[int, float], None] = lambda priority_class, waited: None
         self._directory = directory
         self._link_factory = link_factory
         self._pace = PaceControl(directory=directory, adaptive=adaptive_pace)
         self._pools: dict[tuple[str, str, int], LinkPool] = {}
-        self._transactions: dict[int, _LinkUse] = {}
+        self._transactions: dict[int, LinkUse] = {}
         # Other hosts call an earlier process's transactions at this one.
         self._transaction_ids = itertools.count(secrets.randbelow(FIRST_ID_RANGE) + 1)
         self._acquiring = 0  # statements that wait for a link
@@ -120,6 +98,26 @@
             del self._transactions[transaction_id]
             transaction.release()
 
+    def end_refused(self, may_continue: Callable[[Target, bool], bool]) -> int:
+        """Roll back idle transactions at members that may not go on; return their number.
+
+        may_continue takes a member and whether it is used as primary. What waits for a link to a
+        member that may not go on either way is refused.
+        """
+        for pool in self._pools.values():
+            if not may_continue(pool.target, True):
+                pool.scheduler.reject_waiters(
+                    _not_sent(Kind.ZONE_EVACUATED, "the zone is evacuated")
+                )
+        ended = [
+            transaction_id
+            for transaction_id, use in self._transactions.items()
+            if not use.busy and not may_continue(use.pool.target, use.request.require_primary)
+        ]
+        for transaction_id in ended:
+            self.rollback(transaction_id)
+        return len(ended)
+
     async def fence(self, assignment: PrimaryAssignment, immediate: bool) -> Position | None:
         """Stop the work that uses the replaced target as primary.
 
@@ -164,7 +162,7 @@
         """
         self._is_stopping = True
         for pool in self._pools.values():
-            pool.scheduler.reject_waiters(_stopping())
+            pool.scheduler.reject_waiters(_not_sent(STOPPING.kind, STOPPING.detail))
         while self.active and now() < until:
             for transaction_id, transaction in list(self._transactions.items()):
                 if not transaction.busy:
@@ -203,6 +201,9 @@
             return StatementResponse(
                 outcome=not_executed(Kind.TARGET_UNREACHABLE, "the target is not listed")
             )
+        refused = self._gate.refuse_new(target, request)
+        if refused is not None:
+            return StatementResponse(outcome=refused)
         pool = self._pool(target)
         if request.require_primary:
             self._pace.use_as_primary(pool)
@@ -211,7 +212,7 @@
             request.budget if request.require_primary else min(request.budget, LINK_WAIT_LIMIT_S)
         )
         self._acquiring += 1
-        turn_request = _turn_request(request, started_at + link_wait)
+        turn_request = turn_request_for(request, started_at + link_wait)
         try:
             link, turn = await pool.acquire(turn_request)
         except NotSent as exc:
@@ -233,7 +234,7 @@
         if request.require_primary:
             pool.primary_links.add(link)
             self._log_aged_assignment(request)
-        link_use = _LinkUse(pool=pool, link=link, request=request)
+        link_use = LinkUse(pool=pool, link=link, request=request)
         try:
             remaining = request.budget - (now() - started_at)
             limit = min(remaining, request.attempt_timeout or remaining)
@@ -307,7 +308,7 @@
         return StatementResponse(outcome=outcome, load=load)
 
     async def _send_in_turn(
-        self, transaction: _LinkUse, request: StatementRequest
+        self, transaction: LinkUse, request: StatementRequest
     ) -> StatementResult:
         """Wait for the turn of a statement of an open transaction, and run it."""
         if request.bound.statement.verb is Verb.ROLLBACK:  # takes no slot at the target
@@ -315,7 +316,7 @@
         started_at = now()
         try:
             turn = await transaction.pool.scheduler.begin(
-                _turn_request(request, started_at + request.budget)
+                turn_request_for(request, started_at + request.budget)
             )
         except NotSent as exc:
             transaction.link.close()
@@ -330,7 +331,7 @@
         return await self._send(transaction, turn, request, remaining)
 
     async def _send(
-        self, link_use: _LinkUse, turn: Turn | None, request: StatementRequest, budget: float
+        self, link_use: LinkUse, turn: Turn | None, request: StatementRequest, budget: float
     ) -> StatementResult:
         """Send a statement, and end its turn once it is answered or given up."""
         sent_at = now()
@@ -338,22 +339,33 @@
         try:
             outcome = await self._send_on_link(link_use, request, budget)
             if request.bound.statement.verb not in BEGIN_VERBS:  # these take no slot at the target
-                turn_outcome = _turn_outcome(outcome)
+                turn_outcome = turn_outcome_of(outcome)
+            if turn_outcome is TurnOutcome.FAILED and budget < UNRESPONSIVE_S:
+                turn_outcome = TurnOutcome.ABANDONED  # cut off by its deadline
             return outcome
         finally:
             if turn is not None:
                 turn.end(turn_outcome, now() - sent_at)
 
     async def _send_on_link(
-        self, link_use: _LinkUse, request: StatementRequest, budget: float
+        self, link_use: LinkUse, request: StatementRequest, budget: float
     ) -> StatementResult:
         link = link_use.link
+        at_primary = link_use.request.require_primary
+        began = now()
+        refused = await self._gate.admit(
+            link_use.pool.target, request, as_primary=at_primary, budget=budget
+        )
+        if refused is not None:
+            if request.transaction_id:
+                link.close()
+            return refused
         sent_at = now()
+        budget -= sent_at - began
         timer = asyncio.get_running_loop().call_later(
             UNRESPONSIVE_S, self._report_if_unresponsive, link_use.pool, link, sent_at
         )
         samples = self._directory.samples(request.group)
-        at_primary = link_use.request.require_primary
         basis = self._directory.basis(request.group) if at_primary else None
         if at_primary:
             samples.statement_sent()
@@ -386,7 +398,7 @@
             )
         if at_primary and outcome.ok and outcome.position:
             samples.add(sent_at, outcome.position)
-        if outcome.ok and outcome.position and _confirms_commit(request):
+        if outcome.ok and outcome.position and confirms_commit(request):
             known = self._acknowledged_positions.get(request.group)
             if known is None or outcome.position > known:
                 self._acknowledged_positions[request.group] = outcome.position
@@ -441,45 +453,7 @@
         self.on_unresponsive(group, target, f"no response for {now() - sent_at:.3f} s")
 
 
-def _turn_request(request: StatementRequest, deadline: float) -> TurnRequest:
-    bound = request.bound
-    variables = sum(len(n) + len(v) for n, v in bound.session_variables.items())
-    return TurnRequest(
-        team=request.team,
-        deadline=deadline,
-        priority=request.priority,
-        in_transaction=bool(request.transaction_id),
-        chars=len(bound.statement.text) + len(bound.statement.argument) + variables,
-    )
-
-
-def _turn_outcome(outcome: StatementResult) -> TurnOutcome:
-    """Return what the result of a statement tells about its target."""
-    if outcome.ok:
-        return TurnOutcome.OK
-    if outcome.kind is Kind.TARGET_BUSY:
-        return TurnOutcome.SHED
-    return TurnOutcome.FAILED if outcome.kind in FAILURES_OF_TARGET else TurnOutcome.ABANDONED
-
-
-def _confirms_commit(request: StatementRequest) -> bool:
-    """Return whether success of the request means that a commit was acknowledged."""
-    statement = request.bound.statement
-    if statement.verb is Verb.COMMIT:
-        return True
-    return statement.writes and not request.transaction_id
-
-
-def _stopping() -> NotSent:
-    exc = NotSent(STOPPING.detail)
-    exc.kind = STOPPING.kind
+def _not_sent(kind: Kind, detail: str) -> NotSent:
+    exc = NotSent(detail)
+    exc.kind = kind
     return exc
-
-
-def kind_without_response(request: StatementRequest) -> Kind:
-    """Return the error kind of a request that was sent but never answered."""
-    statement = request.bound.statement
-    if request.transaction_id or request.opens_transaction:
-        commits = statement.verb is Verb.COMMIT
-        return Kind.OUTCOME_UNKNOWN if commits else Kind.TRANSACTION_LOST
-    return Kind.OUTCOME_UNKNOWN if statement.writes else Kind.NO_ANSWER
--- a/src/wagtailloft/groups/relay.py
+++ b/src/wagtailloft/groups/relay.py
@@ -11,7 +11,8 @@
     StatementResponse,
 )
 from wagtailloft.fleet.records import Target
-from wagtailloft.groups.local_executor import LocalExecutor, kind_without_response
+from wagtailloft.groups.link_use import kind_without_response
+from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.models import Host
 from wagtailloft.sessions.statements import StatementResult, TransactionState, not_executed
 
