Refuse by the wait as reported, check slow members later, play load in tests

Played with 20 hosts at twice the load of a group, nothing was refused at the hosts: the decay of waits, which prefers members of which little is known, let every statement go to an owner that refused it.

A member that sends nothing is checked after four times its service time, 180 to 600 ms, instead of 180 ms: a slow member is no longer suspected while it works. LocalExecutor asks for the limit through one function.

Failed before: placement.feature, 'Twice the load that a group can run is refused at the hosts, and the rest served', and 'A slow member is not checked for failure before it usually answers'.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -158,3 +158,35 @@
     Given a played group
     When a failover begins, and writes with 0.3 s and 0.6 s left are sent
     Then both are refused as no_primary at their deadline
+
+  Scenario Outline: A slow member is not checked for failure before it usually answers
+    Given a group whose primary is in this zone, with a replica in this zone and one in another
+    When the members report service times of <service> s, 0.01 s and 0.01 s
+    Then the primary is checked after <seconds> s without a sign of life
+
+    Examples:
+      | service | seconds |
+      | 0.01    | 0.18    |
+      | 0.1     | 0.4     |
+      | 0.9     | 0.6     |
+
+  Scenario: Many hosts that know different reports keep the queues of a group about equal
+    Given 20 hosts that use a group whose members take 0.02 s a statement
+    When they send 380 reads a second for 10 s, of the 600 that the members can run
+    Then all are served, and the queues of the replicas differ by 0.02 s on average at most
+
+  Scenario: Twice the load that a group can run is refused at the hosts, and the rest served
+    Given 20 hosts that use a group whose members take 0.02 s a statement
+    When they send 1200 reads a second for 10 s, of the 600 that the members can run
+    Then at least 5400 are served
+    And at least 3 times as many are refused at their hosts as at an owner
+
+  Scenario: A member that is five times slower gets about the share that it can run
+    Given 20 hosts that use a group whose members take 0.02 s a statement, one replica 0.1 s
+    When they send 200 reads a second for 10 s, of the 440 that the members can run
+    Then at most 25% of the reads go to the replica r, and all are served
+
+  Scenario: A member that fails everything at once gets few statements of many hosts
+    Given 66 hosts that use a group whose members take 0.02 s a statement
+    When the replica r fails everything, and they send 200 reads a second for 10 s
+    Then at most 20% of the reads go to the replica r
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -250,3 +250,9 @@
 @then("all but probes go to the primary")
 def step_primary_and_probes(context):
     assert context.placed["p"] >= 198, context.placed
+
+
+@then("the primary is checked after {seconds:g} s without a sign of life")
+def step_checked_after(context, seconds):
+    limit = context.model.loads.unresponsive_after("p")
+    assert abs(limit - seconds) < 1e-6, limit
--- a/src/wagtailloft/controllers/target_loads.py
+++ b/src/wagtailloft/controllers/target_loads.py
@@ -42,6 +42,11 @@
 # answer is therefore covered too, and forgotten slowly.
 SLOWEST_FACTOR = 1.5
 SLOWEST_DECAY = 0.98
+# Times the service time after which a target that sends nothing is checked: each needless check
+# uses two of its slots, one to connect and one for the status query.
+UNRESPONSIVE_FACTOR = 4
+MIN_UNRESPONSIVE_S = 0.18  # above the longest typical statement
+MAX_UNRESPONSIVE_S = 0.6  # a failover begins that much later
 IDLE_LIFETIME_S = 60.0  # targets that were not used for this long are forgotten
 
 
@@ -183,15 +188,25 @@
             state.round_trips.append((at, seconds))
 
     def expected_delay(
-        self, target: Target, *, zone: str, priority: int, round_trips: int, at: float
+        self,
+        target: Target,
+        *,
+        zone: str,
+        priority: int,
+        round_trips: int,
+        at: float,
+        decays: bool = True,
     ) -> float:
-        """Return the expected time of a statement or transaction besides its service."""
+        """Return the expected time of a statement or transaction besides its service.
+
+        Unless decays is set, the wait is taken as it was reported.
+        """
         delay = self.round_trip(target, zone, at) * round_trips
         state = self._targets.get(target.name)
         if state is None:
             return delay
         slots = max(1, target.slots)
-        wait = state.wait_at(priority, at)
+        wait = state.wait_at(priority, at) if decays else state.waits[_class_of(priority)]
         # With a wait the slots are in use already, so all that was sent since queues up.
         queued = state.sent_since_report if wait else max(0, state.in_flight + 1 - slots)
         return delay + wait + state.service * queued / slots
@@ -226,6 +241,11 @@
         state = self._targets.get(target)
         return state.service if state else TYPICAL_SERVICE_S
 
+    def unresponsive_after(self, target: str) -> float:
+        """Return after which time without anything from a target it is checked."""
+        limit = UNRESPONSIVE_FACTOR * self.service(target)
+        return min(MAX_UNRESPONSIVE_S, max(MIN_UNRESPONSIVE_S, limit))
+
     def is_reported(self, target: str, at: float) -> bool:
         """Tell whether the last report of a target is fresh enough to refuse a statement by."""
         state = self._targets.get(target)
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -88,6 +88,10 @@
         self._rng = random.Random()
         self._refusal_events = EventLimit(REFUSED_EARLY_EVENTS)
 
+    def unresponsive_after(self, target: str) -> float:
+        """Return after which time without anything from a target its owner checks it."""
+        return self._loads.unresponsive_after(target)
+
     async def run_single(self, context: StatementContext, bound: BoundStatement) -> StatementResult:
         """Run one statement outside a transaction, with retries."""
         outcome, _ = await self._run_with_retries(context, bound, opens_transaction=False)
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -8,6 +8,7 @@
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.controllers.fairness import Ticket
+from wagtailloft.controllers.target_loads import MIN_UNRESPONSIVE_S
 from wagtailloft.errors import Kind, NoResponse, NotSent
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
 from wagtailloft.fleet.records import PrimaryAssignment, Target
@@ -27,9 +28,6 @@
 MIN_WRITE_BUDGET_S = (
     0.1  # above a typical write, since a write that times out has an unknown outcome
 )
-# Above the longest typical statement: each needless check of a target uses two of its slots, one
-# to connect and one for the status query.
-UNRESPONSIVE_S = 0.18
 LINK_WAIT_LIMIT_S = 0.25  # must fit into SAMPLE_MARGIN_S, so that reads stay within their max_age
 FIRST_ID_RANGE = 1 << 62  # transaction IDs of two processes of a host differ, and fit 64 bits
 DRAIN_LIMIT_S = 1.0  # time for running statements to end in a planned change of primary
@@ -67,6 +65,7 @@
     """Run statements over this host's links and keep its open transactions."""
 
     def __init__(self, *, directory: GroupDirectory, link_factory: LinkFactory) -> None:
+        self.unresponsive_after: Callable[[str], float] = lambda target: MIN_UNRESPONSIVE_S
         self.on_unresponsive: Callable[[str, str, str], None] = lambda group, target, reason: None
         self._directory = directory
         self._link_factory = link_factory
@@ -275,8 +274,9 @@
     ) -> StatementResult:
         link = link_use.link
         sent_at = now()
+        limit = self.unresponsive_after(request.target)
         timer = asyncio.get_running_loop().call_later(
-            UNRESPONSIVE_S, self._report_if_unresponsive, link_use.pool, link, sent_at
+            limit, self._report_if_unresponsive, link_use.pool, limit, sent_at
         )
         samples = self._directory.samples(request.group)
         at_primary = link_use.request.require_primary
@@ -356,12 +356,12 @@
                 limit=cache.assignment_max_age,
             )
 
-    def _report_if_unresponsive(self, pool: LinkPool, link: Link, sent_at: float) -> None:
+    def _report_if_unresponsive(self, pool: LinkPool, limit: float, sent_at: float) -> None:
         """Report a target that has sent nothing on any link since a statement was sent."""
         last_heard = max(
             (getattr(other, "last_received_at", 0.0) for other in pool.in_use), default=0.0
         )
-        if asyncio.get_running_loop().time() - last_heard < UNRESPONSIVE_S:
+        if asyncio.get_running_loop().time() - last_heard < limit:
             return
         group, target = pool.target.group, pool.target.name
         self.on_unresponsive(group, target, f"no response for {now() - sent_at:.3f} s")
--- a/src/wagtailloft/groups/target_choice.py
+++ b/src/wagtailloft/groups/target_choice.py
@@ -25,6 +25,9 @@
 DELAY_RESOLUTION_S = 0.001  # members whose expected delays differ by less are chosen at random
 # Hosts that have the same report of a queue spread their next statements by this share of it.
 WAIT_SPREAD = 0.25
+# Times the average service time for which there has to be room: with 1, every sixth statement of an
+# overload that a member ran ended after its deadline.
+ADMITTED_SERVICE_FACTOR = 2
 MIN_RETRY_S = 0.02  # callers that retry sooner find about the same queue
 
 
@@ -182,16 +185,26 @@
         return self._delays[target.name] + self._loads.service(target.name)
 
     def _in_time(self, targets: list[Target]) -> list[Target]:
-        return [t for t in targets if self._duration(t) <= self._needs.time_left]
+        left = self._needs.time_left
+        return [t for t in targets if self._duration(t) <= left and not self._is_refused(t)]
 
     def _is_refused(self, target: Target) -> bool:
         """Tell whether a member certainly can't run the statement in time."""
-        is_late = self._duration(target) > self._needs.time_left
-        return is_late and self._loads.is_reported(target.name, self._at)
+        is_reported = self._loads.is_reported(target.name, self._at)
+        return is_reported and self._reported_duration(target) > self._needs.time_left
+
+    def _reported_duration(self, target: Target) -> float:
+        """Return the expected duration by the last report alone.
+
+        The decay of waits prefers members of which little is known. While a group is overloaded,
+        others take the room that becomes free meanwhile.
+        """
+        service = ADMITTED_SERVICE_FACTOR * self._loads.service(target.name)
+        return self._expected_delay(target, decays=False) + service
 
     def _refusal(self, targets: list[Target]) -> EarlyRefusal:
         """Refuse until the first queue has room for a statement with its whole time."""
-        least = min(self._duration(t) for t in targets)
+        least = min(self._reported_duration(t) for t in targets)
         return EarlyRefusal(retry_in=max(MIN_RETRY_S, least - self._needs.rule.timeout))
 
     def _at_primary_in_time(self, reason: str = PRIMARY) -> Placement | None:
@@ -200,13 +213,14 @@
             return self._refusal([self._primary])
         return self._at_primary(reason)
 
-    def _expected_delay(self, target: Target) -> float:
+    def _expected_delay(self, target: Target, *, decays: bool = True) -> float:
         return self._loads.expected_delay(
             target,
             zone=self._snapshot.zone,
             priority=self._needs.rule.priority,
             round_trips=self._needs.round_trips,
             at=self._at,
+            decays=decays,
         )
 
     def _at_primary(
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -167,6 +167,7 @@
             zone=own.zone,
             metrics=self.metrics,
         )
+        self.local_executor.unresponsive_after = self.dispatcher.unresponsive_after
         self.tokens = TokenClient(hosts=self.hosts, mesh=self.mesh, tolerance=cfg.bounds.tolerance)
         self.admission = Admission(
             cache=self.cache,
