--- a/features/placement.feature
+++ b/features/placement.feature
@@ -170,6 +170,13 @@
       | 0.1     | 0.4     |
       | 0.9     | 0.6     |
 
+  Scenario: A read-only transaction is placed like a read, but is no probe
+    Given a group whose primary is in this zone, with a replica in this zone and one in another
+    When 20 read-only transactions are placed
+    Then all go to the replica in this zone
+    When that replica is ejected and its probe due, and 20 read-only transactions are placed
+    Then all go to the primary
+
   Scenario: Many hosts that know different reports keep the queues of a group about equal
     Given 20 hosts that use a group whose members take 0.02 s a statement
     When they send 380 reads a second for 10 s, of the 600 that the members can run
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -256,3 +256,19 @@
 def step_checked_after(context, seconds):
     limit = context.model.loads.unresponsive_after("p")
     assert abs(limit - seconds) < 1e-6, limit
+
+
+@when("{count:d} read-only transactions are placed")
+def step_place_transactions(context, count):
+    choices = [context.model.choose(opens_transaction=True) for _ in range(count)]
+    context.placed = Counter(c.target for c in choices)
+
+
+@when("that replica is ejected and its probe due, and {count:d} read-only transactions are placed")
+def step_eject_and_place(context, count):
+    for _ in range(5):
+        context.model.run("r", AttemptResult.FAILED)
+    assert context.model.review() == {"r"}
+    context.model.at += 1.0
+    assert context.model.choose().target == "r"
+    step_place_transactions(context, count)
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -92,6 +92,18 @@
         """Return after which time without anything from a target its owner checks it."""
         return self._loads.unresponsive_after(target)
 
+    def snapshot(self, group: str) -> GroupSnapshot:
+        """Return a group as the next choice of a member will see it."""
+        primary = self._directory.primary(group)
+        if primary is not None and not self._directory.accepts_new_work(primary):
+            primary = None
+        return GroupSnapshot(
+            targets=self._directory.targets(group),
+            primary=primary,
+            zone=self._zone,
+            loads=self._loads,
+        )
+
     async def run_single(self, context: StatementContext, bound: BoundStatement) -> StatementResult:
         """Run one statement outside a transaction, with retries."""
         outcome, _ = await self._run_with_retries(context, bound, opens_transaction=False)
@@ -165,8 +177,8 @@
                 return self._refuse_early(context, bound, Kind.DEADLINE, choice.retry_in), None
             if choice.reason == NO_SAMPLE and not attempts.sample_fetched:
                 attempts.sample_fetched = True
-                if await self._sample_exchange.fetch(group, usable_sample_age(context.rule)):
-                    continue
+                await self._sample_exchange.fetch(group, usable_sample_age(context.rule))
+                continue
             owner = self._owner(group, choice.target, attempts.owner_faults[choice.target])
             if owner is None:
                 await asyncio.sleep(FAILOVER_POLL_S)
@@ -321,16 +333,8 @@
     ) -> Placement | None:
         at = now()
         group = context.rule.group
-        primary = self._directory.primary(group)
-        if primary is not None and not self._directory.accepts_new_work(primary):
-            primary = None
-        self._promotion_times.observe(group, self._phase(group, primary), at)
-        snapshot = GroupSnapshot(
-            targets=self._directory.targets(group),
-            primary=primary,
-            zone=self._zone,
-            loads=self._loads,
-        )
+        snapshot = self.snapshot(group)
+        self._promotion_times.observe(group, self._phase(group, snapshot.primary), at)
         needs = StatementNeeds(
             rule=context.rule,
             writes=writes,
