Learn round trips from differences between members

The shortest answer includes the cheapest service time, so a member of which few answers were known seemed nearer than the others, such as a primary in this zone, which then got the reads of replicas. Round trips are now the priors of the zones, corrected by how shortest answers differ from those of the nearest member, for each priority.

Failed before: placement.feature, 'A member that has answered few statements does not seem nearer than the others'.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -13,6 +13,18 @@
     When the replica in this zone leaves, and 200 reads are placed
     Then all go to the primary
 
+  Scenario: A member that has answered few statements does not seem nearer than the others
+    Given a group whose primary is in this zone, with a replica in this zone and one in another
+    And the replica in this zone has answered 20 statements after 0.02 s or more
+    When 200 reads are placed
+    Then all go to the replica in this zone
+
+  Scenario: A slow way to a zone is learned
+    Given a group whose primary is in another zone, with two replicas in this zone
+    And one replica answers after 0.004 s or more, the other 0.02 s later
+    When 200 reads are placed
+    Then all go to the replica with the shorter way
+
   Scenario: A queue at the replica in this zone sends reads to the other zone
     Given a group whose primary is in this zone, with a replica in this zone and one in another
     And the replica in this zone and the primary report a wait of 0.2 s
--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -94,6 +94,19 @@
             context.model.run(name, wait_ms=0, seconds=0.0004 if near else seconds)
 
 
+@given("the replica in this zone has answered {count:d} statements after {seconds:g} s or more")
+def step_answered(context, count, seconds):
+    for number in range(count):
+        context.model.run("r", wait_ms=0, seconds=seconds + 0.01 * number)
+
+
+@given("one replica answers after {seconds:g} s or more, the other {more:g} s later")
+def step_slow_way(context, seconds, more):
+    for number in range(20):
+        context.model.run("r", wait_ms=0, seconds=seconds + 0.01 * number)
+        context.model.run("s", wait_ms=0, seconds=seconds + more + 0.01 * number)
+
+
 @given("the replica in this zone and the primary report a wait of {seconds:g} s")
 def step_queue(context, seconds):
     for name in "rp":
@@ -142,6 +155,7 @@
 
 
 @then("all go to the replica in this zone")
+@then("all go to the replica with the shorter way")
 def step_all_near(context):
     assert set(context.placed) == {"r"}, context.placed
 
--- a/src/wagtailloft/controllers/target_loads.py
+++ b/src/wagtailloft/controllers/target_loads.py
@@ -18,9 +18,9 @@
 PRIORITY_CLASSES = 3  # as in TargetLoad.waits_ms
 WAIT_LIFETIME_S = 1.0  # a reported wait decays to 0 over this time
 FRESH_REPORT_S = 0.3  # only a younger report may refuse a statement
-ROUND_TRIP_WINDOW_S = 30.0
-MAX_ROUND_TRIPS = 32
-MIN_ROUND_TRIPS = 5  # fewer may all be of slow statements
+SHORTEST_WINDOW_S = 30.0
+MAX_RECENT_ANSWERS = 32
+MIN_RECENT_ANSWERS = 5  # fewer may all be of slow statements
 FAILURE_GAIN = 0.25  # two failures in a row exceed the limit, one does not
 FAILURE_HALF_LIFE_S = 5.0
 FAILURE_COST_S = 0.025  # of one failed attempt, which a retry repeats
@@ -76,6 +76,7 @@
         self.average = 0.0
         self.deviation = 0.0
         self.slowest = 0.0
+        self.recent: deque[tuple[float, float]] = deque(maxlen=MAX_RECENT_ANSWERS)
 
     def add(self, seconds: float) -> None:
         gain = max(ANSWER_GAIN, 1 / (self.count + 1))
@@ -85,6 +86,11 @@
         self.count += 1
         self.slowest = max(seconds, self.slowest * SLOWEST_DECAY)
 
+    def shortest(self, at: float) -> float | None:
+        """Return the shortest recent time, or None while too few are known."""
+        recent = [s for when, s in self.recent if at - when <= SHORTEST_WINDOW_S]
+        return min(recent) if len(recent) >= MIN_RECENT_ANSWERS else None
+
     def add_timeout(self, limit: float) -> None:
         """Count an answer that did not come in time as one that took that long at least."""
         bound = UNKNOWN_ATTEMPT_TIMEOUT_S / SLOWEST_FACTOR
@@ -101,7 +107,6 @@
         self.waits = (0.0,) * PRIORITY_CLASSES
         self.reported_at = -math.inf
         self.service = TYPICAL_SERVICE_S
-        self.round_trips: deque[tuple[float, float]] = deque(maxlen=MAX_ROUND_TRIPS)
         self.answers = [_Answers() for _ in range(PRIORITY_CLASSES)]
         self.score = 0.0
         self.used_at = -math.inf
@@ -117,14 +122,11 @@
         share = 1 - (at - self.reported_at) / WAIT_LIFETIME_S
         return self.waits[_class_of(priority)] * max(0.0, share)
 
-    def round_trip(self, prior: float, at: float) -> float:
-        recent = [s for when, s in self.round_trips if at - when <= ROUND_TRIP_WINDOW_S]
-        return min(recent) if len(recent) >= MIN_ROUND_TRIPS else prior
-
     def drop_reports(self) -> None:
         self.reported_at = -math.inf
         self.sent_since_report = 0
-        self.round_trips.clear()
+        for answers in self.answers:
+            answers.recent.clear()
 
 
 class TargetLoads:
@@ -176,40 +178,57 @@
         state.used_at = at
 
     def observe_answer_time(self, target: str, *, priority: int, seconds: float, at: float) -> None:
-        """Learn the round trip and the spread from the time of a single statement's answer.
+        """Learn the spread and the shortest time of answers to single statements.
 
-        The shortest recent time at an owner without a queue is taken: it includes the time of the
-        cheapest statements, as that of the other members does. Subtracting the average service time
-        instead would give round trips of 0 and below.
+        The shortest are learned at an owner without a queue only.
         """
         state = self._targets[target]
-        state.answers[_class_of(priority)].add(seconds)
+        answers = state.answers[_class_of(priority)]
+        answers.add(seconds)
         if state.reported_at == at and state.wait_at(priority, at) == 0:
-            state.round_trips.append((at, seconds))
+            answers.recent.append((at, seconds))
 
-    def expected_delay(
+    def round_trips(
+        self, members: tuple[Target, ...], *, zone: str, priority: int, at: float
+    ) -> dict[str, float]:
+        """Return the time of a round trip to each member of a group.
+
+        It is the prior of its zone, corrected by how its shortest answers differ from those of the
+        nearest member. These include the time of the cheapest statements, which is about the same
+        at all members for a priority. Subtracting the average service time instead would be of no
+        use: service times vary by more than round trips.
+        """
+        priors = {m.name: _round_trip_prior(m, zone) for m in members}
+        excess = {}  # of the shortest answers over the prior
+        for member in members:
+            state = self._targets.get(member.name)
+            shortest = state.answers[_class_of(priority)].shortest(at) if state else None
+            if shortest is not None:
+                excess[member.name] = shortest - priors[member.name]
+        nearest = min((priors[n] for n in excess), default=0.0)
+        common = min((e for n, e in excess.items() if priors[n] == nearest), default=0.0)
+        return {n: max(0.0, p + excess.get(n, common) - common) for n, p in priors.items()}
+
+    def expected_wait(
         self,
         target: Target,
         *,
-        zone: str,
         priority: int,
-        round_trips: int,
         at: float,
         decays: bool = True,
     ) -> float:
-        """Return the expected time of a statement or transaction besides its service.
+        """Return the expected wait of a statement or transaction at a target.
 
-        Unless decays is set, the wait is taken as it was reported.
+        Unless decays is set, the owner's part is taken as it was reported.
         """
-        delay = self.round_trip(target, zone, at) * round_trips
         state = self._targets.get(target.name)
         if state is None:
-            return delay
+            return 0.0
         slots = max(1, target.slots)
         wait = state.wait_at(priority, at) if decays else state.waits[_class_of(priority)]
         # With a wait the slots are in use already, so all that was sent since queues up.
         queued = state.sent_since_report if wait else max(0, state.in_flight + 1 - slots)
-        return delay + wait + state.service * queued / slots
+        return wait + state.service * queued / slots
 
     def failure_cost(self, target: str, at: float) -> float:
         """Return the expected time that failed attempts take before one succeeds."""
@@ -230,12 +249,6 @@
         spread = answers.average + DEVIATIONS * answers.deviation
         return max(MIN_ATTEMPT_TIMEOUT_S, expected_delay + spread, SLOWEST_FACTOR * answers.slowest)
 
-    def round_trip(self, target: Target, zone: str, at: float) -> float:
-        """Return the learned time of a round trip to a target, or the prior of its zone."""
-        prior = ZONE_ROUND_TRIP_S if target.zone == zone else CROSS_ZONE_ROUND_TRIP_S
-        state = self._targets.get(target.name)
-        return state.round_trip(prior, at) if state else prior
-
     def service(self, target: str) -> float:
         """Return the last reported time of a statement at a target, or the prior."""
         state = self._targets.get(target)
@@ -296,5 +309,9 @@
                 del self._targets[name]
 
 
+def _round_trip_prior(target: Target, zone: str) -> float:
+    return ZONE_ROUND_TRIP_S if target.zone == zone else CROSS_ZONE_ROUND_TRIP_S
+
+
 def _class_of(priority: int) -> int:
     return min(priority, PRIORITY_CLASSES - 1)
--- a/src/wagtailloft/groups/target_choice.py
+++ b/src/wagtailloft/groups/target_choice.py
@@ -132,6 +132,10 @@
         self._at = at
         self._rng = rng
         members = (*snapshot.targets, *([snapshot.primary] if snapshot.primary else []))
+        priority = needs.rule.priority
+        round_trips = self._loads.round_trips(members, zone=snapshot.zone, priority=priority, at=at)
+        # The time of all round trips to each member, and the delay with the wait there.
+        self._distances = {n: s * needs.round_trips for n, s in round_trips.items()}
         self._delays = {t.name: self._expected_delay(t) for t in members}
 
     def choose(self) -> Placement | None:
@@ -214,14 +218,10 @@
         return self._at_primary(reason)
 
     def _expected_delay(self, target: Target, *, decays: bool = True) -> float:
-        return self._loads.expected_delay(
-            target,
-            zone=self._snapshot.zone,
-            priority=self._needs.rule.priority,
-            round_trips=self._needs.round_trips,
-            at=self._at,
-            decays=decays,
+        wait = self._loads.expected_wait(
+            target, priority=self._needs.rule.priority, at=self._at, decays=decays
         )
+        return self._distances[target.name] + wait
 
     def _at_primary(
         self, reason: str = PRIMARY, *, has_alternative: bool = False
@@ -278,13 +278,8 @@
         return self._delays[target.name] + self._loads.failure_cost(target.name, self._at)
 
     def _varied_cost(self, target: Target) -> float:
-        queue = max(0.0, self._delays[target.name] - self._distance(target))
-        return self._cost(target) + self._rng.uniform(0, DELAY_RESOLUTION_S + WAIT_SPREAD * queue)
-
-    def _distance(self, target: Target) -> float:
-        """Return the time of all round trips to a member."""
-        round_trip = self._loads.round_trip(target, self._snapshot.zone, self._at)
-        return round_trip * self._needs.round_trips
+        wait = self._delays[target.name] - self._distances[target.name]
+        return self._cost(target) + self._rng.uniform(0, DELAY_RESOLUTION_S + WAIT_SPREAD * wait)
 
     def _is_primary_preferred(self, replica: Target | None, healthy: list[Target]) -> bool:
         """Tell whether a read goes to the primary rather than to the best replica.
@@ -301,6 +296,6 @@
             return False
         penalty = PRIMARY_PENALTY_S
         if self._primary.zone == self._snapshot.zone != replica.zone:
-            nearer = max(0.0, self._distance(replica) - self._distance(self._primary))
-            penalty = min(penalty, PRIMARY_PENALTY_SHARE * nearer)
+            nearer = self._distances[replica.name] - self._distances[self._primary.name]
+            penalty = min(penalty, PRIMARY_PENALTY_SHARE * max(0.0, nearer))
         return self._cost(self._primary) + penalty < self._cost(replica)
