--- a/features/placement.feature
+++ b/features/placement.feature
@@ -101,6 +101,13 @@
       | target_failed |
       | target_busy   |
 
+  Scenario: Read-only transactions that a replica loses are opened elsewhere, and it is ejected
+    Given a played group
+    And the replica in this zone answers transaction_lost to everything
+    When 20 read-only transactions are opened, one every 0.1 s
+    Then all are answered within 0.05 s
+    And at most 4 were sent to the replica in this zone
+
   Scenario: A read at a member that hangs is tried elsewhere soon, since answer times are known
     Given a played group
     When 30 reads are sent, one every 0.05 s
--- a/features/steps/placement_dispatch.py
+++ b/features/steps/placement_dispatch.py
@@ -112,6 +112,14 @@
         context = StatementContext(rule=rule, team="t")
         return await self.dispatcher.run_single(context, bound), now() - began
 
+    async def begin(self):
+        """Open a read-only transaction; return its result and its time."""
+        began = now()
+        bound = BoundStatement(request_id="x", statement=Statement(verb=Verb.BEGIN_READ))
+        context = StatementContext(rule=RULE, team="t")
+        outcome, _ = await self.dispatcher.begin(context, bound)
+        return outcome, now() - began
+
     async def send_spaced(self, count, spacing, **statement):
         """Send statements at a fixed interval, and return their results and times."""
         tasks = []
@@ -347,3 +355,20 @@
 def step_refused_at_deadline(context):
     for (outcome, seconds), timeout in zip(context.answers, context.timeouts, strict=True):
         assert outcome.kind is Kind.NO_PRIMARY and abs(seconds - timeout) < 0.05, context.answers
+
+
+@when("{count:d} read-only transactions are opened, one every {spacing:g} s")
+def step_begin(context, count, spacing):
+    async def run():
+        answers = []
+        for _ in range(count):
+            answers.append(await context.group.begin())
+            await asyncio.sleep(spacing)
+        return answers
+
+    context.answers = run_virtual(run())
+
+
+@then("at most {count:d} were sent to the replica in this zone")
+def step_few_at_replica(context, count):
+    assert context.group.counts()["r"] <= count, context.group.counts()
--- a/src/wagtailloft/operations/logbook.py
+++ b/src/wagtailloft/operations/logbook.py
@@ -37,6 +37,8 @@
         "store_era_settled",
         "store_recovered",
         "store_lost",
+        "target_ejected",
+        "target_readmitted",
         "target_removed",
         "target_listed",
         "task_failed",
