--- a/features/placement.feature
+++ b/features/placement.feature
@@ -101,7 +101,7 @@
       | target_failed |
       | target_busy   |
 
-  Scenario: Read-only transactions that a replica loses are opened elsewhere, and it is ejected
+  Scenario: Read-only transactions that a replica loses are opened elsewhere, and it is avoided
     Given a played group
     And the replica in this zone answers transaction_lost to everything
     When 20 read-only transactions are opened, one every 0.1 s
