--- a/features/placement.feature
+++ b/features/placement.feature
@@ -13,6 +13,18 @@
     When the replica in this zone leaves, and 200 reads are placed
     Then all go to the primary
 
+  Scenario: A member that has answered few statements does not seem nearer than the others
+    Given a group whose primary is in this zone, with a replica in this zone and one in another
+    And the replica in this zone has answered 20 statements after 0.02 s or more
+    When 200 reads are placed
+    Then all go to the replica in this zone
+
+  Scenario: A slow way to a zone is learned
+    Given a group whose primary is in another zone, with two replicas in this zone
+    And one replica answers after 0.004 s or more, the other 0.02 s later
+    When 200 reads are placed
+    Then all go to the replica with the shorter way
+
   Scenario: A queue at the replica in this zone sends reads to the other zone
     Given a group whose primary is in this zone, with a replica in this zone and one in another
     And the replica in this zone and the primary report a wait of 0.2 s
@@ -89,6 +101,13 @@
       | target_failed |
       | target_busy   |
 
+  Scenario: Read-only transactions that a replica loses are opened elsewhere, and it is avoided
+    Given a played group
+    And the replica in this zone answers transaction_lost to everything
+    When 20 read-only transactions are opened, one every 0.1 s
+    Then all are answered within 0.05 s
+    And at most 4 were sent to the replica in this zone
+
   Scenario: A read at a member that hangs is tried elsewhere soon, since answer times are known
     Given a played group
     When 30 reads are sent, one every 0.05 s
@@ -158,3 +177,42 @@
     Given a played group
     When a failover begins, and writes with 0.3 s and 0.6 s left are sent
     Then both are refused as no_primary at their deadline
+
+  Scenario Outline: A slow member is not checked for failure before it usually answers
+    Given a group whose primary is in this zone, with a replica in this zone and one in another
+    When the members report service times of <service> s, 0.01 s and 0.01 s
+    Then the primary is checked after <seconds> s without a sign of life
+
+    Examples:
+      | service | seconds |
+      | 0.01    | 0.18    |
+      | 0.1     | 0.4     |
+      | 0.9     | 0.6     |
+
+  Scenario: A read-only transaction is placed like a read, but is no probe
+    Given a group whose primary is in this zone, with a replica in this zone and one in another
+    When 20 read-only transactions are placed
+    Then all go to the replica in this zone
+    When that replica is ejected and its probe due, and 20 read-only transactions are placed
+    Then all go to the primary
+
+  Scenario: Many hosts that know different reports keep the queues of a group about equal
+    Given 20 hosts that use a group whose members take 0.02 s a statement
+    When they send 380 reads a second for 10 s, of the 600 that the members can run
+    Then all are served, and the queues of the replicas differ by 0.02 s on average at most
+
+  Scenario: Twice the load that a group can run is refused at the hosts, and the rest served
+    Given 20 hosts that use a group whose members take 0.02 s a statement
+    When they send 1200 reads a second for 10 s, of the 600 that the members can run
+    Then at least 5400 are served
+    And at least 3 times as many are refused at their hosts as at an owner
+
+  Scenario: A member that is five times slower gets about the share that it can run
+    Given 20 hosts that use a group whose members take 0.02 s a statement, one replica 0.1 s
+    When they send 200 reads a second for 10 s, of the 440 that the members can run
+    Then at most 25% of the reads go to the replica r, and all are served
+
+  Scenario: A member that fails everything at once gets few statements of many hosts
+    Given 66 hosts that use a group whose members take 0.02 s a statement
+    When the replica r fails everything, and they send 200 reads a second for 10 s
+    Then at most 20% of the reads go to the replica r
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -92,6 +92,25 @@
         self._rng = random.Random()
         self._refusal_events = EventLimit(REFUSED_EARLY_EVENTS)
 
+    def unresponsive_after(self, target: str) -> float:
+        """Return after which time without anything from a target its owner checks it."""
+        return self._loads.unresponsive_after(target)
+
+    def snapshot(self, group: str) -> GroupSnapshot:
+        """Return a group as the next choice of a member will see it."""
+        primary = self._directory.primary(group)
+        if primary is not None and not self._directory.accepts_new_work(primary):
+            primary = None
+        if primary is not None and not self._gate.may_begin(primary, as_primary=True):
+            primary = None
+        targets = self._directory.targets(group)
+        return GroupSnapshot(
+            targets=tuple(t for t in targets if self._gate.may_begin(t, as_primary=False)),
+            primary=primary,
+            zone=self._zone,
+            loads=self._loads,
+        )
+
     async def run_single(self, context: StatementContext, bound: BoundStatement) -> StatementResult:
         """Run one statement outside a transaction, with retries."""
         outcome, _ = await self._run_with_retries(context, bound, opens_transaction=False)
@@ -171,8 +190,8 @@
                 return self._refuse_early(context, bound, Kind.DEADLINE, choice.retry_in), None
             if choice.reason == NO_SAMPLE and not attempts.sample_fetched:
                 attempts.sample_fetched = True
-                if await self._sample_exchange.fetch(group, usable_sample_age(context.rule)):
-                    continue
+                await self._sample_exchange.fetch(group, usable_sample_age(context.rule))
+                continue
             owner = self._owner(group, choice.target, attempts.owner_faults[choice.target])
             if owner is None:
                 await asyncio.sleep(FAILOVER_POLL_S)
@@ -338,19 +357,8 @@
     ) -> Placement | None:
         at = now()
         group = context.rule.group
-        primary = self._directory.primary(group)
-        if primary is not None and not self._directory.accepts_new_work(primary):
-            primary = None
-        if primary is not None and not self._gate.may_begin(primary, as_primary=True):
-            primary = None
-        self._promotion_times.observe(group, self._phase(group, primary), at)
-        targets = self._directory.targets(group)
-        snapshot = GroupSnapshot(
-            targets=tuple(t for t in targets if self._gate.may_begin(t, as_primary=False)),
-            primary=primary,
-            zone=self._zone,
-            loads=self._loads,
-        )
+        snapshot = self.snapshot(group)
+        self._promotion_times.observe(group, self._phase(group, snapshot.primary), at)
         needs = StatementNeeds(
             rule=context.rule,
             writes=writes,
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -8,6 +8,7 @@
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.controllers.concurrency import TurnOutcome
+from wagtailloft.controllers.target_loads import MIN_UNRESPONSIVE_S
 from wagtailloft.errors import Kind, NoResponse, NotSent
 from wagtailloft.fleet.messages import StatementRequest, StatementResponse
 from wagtailloft.fleet.records import PrimaryAssignment, Target
@@ -23,7 +24,7 @@
 )
 from wagtailloft.groups.member_gate import Gate, OpenGate
 from wagtailloft.groups.pace_control import PaceControl
-from wagtailloft.groups.ports import Link, LinkFactory
+from wagtailloft.groups.ports import LinkFactory
 from wagtailloft.groups.target_scheduler import Turn
 from wagtailloft.models import Position
 from wagtailloft.sessions.statements import (
@@ -37,9 +38,6 @@
 MIN_WRITE_BUDGET_S = (
     0.1  # above a typical write, since a write that times out has an unknown outcome
 )
-# Above the longest typical statement: each needless check of a target uses two of its slots, one
-# to connect and one for the status query.
-UNRESPONSIVE_S = 0.18
 LINK_WAIT_LIMIT_S = 0.25  # must fit into SAMPLE_MARGIN_S, so that reads stay within their max_age
 FIRST_ID_RANGE = 1 << 62  # transaction IDs of two processes of a host differ, and fit 64 bits
 BEGIN_VERBS = (Verb.BEGIN, Verb.BEGIN_READ)
@@ -58,6 +56,7 @@
         gate: Gate | None = None,
     ) -> None:
         self._gate = gate or OpenGate()
+        self.unresponsive_after: Callable[[str], float] = lambda target: MIN_UNRESPONSIVE_S
         self.on_unresponsive: Callable[[str, str, str], None] = lambda group, target, reason: None
         self.on_turn: Callable[[int, float], None] = lambda priority_class, waited: None
         self._directory = directory
@@ -340,7 +339,7 @@
             outcome = await self._send_on_link(link_use, request, budget)
             if request.bound.statement.verb not in BEGIN_VERBS:  # these take no slot at the target
                 turn_outcome = turn_outcome_of(outcome)
-            if turn_outcome is TurnOutcome.FAILED and budget < UNRESPONSIVE_S:
+            if turn_outcome is TurnOutcome.FAILED and budget < MIN_UNRESPONSIVE_S:
                 turn_outcome = TurnOutcome.ABANDONED  # cut off by its deadline
             return outcome
         finally:
@@ -362,8 +361,9 @@
             return refused
         sent_at = now()
         budget -= sent_at - began
+        limit = self.unresponsive_after(request.target)
         timer = asyncio.get_running_loop().call_later(
-            UNRESPONSIVE_S, self._report_if_unresponsive, link_use.pool, link, sent_at
+            limit, self._report_if_unresponsive, link_use.pool, limit, sent_at
         )
         samples = self._directory.samples(request.group)
         basis = self._directory.basis(request.group) if at_primary else None
@@ -442,12 +442,12 @@
                 limit=cache.assignment_max_age,
             )
 
-    def _report_if_unresponsive(self, pool: LinkPool, link: Link, sent_at: float) -> None:
+    def _report_if_unresponsive(self, pool: LinkPool, limit: float, sent_at: float) -> None:
         """Report a target that has sent nothing on any link since a statement was sent."""
         last_heard = max(
             (getattr(other, "last_received_at", 0.0) for other in pool.in_use), default=0.0
         )
-        if asyncio.get_running_loop().time() - last_heard < UNRESPONSIVE_S:
+        if asyncio.get_running_loop().time() - last_heard < limit:
             return
         group, target = pool.target.group, pool.target.name
         self.on_unresponsive(group, target, f"no response for {now() - sent_at:.3f} s")
--- a/src/wagtailloft/groups/target_choice.py
+++ b/src/wagtailloft/groups/target_choice.py
@@ -25,6 +25,9 @@
 DELAY_RESOLUTION_S = 0.001  # members whose expected delays differ by less are chosen at random
 # Hosts that have the same report of a queue spread their next statements by this share of it.
 WAIT_SPREAD = 0.25
+# Times the average service time for which there has to be room: with 1, every sixth statement of an
+# overload that a member ran ended after its deadline.
+ADMITTED_SERVICE_FACTOR = 2
 MIN_RETRY_S = 0.02  # callers that retry sooner find about the same queue
 
 
@@ -129,6 +132,10 @@
         self._at = at
         self._rng = rng
         members = (*snapshot.targets, *([snapshot.primary] if snapshot.primary else []))
+        priority = needs.rule.priority
+        round_trips = self._loads.round_trips(members, zone=snapshot.zone, priority=priority, at=at)
+        # The time of all round trips to each member, and the delay with the wait there.
+        self._distances = {n: s * needs.round_trips for n, s in round_trips.items()}
         self._delays = {t.name: self._expected_delay(t) for t in members}
 
     def choose(self) -> Placement | None:
@@ -182,16 +189,26 @@
         return self._delays[target.name] + self._loads.service(target.name)
 
     def _in_time(self, targets: list[Target]) -> list[Target]:
-        return [t for t in targets if self._duration(t) <= self._needs.time_left]
+        left = self._needs.time_left
+        return [t for t in targets if self._duration(t) <= left and not self._is_refused(t)]
 
     def _is_refused(self, target: Target) -> bool:
         """Tell whether a member certainly can't run the statement in time."""
-        is_late = self._duration(target) > self._needs.time_left
-        return is_late and self._loads.is_reported(target.name, self._at)
+        is_reported = self._loads.is_reported(target.name, self._at)
+        return is_reported and self._reported_duration(target) > self._needs.time_left
+
+    def _reported_duration(self, target: Target) -> float:
+        """Return the expected duration by the last report alone.
+
+        The decay of waits prefers members of which little is known. While a group is overloaded,
+        others take the room that becomes free meanwhile.
+        """
+        service = ADMITTED_SERVICE_FACTOR * self._loads.service(target.name)
+        return self._expected_delay(target, decays=False) + service
 
     def _refusal(self, targets: list[Target]) -> EarlyRefusal:
         """Refuse until the first queue has room for a statement with its whole time."""
-        least = min(self._duration(t) for t in targets)
+        least = min(self._reported_duration(t) for t in targets)
         return EarlyRefusal(retry_in=max(MIN_RETRY_S, least - self._needs.rule.timeout))
 
     def _at_primary_in_time(self, reason: str = PRIMARY) -> Placement | None:
@@ -200,14 +217,11 @@
             return self._refusal([self._primary])
         return self._at_primary(reason)
 
-    def _expected_delay(self, target: Target) -> float:
-        return self._loads.expected_delay(
-            target,
-            zone=self._snapshot.zone,
-            priority=self._needs.rule.priority,
-            round_trips=self._needs.round_trips,
-            at=self._at,
+    def _expected_delay(self, target: Target, *, decays: bool = True) -> float:
+        wait = self._loads.expected_wait(
+            target, priority=self._needs.rule.priority, at=self._at, decays=decays
         )
+        return self._distances[target.name] + wait
 
     def _at_primary(
         self, reason: str = PRIMARY, *, has_alternative: bool = False
@@ -264,13 +278,8 @@
         return self._delays[target.name] + self._loads.failure_cost(target.name, self._at)
 
     def _varied_cost(self, target: Target) -> float:
-        queue = max(0.0, self._delays[target.name] - self._distance(target))
-        return self._cost(target) + self._rng.uniform(0, DELAY_RESOLUTION_S + WAIT_SPREAD * queue)
-
-    def _distance(self, target: Target) -> float:
-        """Return the time of all round trips to a member."""
-        round_trip = self._loads.round_trip(target, self._snapshot.zone, self._at)
-        return round_trip * self._needs.round_trips
+        wait = self._delays[target.name] - self._distances[target.name]
+        return self._cost(target) + self._rng.uniform(0, DELAY_RESOLUTION_S + WAIT_SPREAD * wait)
 
     def _is_primary_preferred(self, replica: Target | None, healthy: list[Target]) -> bool:
         """Tell whether a read goes to the primary rather than to the best replica.
@@ -287,6 +296,6 @@
             return False
         penalty = PRIMARY_PENALTY_S
         if self._primary.zone == self._snapshot.zone != replica.zone:
-            nearer = max(0.0, self._distance(replica) - self._distance(self._primary))
-            penalty = min(penalty, PRIMARY_PENALTY_SHARE * nearer)
+            nearer = self._distances[replica.name] - self._distances[self._primary.name]
+            penalty = min(penalty, PRIMARY_PENALTY_SHARE * max(0.0, nearer))
         return self._cost(self._primary) + penalty < self._cost(replica)
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -196,6 +196,7 @@
             metrics=self.metrics,
             gate=self.gate,
         )
+        self.local_executor.unresponsive_after = self.dispatcher.unresponsive_after
         self.tokens = TokenClient(hosts=self.hosts, mesh=self.mesh, tolerance=cfg.bounds.tolerance)
         self.admission = Admission(
             cache=self.cache,
