Explain where a statement would go on the platform

Operators could see where a statement went, but not where one would go now. /explain on the metrics port answers from Admission, the directory and the dispatcher's own choice, and wagtailloft route DATABASE prints it. Nothing is sent, and callers pass a team, not a key.

--- a/src/wagtailloft/cli.py
+++ b/src/wagtailloft/cli.py
@@ -10,8 +10,9 @@
 from typing import Any
 
 import fire
+from fire import decorators
 
-from wagtailloft import options
+from wagtailloft import options, route_command
 from wagtailloft.catalog import key_digest
 from wagtailloft.digits import is_decimal
 from wagtailloft.operations import logbook
@@ -135,6 +136,19 @@
     """Routes: the names by which callers address groups."""
 
     kind = "route"
+    # Makes fire accept DATABASE without a flag; it prefers the commands of this class.
+    FIRE_METADATA = {decorators.ACCEPTS_POSITIONAL_ARGS: True}
+
+    def __dir__(self) -> list[str]:
+        """Leave fire's own attribute out of its help."""
+        return [n for n in super().__dir__() if n != decorators.FIRE_METADATA]
+
+    def __call__(self, database: str, team: str = "", text: str = "READ") -> None:
+        """Show where a statement on a route would go now, and why, without sending it.
+
+        --text starts with READ, WRITE, BEGIN or BEGIN READ; --team looks at a team's rate too.
+        """
+        route_command.show(self._api, self._printer, str(database), str(team), str(text))
 
     def set(
         self,
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -13,6 +13,7 @@
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.groups.relay import Relay
+from wagtailloft.groups.route_verdict import MemberVerdict, RouteVerdict, rank_choices
 from wagtailloft.groups.sample_exchange import SampleExchange
 from wagtailloft.groups.target_choice import (
     NO_SAMPLE,
@@ -24,7 +25,7 @@
 )
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Position, Record
-from wagtailloft.sessions.statements import StatementResult, Verb, not_executed
+from wagtailloft.sessions.statements import Statement, StatementResult, Verb, not_executed
 
 # Covers a slow statement that is queued behind others; after it, another member is tried.
 READ_ATTEMPT_TIMEOUT_S = 0.35
@@ -129,6 +130,27 @@
         """Roll back an open transaction without waiting for its target."""
         await self._relay.rollback(transaction.owner, transaction.transaction_id)
 
+    def explain(self, context: StatementContext, statement: Statement) -> RouteVerdict:
+        """Return where a statement and its retries would go now, without sending it."""
+        opens_transaction = statement.verb in (Verb.BEGIN, Verb.BEGIN_READ)
+        writes = statement.writes or statement.verb is Verb.BEGIN
+        choices = rank_choices(lambda a: self._choose(context, writes, a, opens_transaction))
+        group = context.rule.group
+        ranks = {c.target: (rank, c) for rank, c in enumerate(choices, 1)}
+        members = []
+        for target in self._directory.targets(group):
+            rank, choice = ranks.get(target.name, (0, None))
+            members.append(
+                MemberVerdict(
+                    target=target,
+                    host=self._owner(group, target.name, 0) or "",
+                    in_flight=self._in_flight[target.name],
+                    choice=choice,
+                    rank=rank,
+                )
+            )
+        return RouteVerdict(choice=choices[0] if choices else None, members=tuple(members))
+
     async def _run_with_retries(
         self, context: StatementContext, bound: BoundStatement, *, opens_transaction: bool
     ) -> tuple[StatementResult, OpenTransaction | None]:
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from wagtailloft import logs
+from wagtailloft import logs, route_report
 from wagtailloft.adapters.server import HttpRequest, HttpResponse, HttpServer
 from wagtailloft.clock import now
 from wagtailloft.errors import FixSettings
@@ -27,6 +27,7 @@
 from wagtailloft.groups.ports import LinkFactory, PromotionApi
 from wagtailloft.groups.promotion_lease import PromotionLease
 from wagtailloft.groups.relay import Relay
+from wagtailloft.groups.route_explanation import RouteExplainer, call_on_loop
 from wagtailloft.groups.sample_exchange import SampleExchange
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Host, HostState, Record
@@ -174,6 +175,12 @@
             metrics=self.metrics,
             not_found_max_age=cfg.bounds.config_apply * NOT_FOUND_MAX_AGE_SHARE,
         )
+        self.route_explainer = RouteExplainer(
+            host=own.name,
+            admission=self.admission,
+            directory=self.directory,
+            dispatcher=self.dispatcher,
+        )
         self.coordinator = FailoverCoordinator(
             hosts=self.hosts,
             mesh=self.mesh,
@@ -203,7 +210,7 @@
         self._metrics_server = HttpServer(
             ip=own.ip,
             port=metrics_port,
-            handler=self._handle_http,
+            handler=self._handle_metrics_http,
             threads=HTTP_THREADS,
             name="metrics",
             supervisor=self._supervisor,
@@ -295,6 +302,14 @@
             return HttpResponse(status=404, body=b"{}")
         return HttpResponse(status=200 if self._is_ready() else 503, body=b"{}")
 
+    def _handle_metrics_http(self, req: HttpRequest) -> HttpResponse:
+        """Handle a request of operators; explanations must not delay the probes of /ready."""
+        if req.path != route_report.PATH:
+            return self._handle_http(req)
+        explain = partial(call_on_loop, self._loop, self.route_explainer.explain)
+        status, body = route_report.respond(req.query, explain)
+        return HttpResponse(status=status, body=body)
+
     def _is_ready(self) -> bool:
         if self._stopping.is_set() or self.caller_server.full:
             return False
--- a/src/wagtailloft/operator_client.py
+++ b/src/wagtailloft/operator_client.py
@@ -3,11 +3,12 @@
 import json
 from enum import IntEnum
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import urllib3
 
 from wagtailloft.errors import Kind
+from wagtailloft.route_report import PATH
 
 REQUEST_TIMEOUT_S = 10.0
 
@@ -44,18 +45,34 @@
 
         `path` is relative to /v1/ and already quoted.
         """
+        return self._call(method, f"{self._base}/v1/{path}", body)
+
+    def explain_route(self, fields: dict[str, str]) -> Any:
+        """Return the report of where a statement would go; raise CommandError if it fails.
+
+        A host that does not serve the group names the one that does, which is then asked.
+        """
+        return self._call("GET", f"{self._base}{PATH}?{urlencode(fields)}", redirects=1)
+
+    def _call(self, method: str, url: str, body: Any = None, redirects: int = 0) -> Any:
         data = None if body is None else json.dumps(body).encode()
         try:
-            response = self._http.request(method, f"{self._base}/v1/{path}", body=data)
+            response = self._http.request(method, url, body=data, redirect=False)
         except urllib3.exceptions.HTTPError as exc:
             text = f"no daemon answers at {self._host}; give --host IP:PORT of an operator port"
             raise CommandError(text, ExitCode.UNREACHABLE) from exc
+        location = response.headers.get("location", "")
+        if location and redirects:
+            return self._call(method, location, body, redirects - 1)
         try:
             value = json.loads(response.data)
         except ValueError as exc:
             raise CommandError(
                 f"{self._host} is not the operator port of a daemon", ExitCode.UNREACHABLE
             ) from exc
+        if response.status >= 300 and "kind" not in value:
+            text = f"{self._host} does not answer this; is it an operator or metrics port?"
+            raise CommandError(text, ExitCode.UNREACHABLE)
         if response.status >= 400:
             raise _error_from(value)
         return value
@@ -95,7 +112,11 @@
                 f"{text}; now at revision {value['revision']}: {current}; nothing was overwritten"
             )
         return CommandError(text, ExitCode.CONFLICT)
-    exit_codes = {Kind.NOT_FOUND.value: ExitCode.NOT_FOUND, Kind.BAD_REQUEST.value: ExitCode.USAGE}
+    exit_codes = {
+        Kind.NOT_FOUND.value: ExitCode.NOT_FOUND,
+        Kind.UNKNOWN_ROUTE.value: ExitCode.NOT_FOUND,
+        Kind.BAD_REQUEST.value: ExitCode.USAGE,
+    }
     return CommandError(text, exit_codes.get(kind, ExitCode.REFUSED))
 
 
--- a/src/wagtailloft/rates/token_client.py
+++ b/src/wagtailloft/rates/token_client.py
@@ -75,6 +75,13 @@
         """Tell whether the pool has lately had no token for a team."""
         return self._denied_until.get(team, 0.0) + DENIAL_MEMORY_S > now()
 
+    def would_refuse(self, team: str, token_wait: float) -> bool:
+        """Tell whether spend would refuse a token at once, since the pool has lately had none."""
+        at = now()
+        reserve = self._reserves.get(team)
+        has_token = reserve is not None and not self._waiters.get(team) and reserve.held(at) > 0
+        return not has_token and self._is_denied(team, at + token_wait)
+
     async def spend(self, team: str, token_wait: float, owner_wait: float) -> SpendResult:
         """Spend one token.
 
@@ -85,7 +92,7 @@
         reserve = self._reserve(team)
         if not self._waiters[team] and reserve.spend(at):
             return SpendResult.GRANTED
-        if self._denied_until.get(team, 0.0) > at + token_wait:
+        if self._is_denied(team, at + token_wait):
             return SpendResult.OVER_RATE
         future = asyncio.get_running_loop().create_future()
         waiter = _Waiter(future=future, deny_after=at + token_wait)
@@ -170,6 +177,9 @@
                 self._reported_held.add(team)
         return demands
 
+    def _is_denied(self, team: str, until: float) -> bool:
+        return self._denied_until.get(team, 0.0) > until
+
     def _prefetch_count(self, team: str, usage_rate: float, host_count: int) -> int:
         """Return the number of tokens to hold ahead of demand.
 
--- a/src/wagtailloft/sessions/admission.py
+++ b/src/wagtailloft/sessions/admission.py
@@ -28,6 +28,18 @@
     team: str
 
 
+class AdmissionForecast(Record):
+    """Describe how an operation of a team would be admitted now.
+
+    limit is None if no team was named; a rate refusal has the seconds until a token is expected.
+    """
+
+    rule: RouteRule
+    limit: TeamRule | None = None
+    refusal: StatementResult | None = None
+    retry_after: float | None = None
+
+
 class Admission:
     """Decide whether an operation may run, by the current configuration and the team's rate.
 
@@ -101,6 +113,28 @@
         """Tell whether the team's rate will probably admit the operation."""
         return not self._tokens.was_denied(operation.team)
 
+    def forecast(self, database: str, team: str) -> AdmissionForecast | StatementResult:
+        """Return how an operation of a team would be admitted now, without spending a token.
+
+        An empty name stands for any team with a key, whose rate is not looked at. Return a refusal
+        if the route or the team is unknown.
+        """
+        rule, limit = self._routes.get(database), self._teams.get(team)
+        if rule is None:
+            return self.check(database, "")
+        if team and limit is None:
+            return self._not_found(Kind.NOT_FOUND, f"no team '{team}'")
+        digests = (d for d, name in self._team_by_digest.items() if not team or name == team)
+        operation = self.operation(database, next(digests, ""))
+        if isinstance(operation, StatementResult):
+            return AdmissionForecast(rule=rule, limit=limit, refusal=operation)
+        if limit is None or not self._tokens.would_refuse(operation.team, _rate_wait(rule)):
+            return AdmissionForecast(rule=rule, limit=limit)
+        wait = _token_interval(limit)
+        return AdmissionForecast(
+            rule=rule, limit=limit, refusal=_over_rate(limit), retry_after=wait
+        )
+
     async def admit(
         self, database: str, digest: str, request_id: str
     ) -> AdmittedOperation | StatementResult:
@@ -119,9 +153,9 @@
         """Spend one rate token for an operation, waiting for it if necessary."""
         if operation.team == PUBLIC_TEAM:
             return OK_NOT_SENT
-        goal = operation.rule.goal
-        rate_wait = min(RATE_WAIT_LIMIT_S, goal / 4)
-        spend_result = await self._tokens.spend(operation.team, rate_wait, goal)
+        spend_result = await self._tokens.spend(
+            operation.team, _rate_wait(operation.rule), operation.rule.goal
+        )
         if spend_result is SpendResult.GRANTED:
             return OK_NOT_SENT
         limit = self._teams.get(operation.team)
@@ -144,8 +178,7 @@
             return not_executed(
                 Kind.LIMITS_UNAVAILABLE, "the team's rate was not checked, since no host answered"
             )
-        wait = 1000 / limit.rate if limit.rate else 1000
-        return not_executed(Kind.OVER_RATE, f"retry in {wait:.0f} ms")
+        return _over_rate(limit)
 
     def record_result(self, database: str, outcome: StatementResult, seconds: float) -> None:
         """Record a result and its latency in the metrics."""
@@ -180,3 +213,15 @@
             teams=len(self._teams),
             keys=len(self._team_by_digest),
         )
+
+
+def _rate_wait(rule: RouteRule) -> float:
+    return min(RATE_WAIT_LIMIT_S, rule.goal / 4)
+
+
+def _token_interval(limit: TeamRule) -> float:
+    return 1 / limit.rate if limit.rate else 1.0
+
+
+def _over_rate(limit: TeamRule) -> StatementResult:
+    return not_executed(Kind.OVER_RATE, f"retry in {1000 * _token_interval(limit):.0f} ms")
