Explain routes on the own interface too

The daemon that owns the group answers from choose_member, whose reasons for leaving a replica out have names now; any other daemon redirects the command to it. Entry.owners_of, Catalog.admit_team and GroupService.lost_member_majority are the parts of the existing decisions that it calls.

--- a/features/route_explanation.feature
+++ b/features/route_explanation.feature
@@ -65,3 +65,13 @@
     Then the command names the member that runs a statement sent right after it, as text and as JSON
     And unknown routes, teams and statements, a wrong port and a host that is down have exit codes
     And neither the output nor the logs contain a key
+
+  # Guards against reasons of the own interface that differ from what its choice rests on.
+  Scenario: A generated group's members have reasons that fit the choice
+    Then for 200 generated views the explained members are the chosen one and those unfit for it
+
+  # Guards against a daemon that answers for a group that another one serves.
+  Scenario: The command explains routes of the own interface through any daemon
+    Given a fleet of 2 daemons with one group
+    Then the command names the member that serves a statement sent right after it through each daemon
+    And a team that may not use the route is refused, and unknown routes and teams have exit codes
--- a/features/steps/route_explanation.py
+++ b/features/steps/route_explanation.py
@@ -11,13 +11,17 @@
 
 import msgspec
 from behave import given, then, when
+from hypothesis import strategies as st
 
 from features.fake_mesh import make_host
+from features.steps.controllers import check_examples, group_views
+from features.test_fleet import INSERT, ROUTE, TEAM
 from features.virtual_time import run_virtual
 from standins.fleet import wait_until
 from standins.site import KEY
 from wagtailloft import route_report
 from wagtailloft.clock import now
+from wagtailloft.controllers.routing import choose_member, explain_member
 from wagtailloft.errors import Kind, Refusal
 from wagtailloft.fleet.messages import StatementResponse
 from wagtailloft.fleet.records import (
@@ -35,7 +39,7 @@
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.groups.route_explanation import RouteExplainer, call_on_loop
 from wagtailloft.metrics import Metrics
-from wagtailloft.models import Position
+from wagtailloft.models import Call, Mode, Position, Role, SqlStatement
 from wagtailloft.rates.token_client import SpendResult, TokenClient
 from wagtailloft.rates.token_pool import Tolerance
 from wagtailloft.route_report import RouteQuestion, RouteReport
@@ -369,3 +373,63 @@
 def step_command_shows_no_key(context):
     texts = [*context.outputs, *(context.site.log(h) for h in context.site.hosts)]
     assert not any(KEY in text for text in texts)
+
+
+@then(
+    "for {count:d} generated views the explained members are the chosen one and those unfit for it"
+)
+def step_explained_views(context, count):
+    @check_examples(count, view=group_views(), mode=st.sampled_from(Mode))
+    def check(view, mode):
+        call = Call(
+            request_id="r",
+            team="t",
+            route="r",
+            group="g",
+            statement=SqlStatement(sql=""),
+            mode=mode,
+            budget=1.0,
+        )
+        chosen = choose_member(call, view, (), 0.0, 1.0).ok()
+        reasons = {m.member.name: explain_member(m, call, view, chosen, 1.0) for m in view.members}
+        marked = [n for n, why in reasons.items() if why.startswith("chosen: ")]
+        assert marked == ([chosen.member] if chosen else []), (reasons, chosen)
+        for member in view.members:
+            reason = reasons[member.member.name]
+            assert reason != "does not answer" or not member.reachable, (reason, member)
+            assert reason != "is leaving" or member.member.leaving, (reason, member)
+            if mode is Mode.READ and reason.startswith("another replica"):
+                assert member.progress.role is Role.REPLICA and chosen, (reason, member)
+
+
+@then(
+    "the command names the member that serves a statement sent right after it through each daemon"
+)
+def step_own_command_names_member(context):
+    test_fleet = context.test_fleet
+    for host in test_fleet.fleet.hosts:
+        for text, sql in (("READ", "SELECT 1"), ("WRITE", INSERT)):
+            args = ("route", ROUTE, f"--team={TEAM}", f"--text={text}")
+            report = test_fleet.fleet.run_cli_json(*args, host=host)
+            shown = test_fleet.fleet.run_cli(*args, host=host).stdout
+            session = test_fleet.session(host)
+            reply = session.read(sql) if text == "READ" else session.write(sql, host, "x")
+            assert reply.served_by == report["member"] and report["asked"] == host, (reply, report)
+            assert f"{report['member']} through {report['host']}" in shown, shown
+            assert len(report["members"]) == 3 and test_fleet.key not in shown, shown
+
+
+@then("a team that may not use the route is refused, and unknown routes and teams have exit codes")
+def step_own_command_errors(context):
+    fleet = context.test_fleet.fleet
+    context.test_fleet.add_team("outsiders", 10, 10)
+    for host in fleet.hosts:
+        refused = fleet.run_cli_json("route", ROUTE, "--team=outsiders", host=host)
+        assert (refused["refusal"]["kind"], refused["member"]) == ("forbidden", ""), refused
+        for exit_code, message, *args in (
+            (5, "unknown_route", "nowhere"),
+            (5, "no team 'nobody'", ROUTE, "--team=nobody"),
+            (2, "--text starts with", ROUTE, "--text=COMMIT"),
+        ):
+            done = fleet.run_cli("route", *args, host=host)
+            assert done.returncode == exit_code and message in done.stderr, done
--- a/src/wagtailloft/adapters/operators.py
+++ b/src/wagtailloft/adapters/operators.py
@@ -7,11 +7,13 @@
 import msgspec
 from result import Err, Result
 
+from wagtailloft import route_report
 from wagtailloft.adapters.callers import failure_response
 from wagtailloft.adapters.object_api import WriteConflict
 from wagtailloft.adapters.server import HttpRequest, HttpResponse
 from wagtailloft.digits import is_decimal
 from wagtailloft.errors import ERROR_SPECS, Kind, Refusal
+from wagtailloft.group_route_explanation import GroupRouteExplainer
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Record
 from wagtailloft.operators import OperatorService
@@ -32,9 +34,15 @@
     """HTTP request handler of the operators' port."""
 
     def __init__(
-        self, *, operators: OperatorService, metrics: Metrics, drain: Callable[[], None]
+        self,
+        *,
+        operators: OperatorService,
+        route_explainer: GroupRouteExplainer,
+        metrics: Metrics,
+        drain: Callable[[], None],
     ) -> None:
         self._operators = operators
+        self._route_explainer = route_explainer
         self._metrics = metrics
         self._drain = drain
 
@@ -49,6 +57,8 @@
                 return HttpResponse(
                     status=200, body=self._metrics.text(), content_type="text/plain"
                 )
+            case "GET", ["explain"]:
+                return self._explain_route(http.query)
             case "GET", ["v1", "status"]:
                 return _json_response(self._operators.status())
             case "GET", ["v1", "explain", subject]:
@@ -71,6 +81,16 @@
             Refusal(kind=Kind.NOT_FOUND, detail="unknown path; see docs/INTERFACE.md")
         )
 
+    def _explain_route(self, query: str) -> HttpResponse:
+        """Answer a question about a route, or redirect to the host that owns its group."""
+        question = route_report.parse_question(query)
+        if isinstance(question, route_report.RouteQuestion):
+            url = self._route_explainer.url_of_owner(question)
+            if url:
+                return HttpResponse(status=307, body=b"{}", headers=(("Location", url),))
+        status, body = route_report.respond(query, self._route_explainer.explain)
+        return HttpResponse(status=status, body=body)
+
     def _write(self, raw: bytes, version: int, kind: str, name: str) -> HttpResponse:
         if len(raw) > MAX_OBJECT_BYTES:
             return failure_response(Refusal(kind=Kind.TOO_LARGE))
--- a/src/wagtailloft/catalog.py
+++ b/src/wagtailloft/catalog.py
@@ -81,6 +81,10 @@
         team = self.find(Team, key.team) if key else None
         if team is None:
             return Err(Refusal(kind=Kind.KEY_UNKNOWN))
+        return self.admit_team(route, team, digest)
+
+    def admit_team(self, route: Route, team: Team, digest: str) -> Result[Access, Refusal]:
+        """Check whether a team, which a key with a digest belongs to, may use a route."""
         if not route.open and team.name not in route.teams:
             return Err(Refusal(kind=Kind.FORBIDDEN))
         return Ok(Access(route=route, team=team, key_digest=digest))
--- a/src/wagtailloft/controllers/routing.py
+++ b/src/wagtailloft/controllers/routing.py
@@ -70,6 +70,28 @@
     return _primary(primary, required, "no replica applies the required position in time")
 
 
+def explain_member(
+    member: MemberView, call: Call, view: GroupView, choice: MemberChoice | None, now: float
+) -> str:
+    """Return why a member is the choice for a statement, or why it is not."""
+    name = member.member.name
+    if choice and name == choice.member:
+        return f"chosen: {choice.why}"
+    if choice and view.primary is member:
+        return "used if the replica lacks the position"
+    if call.mode is Mode.WRITE:
+        return "writes go to the primary"
+    unfit = _unfit_reason(member, view)
+    if unfit:
+        return unfit
+    required = _required_position(call, view, now)
+    if required is None:
+        return "no confirmed position is recent enough"
+    if member not in _caught_up_replicas(view, required):
+        return "has not applied the required position"
+    return "another replica has a shorter wait, or as short a one"
+
+
 def age_position(view: GroupView, age: float, now: float) -> Position | None:
     """Return a position that holds every write acknowledged up to `age` seconds ago.
 
@@ -95,11 +117,18 @@
 
 
 def _replicas(view: GroupView) -> list[MemberView]:
-    return [
-        m
-        for m in view.reachable()
-        if m.progress.role is Role.REPLICA and m.progress.term == view.term and not m.member.leaving
-    ]
+    return [m for m in view.members if not _unfit_reason(m, view)]
+
+
+def _unfit_reason(member: MemberView, view: GroupView) -> str:
+    """Return why a member can't serve reads as a replica, an empty text if it can."""
+    if not member.reachable:
+        return "does not answer"
+    if member.progress.role is not Role.REPLICA:
+        return "is not a replica"
+    if member.progress.term != view.term:
+        return "is in another term"
+    return "is leaving" if member.member.leaving else ""
 
 
 def _soonest_replica(
--- a/src/wagtailloft/daemon.py
+++ b/src/wagtailloft/daemon.py
@@ -26,6 +26,7 @@
 from wagtailloft.entry import Entry
 from wagtailloft.errors import FixSettings
 from wagtailloft.gossip import DOUBT_INTERVAL_S, GOSSIP_INTERVAL_S, Gossip
+from wagtailloft.group_route_explanation import GroupRouteExplainer
 from wagtailloft.group_service import GroupServiceContext, GroupServices, HeartbeatInterval
 from wagtailloft.handler import PeerHandler
 from wagtailloft.host_register import HostRegister
@@ -171,7 +172,15 @@
         )
         self.caller_handler = CallerHandler(entry=self.entry, body_limit=self._body_limit)
         operator_handler = OperatorHandler(
-            operators=self.operators, metrics=self.metrics, drain=self.request_stop
+            operators=self.operators,
+            route_explainer=GroupRouteExplainer(
+                catalog=self.catalog,
+                gossip=self.gossip,
+                group_services=self.group_services,
+                owners_of=self.entry.owners_of,
+            ),
+            metrics=self.metrics,
+            drain=self.request_stop,
         )
         self.peer_server = PeerServer(
             ip=own.ip, port=cfg.host.peer_port, handler=handler, supervisor=self.supervisor
--- a/src/wagtailloft/entry.py
+++ b/src/wagtailloft/entry.py
@@ -160,7 +160,7 @@
             time.sleep(OWNER_RETRY_INTERVAL_S)
 
     def _try_owners(self, call: Call, deadline: float) -> Result[Answer, Refusal]:
-        hosts = self._owners_of(call.group)
+        hosts = self.owners_of(call.group)
         refusal = Refusal(kind=Kind.NO_OWNER, detail="no host is alive to own the group")
         unknown: Refusal | None = None
         for host in hosts[:MAX_OWNER_ATTEMPTS]:
@@ -216,7 +216,7 @@
         """
         query = msgspec.structs.replace(call, action=Action.RESOLVE_OUTCOME, transaction="")
         others = [
-            h for h in self._owners_of(call.group) if lost_host is None or h.name != lost_host.name
+            h for h in self.owners_of(call.group) if lost_host is None or h.name != lost_host.name
         ]
         query_deadline = max(deadline, time.monotonic() + OUTCOME_QUERY_MIN_S)
         for host in others[:1]:
@@ -237,7 +237,8 @@
             return self._group_services.serve(call)
         return self._peers.work(host, call)
 
-    def _owners_of(self, group: str) -> tuple[Host, ...]:
+    def owners_of(self, group: str) -> tuple[Host, ...]:
+        """Return the live hosts in order of preference as owner of a group."""
         return self._gossip.owners(f"group:{group}", self.primary_zone(group))
 
     def primary_zone(self, group: str) -> str:
@@ -266,7 +267,7 @@
         return self._preferred_groups
 
     def _preferred_owner(self, group: str) -> str:
-        owners = self._owners_of(group)[:1]
+        owners = self.owners_of(group)[:1]
         return owners[0].name if owners else ""
 
     def _build_reply(
--- a/src/wagtailloft/group_service.py
+++ b/src/wagtailloft/group_service.py
@@ -151,7 +151,7 @@
 
     def _serve(self, call: Call) -> Result[Answer, Refusal]:
         self.last_used = time.monotonic()
-        if self._lost_member_majority():
+        if self.lost_member_majority():
             detail = "the owner cannot reach a majority of the group's members"
             return Err(Refusal(kind=Kind.NO_OWNER, detail=detail))
         state = self._call_state(call)
@@ -192,7 +192,8 @@
         for endpoint in self.endpoints.values():
             endpoint.close()
 
-    def _lost_member_majority(self) -> bool:
+    def lost_member_majority(self) -> bool:
+        """Tell whether this host reaches no majority of the members, so that it serves no calls."""
         view = self.monitor.view()
         unreachable_count = sum(
             1 for m in view.members if m.missed_heartbeats >= failover.FAILED_AFTER_MISSES
--- a/src/wagtailloft/member_endpoint.py
+++ b/src/wagtailloft/member_endpoint.py
@@ -1,11 +1,12 @@
 """The slots and links of one member at one owner."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 
 from result import Err, Ok, Result
 
 from wagtailloft.adapters.members import HttpMemberLink, MemberLink
+from wagtailloft.controllers.routing import SlotWait
 from wagtailloft.errors import Refusal
 from wagtailloft.gate import Gate, SlotRequest
 from wagtailloft.member_link_pool import MemberLinkPool
@@ -65,3 +66,8 @@
     def close(self) -> None:
         """Close the idle links and provide no more."""
         self.pool.close()
+
+
+def slot_waits(endpoints: Mapping[str, MemberEndpoint]) -> tuple[SlotWait, ...]:
+    """Return the expected wait for a slot of each member."""
+    return tuple(SlotWait(member=n, wait=e.gate.expected_wait()) for n, e in endpoints.items())
--- a/src/wagtailloft/operator_client.py
+++ b/src/wagtailloft/operator_client.py
@@ -3,7 +3,7 @@
 import json
 from enum import IntEnum
 from typing import Any
-from urllib.parse import quote, urlencode
+from urllib.parse import quote, urlencode, urlsplit
 
 import urllib3
 
@@ -37,7 +37,6 @@
 
     def __init__(self, *, host: str) -> None:
         self._base = f"http://{host}"
-        self._host = host
         self._http = urllib3.PoolManager(retries=False, timeout=REQUEST_TIMEOUT_S)
 
     def call(self, method: str, path: str, body: Any = None) -> Any:
@@ -56,10 +55,11 @@
 
     def _call(self, method: str, url: str, body: Any = None, redirects: int = 0) -> Any:
         data = None if body is None else json.dumps(body).encode()
+        host = urlsplit(url).netloc
         try:
             response = self._http.request(method, url, body=data, redirect=False)
         except urllib3.exceptions.HTTPError as exc:
-            text = f"no daemon answers at {self._host}; give --host IP:PORT of an operator port"
+            text = f"no daemon answers at {host}; give --host IP:PORT of an operator port"
             raise CommandError(text, ExitCode.UNREACHABLE) from exc
         location = response.headers.get("location", "")
         if location and redirects:
@@ -68,10 +68,10 @@
             value = json.loads(response.data)
         except ValueError as exc:
             raise CommandError(
-                f"{self._host} is not the operator port of a daemon", ExitCode.UNREACHABLE
+                f"{host} is not the operator port of a daemon", ExitCode.UNREACHABLE
             ) from exc
-        if response.status >= 300 and "kind" not in value:
-            text = f"{self._host} does not answer this; is it an operator or metrics port?"
+        if response.status >= 300 and not (isinstance(value, dict) and "kind" in value):
+            text = f"{host} does not answer this; is it an operator or metrics port?"
             raise CommandError(text, ExitCode.UNREACHABLE)
         if response.status >= 400:
             raise _error_from(value)
--- a/src/wagtailloft/route_report.py
+++ b/src/wagtailloft/route_report.py
@@ -6,11 +6,10 @@
 import msgspec
 
 from wagtailloft.errors import Kind, Refusal
-from wagtailloft.models import Mode, Position, Record
+from wagtailloft.models import Position, Record
 from wagtailloft.sessions.statements import Statement, Verb
 
 PATH = "/explain"
-BEGIN_VERBS = (Verb.BEGIN, Verb.BEGIN_READ)
 _VERBS = {
     "READ": Verb.READ,
     "WRITE": Verb.WRITE,
@@ -35,11 +34,6 @@
         """Return a statement of the kind that is asked about, without the rest of its text."""
         return Statement(verb=self.verb, text=self.verb.value)
 
-    @property
-    def mode(self) -> Mode:
-        """Return whether the statement reads or writes; a transaction may write unless told."""
-        return Mode.READ if self.verb in (Verb.READ, Verb.BEGIN_READ) else Mode.WRITE
-
 
 class TeamReport(Record):
     """A team's rate in operations per second and its burst in operations."""
@@ -62,8 +56,9 @@
     """What is known of a member, and why the statement would go there or not.
 
     rank orders the members that the statement and its retries would go to, 0 for none. in_flight
-    counts the statements that the asked host has at the member. limit is the number of statements
-    that the holder of the links sends at a time; it and wait_ms are empty if they are unknown here.
+    counts the statements that the answering host has at the member. limit is the number of
+    statements that are sent to the member at a time, and wait_ms the expected wait before; both are
+    empty if the answering host does not know them.
     """
 
     name: str
--- a/src/wagtailloft/statement_executor.py
+++ b/src/wagtailloft/statement_executor.py
@@ -15,12 +15,12 @@
 from wagtailloft.adapters.members import MemberRejected, MemberRequest, MemberResponse
 from wagtailloft.catalog import Catalog
 from wagtailloft.controllers.retries import RetryBudget, retry_delay
-from wagtailloft.controllers.routing import MemberChoice, SlotWait, choose_member
+from wagtailloft.controllers.routing import MemberChoice, choose_member
 from wagtailloft.decisions import Decisions
 from wagtailloft.errors import Execution, Kind, NoResponse, NotSent, Refusal
 from wagtailloft.gate import SlotRequest
 from wagtailloft.group_monitor import GroupMonitor
-from wagtailloft.member_endpoint import MemberEndpoint
+from wagtailloft.member_endpoint import MemberEndpoint, slot_waits
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Answer, Call, Mode, Position, Rows, SqlStatement
 from wagtailloft.options import Options
@@ -203,13 +203,10 @@
             return self.wait_for_primary(state)
         if state.skip_replicas:
             return self._wait_for_primary_to_read(state)
-        slot_waits = tuple(
-            SlotWait(member=name, wait=endpoint.gate.expected_wait())
-            for name, endpoint in self._endpoints.items()
-        )
         max_replica_wait = state.options.replica_wait
+        waits = slot_waits(self._endpoints)
         chosen = choose_member(
-            state.call, self._monitor.view(), slot_waits, max_replica_wait, time.monotonic()
+            state.call, self._monitor.view(), waits, max_replica_wait, time.monotonic()
         )
         if isinstance(chosen, Err):
             return self._wait_for_primary_to_read(state)
