--- a/features/steps/route_explanation.py
+++ b/features/steps/route_explanation.py
@@ -22,6 +22,7 @@
 from wagtailloft import route_report
 from wagtailloft.clock import now
 from wagtailloft.controllers.routing import choose_member, explain_member
+from wagtailloft.controllers.token_bucket import Grant
 from wagtailloft.errors import Kind, Refusal
 from wagtailloft.fleet.messages import StatementResponse
 from wagtailloft.fleet.records import (
@@ -280,6 +281,10 @@
             at_once = result is SpendResult.OVER_RATE and now() - began < 0.001
             context.spendings.append((foretold, at_once))
             await asyncio.sleep(0.03)
+        while not client.would_refuse("t", 0.05):
+            await client.spend("t", 0.05, 0.2)
+        client._reserve("t").add(Grant(number=0, tokens=1.0), now())
+        context.kept_token = client.would_refuse("t", 0.05), await client.spend("t", 0.05, 0.2)
         running.cancel()
         await asyncio.gather(running, return_exceptions=True)
 
@@ -289,6 +294,7 @@
 @then("every spending that was foretold to be refused at once was refused at once")
 def step_foretold(context):
     assert {(True, True), (False, False)} == set(context.spendings), context.spendings
+    assert context.kept_token == (False, SpendResult.GRANTED), context.kept_token
 
 
 @then("a question to an event loop that is {state} is refused as {kind} within {limit:g} s")
