--- a/features/route_explanation.feature
+++ b/features/route_explanation.feature
@@ -26,7 +26,7 @@
       | the replica in b is leaving            | c      | b     | is leaving                                       |
       | the replica in b lately lagged         | c      | b     | lately lacked the position that a read needed    |
       | no position of the primary is known    | a      | b     | the primary is preferred: no position sample     |
-      | nothing happens                        | b      | a     | used if those of lower rank fail                 |
+      | nothing happens                        | b      | a     | used if the members ranked before it fail        |
 
   # Guards against a member that is shown as chosen although the statement would be refused.
   Scenario Outline: A refusal is reported with its reason and retry time
@@ -42,6 +42,12 @@
       | all keys of the team are withdrawn     | key_unknown    | None     |
       | the owner may not use the primary      | no_primary     | None     |
 
+  # Guards against reasons, loads and refusals of the dispatcher that the report drops.
+  Scenario: What the dispatcher reports of loads, ejections and early refusals is passed on
+    Given a host of zone b, and a group with its primary in zone a and replicas in b and c
+    When the dispatcher ejects the replica in b, reports the load of c and refuses the statement
+    Then the report on a READ of bounded data has all three
+
   # Guards against answers about a route or team that was mistyped.
   Scenario: Unknown routes, teams and statements get an error, and never a key or its digest
     Given a host of zone b, and a group with its primary in zone a and replicas in b and c
--- a/features/steps/route_explanation.py
+++ b/features/steps/route_explanation.py
@@ -24,7 +24,7 @@
 from wagtailloft.controllers.routing import choose_member, explain_member
 from wagtailloft.controllers.token_bucket import Grant
 from wagtailloft.errors import Kind, Refusal
-from wagtailloft.fleet.messages import StatementResponse
+from wagtailloft.fleet.messages import StatementResponse, TargetLoad
 from wagtailloft.fleet.records import (
     Configuration,
     Entry,
@@ -39,13 +39,14 @@
 from wagtailloft.groups.dispatch import Dispatcher, StatementContext
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.groups.route_explanation import RouteExplainer, call_on_loop
+from wagtailloft.groups.route_verdict import RouteVerdict
 from wagtailloft.metrics import Metrics
 from wagtailloft.models import Call, Mode, Position, Role, SqlStatement
 from wagtailloft.rates.token_client import SpendResult, TokenClient
 from wagtailloft.rates.token_pool import Tolerance
 from wagtailloft.route_report import RouteQuestion, RouteReport
 from wagtailloft.sessions.admission import Admission
-from wagtailloft.sessions.statements import StatementResult, TransactionState
+from wagtailloft.sessions.statements import StatementResult, TransactionState, not_executed
 
 TEAM_KEY = "key-of-team-t"
 MEMBERS = {zone: Target(name=zone, group="g", address="-", zone=zone) for zone in "abc"}
@@ -235,6 +236,33 @@
     assert (refusal.kind, str(refusal.retry_ms)) == (kind, retry_ms), refusal
 
 
+@when("the dispatcher ejects the replica in b, reports the load of c and refuses the statement")
+def step_dispatcher_reports(context):
+    dispatcher, load = context.host.dispatcher, TargetLoad(waits_ms=(1, 20, 300), service_ms=9)
+    decided = dispatcher.explain
+    changes = {"a": {}, "b": {"rank": 0, "why": "is ejected"}, "c": {"load": load}}
+
+    def explain(caller, statement):
+        verdict = decided(caller, statement)
+        members = (msgspec.structs.replace(m, **changes[m.target.name]) for m in verdict.members)
+        refusal = not_executed(Kind.DEADLINE, "retry in 40 ms")
+        return RouteVerdict(choice=verdict.choice, members=tuple(members), refusal=refusal)
+
+    dispatcher.explain = explain
+
+
+@then("the report on a READ of bounded data has all three")
+def step_report_has_all(context):
+    report = context.host.explain("bounded", "READ x")
+    members = {m.name: m for m in report.members}
+    assert (members["b"].why, members["c"].wait_ms, members["a"].wait_ms) == (
+        "is ejected",
+        20,
+        None,
+    ), members
+    assert (report.refusal.kind, report.refusal.detail) == ("deadline", "retry in 40 ms"), report
+
+
 @then("unknown routes and teams and unsupported statements get their own errors")
 def step_unknown_names(context):
     explain = context.host.explainer.explain
--- a/src/wagtailloft/group_route_explanation.py
+++ b/src/wagtailloft/group_route_explanation.py
@@ -92,7 +92,7 @@
             position=format_position(choice.after) if choice and choice.after.term else "",
             member=choice.member if choice else "",
             host=own if choice else "",
-            why=choice.why if choice else "it would be refused",
+            why=choice.why if choice else "none is chosen for a statement that is refused",
             refusal=refusal and refusal_report(refusal.kind, refusal.detail),
             members=members,
         )
--- a/src/wagtailloft/groups/route_explanation.py
+++ b/src/wagtailloft/groups/route_explanation.py
@@ -6,6 +6,7 @@
 
 from wagtailloft.clock import now
 from wagtailloft.errors import Kind, Refusal
+from wagtailloft.fleet.messages import TargetLoad
 from wagtailloft.fleet.records import Freshness, RouteRule
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.dispatch import Dispatcher, StatementContext
@@ -67,14 +68,14 @@
         )
 
     def _refusal(self, forecast: AdmissionForecast, verdict: RouteVerdict) -> RefusalReport | None:
-        if forecast.refusal is not None:
+        refusal = forecast.refusal or verdict.refusal
+        if refusal is not None:
             retry_ms = forecast.retry_after and round(forecast.retry_after * 1000)
-            refusal = forecast.refusal
             return refusal_report(refusal.kind or Kind.INTERNAL, refusal.detail, retry_ms)
         rule, choice = forecast.rule, verdict.choice
         if choice is None:
             return refusal_report(Kind.NO_PRIMARY, f"waits up to {rule.timeout:g} s for a primary")
-        if choice.is_primary and verdict.members:
+        if choice.is_primary:
             owner = next((m.host for m in verdict.members if m.rank == 1), "")
             # Another owner decides by its own cache, which this host does not know.
             may_use = self._directory.may_use_as_primary(rule.group, choice.target)
@@ -105,7 +106,7 @@
             slots=target.slots,
             in_flight=member.in_flight,
             limit=None,
-            wait_ms=None,
+            wait_ms=_expected_wait_ms(member.load, rule.priority),
             rank=member.rank,
             why=self._member_reason(member, rule, verdict, question, is_primary=is_primary),
         )
@@ -123,7 +124,9 @@
         if member.rank == 1 and member.choice:
             return f"chosen: {member.choice.reason}"
         if member.rank:
-            return "used if those of lower rank fail"
+            return "used if the members ranked before it fail"
+        if member.why:
+            return member.why
         target = member.target
         if is_primary and not self._directory.accepts_new_work(target):
             return "is leaving and takes no new work"
@@ -142,6 +145,11 @@
         return "not eligible"
 
 
+def _expected_wait_ms(load: TargetLoad | None, priority: int) -> int | None:
+    """Return the expected wait of a route's statement, of which the last one is for the rest."""
+    return load.waits_ms[min(priority, len(load.waits_ms) - 1)] if load else None
+
+
 def call_on_loop(
     loop: asyncio.AbstractEventLoop,
     explain: Callable[[RouteQuestion], RouteReport | Refusal],
--- a/src/wagtailloft/route_command.py
+++ b/src/wagtailloft/route_command.py
@@ -19,7 +19,7 @@
         printer.show(report)
         return
     for label, value in _summary(report):
-        print(f"{label:<10} {value}")
+        print(f"{label:<10}  {value}")
     if report["members"]:
         print(format_table([_member_row(m) for m in report["members"]]))
 
@@ -34,14 +34,15 @@
     team = report["team"]
     rate = f"{team['name']}, {team['rate']:g}/s, burst {team['burst']:g}" if team else "none named"
     lines.append(("team", rate))
-    if report["member"]:
-        host = f" through {report['host']}" if report["host"] else ""
-        lines.append(("goes to", f"{report['member']}{host}: {report['why']}"))
-    else:
-        lines.append(("goes to", f"no member: {report['why']}"))
     refusal = report["refusal"]
     if refusal:
         lines.append(("refusal", f"{refusal['kind']}: {refusal['detail']}{_retry(refusal)}"))
+    label = "otherwise" if refusal else "goes to"
+    if report["member"]:
+        host = f" through {report['host']}" if report["host"] else ""
+        lines.append((label, f"{report['member']}{host}: {report['why']}"))
+    else:
+        lines.append((label, f"no member: {report['why']}"))
     lines.append(("asked", report["asked"]))
     return lines
 
@@ -56,6 +57,8 @@
 def _retry(refusal: dict[str, Any]) -> str:
     if not refusal["retry"]:
         return " (a retry does not help)"
+    if "retry in" in refusal["detail"]:
+        return ""
     if refusal["retry_ms"] is None:
         return " (may be retried)"
     return f" (retry in {refusal['retry_ms']} ms)"
