--- a/features/steps/route_explanation.py
+++ b/features/steps/route_explanation.py
@@ -457,6 +457,10 @@
 def step_own_command_errors(context):
     fleet = context.test_fleet.fleet
     context.test_fleet.add_team("outsiders", 10, 10)
+    owner = fleet.run_cli_json("route", ROUTE)["host"]
+    other = next(h for h in fleet.hosts if h != owner)
+    passed_on = fleet.api(other).explain_route({"route": ROUTE, "asked": owner})
+    assert passed_on["refusal"]["kind"] == "no_owner", passed_on
     for host in fleet.hosts:
         refused = fleet.run_cli_json("route", ROUTE, "--team=outsiders", host=host)
         assert (refused["refusal"]["kind"], refused["member"]) == ("forbidden", ""), refused
