--- a/src/wagtailloft/controllers/target_loads.py
+++ b/src/wagtailloft/controllers/target_loads.py
@@ -264,6 +264,19 @@
         state = self._targets.get(target)
         return state is not None and at - state.reported_at < FRESH_REPORT_S
 
+    def in_flight(self, target: str) -> int:
+        """Return how many statements of this host are in flight at a target."""
+        state = self._targets.get(target)
+        return state.in_flight if state else 0
+
+    def reported(self, target: str) -> TargetLoad | None:
+        """Return the last load that the owner of a target's links reported, None without one."""
+        state = self._targets.get(target)
+        if state is None or state.reported_at == -math.inf:
+            return None
+        first, second, third = (round(w * 1000) for w in state.waits)
+        return TargetLoad(waits_ms=(first, second, third), service_ms=round(state.service * 1000))
+
     def is_ejected(self, target: str) -> bool:
         """Tell whether a target gets only probes while others are eligible."""
         state = self._targets.get(target)
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -28,6 +28,12 @@
 )
 from wagtailloft.groups.ports import BoundStatement
 from wagtailloft.groups.relay import Relay
+from wagtailloft.groups.route_verdict import (
+    MemberVerdict,
+    RouteVerdict,
+    rank_placements,
+    refusal_of,
+)
 from wagtailloft.groups.sample_exchange import SampleExchange
 from wagtailloft.groups.target_choice import (
     NO_SAMPLE,
@@ -41,7 +47,7 @@
     usable_sample_age,
 )
 from wagtailloft.metrics import Metrics
-from wagtailloft.sessions.statements import StatementResult, Verb, not_executed
+from wagtailloft.sessions.statements import Statement, StatementResult, Verb, not_executed
 
 MIN_DEFERRAL_S = 0.005
 RETRY_JITTER = 0.25  # share by which the retry times that callers are told differ at most
@@ -152,6 +158,49 @@
         """Roll back an open transaction without waiting for its target."""
         await self._relay.rollback(transaction.owner, transaction.transaction_id)
 
+    def explain(self, context: StatementContext, statement: Statement) -> RouteVerdict:
+        """Return where a statement and its retries would go now, without sending it."""
+        opens_transaction = statement.verb in (Verb.BEGIN, Verb.BEGIN_READ)
+        writes = statement.writes or statement.verb is Verb.BEGIN
+        placements = rank_placements(
+            lambda avoid: self._choose(
+                context, writes, self._fresh_attempts(context, avoid), opens_transaction
+            )
+        )
+        group = context.rule.group
+        choices = [p for p in placements if isinstance(p, TargetChoice)]
+        ranks = {c.target: (rank, c) for rank, c in enumerate(choices, 1)}
+        members = []
+        for target in self._directory.targets(group):
+            rank, choice = ranks.get(target.name, (0, None))
+            members.append(
+                MemberVerdict(
+                    target=target,
+                    host=self._owner(group, target.name, 0) or "",
+                    in_flight=self._loads.in_flight(target.name),
+                    choice=choice,
+                    rank=rank,
+                    load=self._loads.reported(target.name),
+                    why=self._reason_against(target),
+                )
+            )
+        return RouteVerdict(
+            choice=choices[0] if choices else None,
+            members=tuple(members),
+            refusal=self._gate.refuse_all(self._directory.targets(group)) or refusal_of(placements),
+        )
+
+    def _fresh_attempts(self, context: StatementContext, avoid: tuple[str, ...]) -> Attempts:
+        attempts = Attempts(now() + context.rule.timeout)
+        attempts.avoid = avoid
+        attempts.sample_fetched = True
+        return attempts
+
+    def _reason_against(self, target: Target) -> str:
+        if not self._gate.may_begin(target, as_primary=False):
+            return "its zone is evacuated"
+        return "ejected for failures or slowness" if self._loads.is_ejected(target.name) else ""
+
     async def _run_with_retries(
         self, context: StatementContext, bound: BoundStatement, *, opens_transaction: bool
     ) -> tuple[StatementResult, OpenTransaction | None]:
