Ask for evacuations in a field that earlier versions ignore

A request that names an unknown topic can't be decoded by a host of an earlier version, which closes the connection and with it statements in flight. A process that has not read the evacuations also begins no promotion now.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -21,6 +21,9 @@
     Then any object of the kind counts as an evacuation, whatever it holds
     And a member's time to warm up, a group's rate and the settings are decoded, odd ones limited
 
+  Scenario: Hosts of one zone, of which one reads the store
+    Then a host pulls them from another one, and an earlier version can decode its request
+
   Scenario: A host without the setting
     Then it asks the store for everything but evacuations, and is ready without them
 
--- a/features/steps/evacuation.py
+++ b/features/steps/evacuation.py
@@ -11,14 +11,14 @@
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
-from features.fake_mesh import FakeMesh, make_host
+from features.fake_mesh import FakeMesh, InProcessMesh, make_host
 from features.steps.late_answers import SlowLink
 from features.steps.robustness import make_coordinator
 from features.virtual_time import run_virtual
 from wagtailloft.clock import now
 from wagtailloft.errors import Kind
 from wagtailloft.fleet.hosts import Hosts
-from wagtailloft.fleet.messages import StatementRequest
+from wagtailloft.fleet.messages import KnownRevision, PullRequest, StatementRequest
 from wagtailloft.fleet.ports import StoreDown
 from wagtailloft.fleet.records import (
     Changes,
@@ -355,6 +355,39 @@
     run_virtual(play())
 
 
+@then("a host pulls them from another one, and an earlier version can decode its request")
+def step_pulled(context):
+    async def play():
+        meshes, hosts = {}, []
+        for own, other in ((make_host(0, 1), make_host(1, 1)), (make_host(1, 1), make_host(0, 1))):
+            meshes[own.ip] = InProcessMesh(meshes)
+            known = Hosts(own=own, mesh=meshes[own.ip])
+            known._put(other)
+            hosts.append(
+                StoreCache(
+                    store=None,
+                    hosts=known,
+                    mesh=meshes[own.ip],
+                    max_age=3.3,
+                    assignment_max_age=2.4,
+                    topics=tuple(Topic),
+                )
+            )
+        entry = Entry(name="a", revision=7, value=EvacuationRecord())
+        changes = Changes(topic=Topic.EVACUATIONS, revision=7, is_snapshot=True, entries=(entry,))
+        hosts[0].apply(changes, now() - 1.0)
+        await hosts[1]._pulls.pull("h00", tuple(Topic))
+        assert hosts[1].get(Topic.EVACUATIONS, "a") == entry
+        assert 0.9 < hosts[1].topic_age(Topic.EVACUATIONS) < 1.5
+
+    asyncio.run(play())
+    known = (KnownRevision(topic=Topic.FLEET, revision=1),)
+    request = PullRequest(host="h", known_revisions=known, evacuations_revision=3)
+    fields = msgspec.to_builtins(request)
+    assert [topic for topic, _ in fields[2]] == ["fleet"] and fields[-1] == 3, fields
+    assert request.known[-1] == KnownRevision(topic=Topic.EVACUATIONS, revision=3)
+
+
 @then("the keys and assignments stay fresh, and nothing begins at members")
 def step_kind_refused(context):
     async def changes(topic, after, wait):
--- a/src/wagtailloft/fleet/messages.py
+++ b/src/wagtailloft/fleet/messages.py
@@ -43,7 +43,8 @@
     receiver has the same. With names_only, only the revisions of changed topics are answered. With
     collect, the receiver hears from its zone's hosts for a while, to report how many it hears from.
     configuration_version is that of the configuration in force at the sender; the receiver adds its
-    own if that is later and names_only is not set.
+    own if that is later and names_only is not set. evacuations_revision is set if evacuations are
+    asked for: earlier versions can't decode a message that names their topic.
     """
 
     host: str
@@ -52,6 +53,15 @@
     names_only: bool = False
     collect: bool = False
     configuration_version: Count = 0
+    evacuations_revision: Count | None = None
+
+    @property
+    def known(self) -> tuple[KnownRevision, ...]:
+        """Return the revisions of all topics that are asked for."""
+        if self.evacuations_revision is None:
+            return self.known_revisions
+        evacuations = KnownRevision(topic=Topic.EVACUATIONS, revision=self.evacuations_revision)
+        return (*self.known_revisions, evacuations)
 
 
 class AgedChanges(Record, array_like=True):
--- a/src/wagtailloft/fleet/peer_pulls.py
+++ b/src/wagtailloft/fleet/peer_pulls.py
@@ -178,14 +178,16 @@
         names_only and collect ask for.
         """
         sent_at = now()
-        known = tuple(KnownRevision(topic=t, revision=self._cache.revision(t)) for t in topics)
+        known = {t: self._cache.revision(t) for t in topics}
+        evacuations_revision = known.pop(Topic.EVACUATIONS, None)
         message = PullRequest(
             host=self._hosts.own.name,
-            known_revisions=known,
+            known_revisions=tuple(KnownRevision(topic=t, revision=r) for t, r in known.items()),
             assignments_digest=self._cache.assignments_digest,
             names_only=names_only,
             collect=collect,
             configuration_version=self._configuration_version(),
+            evacuations_revision=evacuations_revision,
         )
         response = await self._hosts.call(name, message, PULL_TIMEOUT_S)
         if not isinstance(response, PullResponse):
@@ -283,7 +285,7 @@
         if message.collect:
             self._collect_until = now() + COLLECT_S
         topic_changes, newer = [], []
-        for known in message.known_revisions:
+        for known in message.known:
             topic, revision = known.topic, self._cache.revision(known.topic)
             if not revision or revision < known.revision:
                 continue
--- a/src/wagtailloft/groups/member_gate.py
+++ b/src/wagtailloft/groups/member_gate.py
@@ -17,6 +17,7 @@
 
 LOG_INTERVAL_S = 1.0  # between two log lines about refusals of one kind at one member or group
 CHECK_INTERVAL_S = 0.1  # between checks for transactions at evacuated members
+EVACUATED, COLD = "evacuated", "cold"  # reasons in log lines and metrics
 MIN_SEND_BUDGET_S = 0.1  # as for writes: with less, a statement would time out after it was sent
 
 
@@ -105,8 +106,8 @@
         return not self._evacuations.is_enabled or self._cache.revision(Topic.EVACUATIONS) > 0
 
     def is_evacuated(self, zone: str) -> bool:
-        """Tell whether a zone is evacuated."""
-        return self._evacuations.is_evacuated(zone)
+        """Tell whether a zone is evacuated, or may be as far as this process knows."""
+        return not self.is_known or self._evacuations.is_evacuated(zone)
 
     def may_begin(self, target: Target, *, as_primary: bool) -> bool:
         """Tell whether new work may be sent to a member."""
@@ -199,6 +200,8 @@
     def _handle_target(self, entry: Entry) -> None:
         if not isinstance(entry.value, Target):
             self._pace.forget(entry.name)
+            for reason in (EVACUATED, COLD):
+                self._logged_at.pop((entry.name, reason), None)
             return
         self._pace.observe(entry.name, cold_left=entry.value.cold_left, at=now())
 
@@ -232,12 +235,12 @@
         return self._refuse(request, Kind.ZONE_EVACUATED, refused.detail)
 
     def _refuse_evacuated(self, group: str, member: str) -> StatementResult:
-        self._report(group, member, "evacuated")
+        self._report(group, member, EVACUATED)
         subject = f"the zone of {member} is" if member else "the zones of all members are"
         return not_executed(Kind.ZONE_EVACUATED, f"{subject} evacuated")
 
     def _refuse_cold(self, target: Target, request: StatementRequest) -> StatementResult:
-        self._report(target.group, target.name, "cold")
+        self._report(target.group, target.name, COLD)
         detail = "the target is cold and has its share of statements"
         return self._refuse(request, Kind.TARGET_BUSY, detail)
 
