Ask cold replicas again after a pause, and tighten three tests

Three changes of the code passed the tests: without the refusal of waiters, the check of the primary after a wait for the pace, and the avoidance of paced members. The tests now fail for each.

--- a/features/steps/evacuation.py
+++ b/features/steps/evacuation.py
@@ -470,9 +470,14 @@
         assert (await host.run("m", Verb.WRITE)).outcome.ok
         await asyncio.sleep(1.7)
         pool.close_idle()
-        pool.limit = 1  # taken by the open transaction
-        waiting = (await host.run("m", Verb.WRITE)).outcome
+        pool.limit = 1  # taken by the open transaction, in which a statement runs for 3 s
+        pool.in_use.copy().pop().seconds = 3.0
+        running = asyncio.create_task(
+            host.run("m", request_id="t", budget=9.0, transaction_id=opened.transaction_id)
+        )
+        waiting = (await host.run("m", Verb.WRITE, budget=2.0)).outcome
         assert waiting.kind is Kind.ZONE_EVACUATED and 1.9 < now() - learned < 2.3, waiting
+        await running
         late = [await host.run("m", transaction_id=opened.transaction_id), await host.run("m")]
         kinds = [response.outcome.kind for response in late]
         assert kinds == [Kind.TRANSACTION_LOST, Kind.ZONE_EVACUATED], kinds
@@ -496,14 +501,14 @@
         assert sum(o.ok for o in outcomes) == 30, outcomes
         assert {o.kind for o in outcomes} == {None, Kind.TARGET_BUSY}, outcomes
         count = len(host.sent)
-        waiting = [asyncio.create_task(host.run("m", Verb.WRITE)) for _ in range(12)]
+        waiting = [asyncio.create_task(host.run("m", Verb.WRITE, budget=2.5)) for _ in range(12)]
         await asyncio.sleep(0.2)
         claim = PrimaryAssignment(
             group="g", epoch=1, settled=False, primary="", replaced="m", era=1
         )
         host.cache.accept_assignment(claim)
         kinds = {(await w).outcome.kind for w in waiting}
-        assert kinds <= {Kind.NO_PRIMARY, Kind.TARGET_BUSY} and len(host.sent) == count, kinds
+        assert kinds == {Kind.NO_PRIMARY} and len(host.sent) == count, kinds
         current.cancel()
         await asyncio.gather(current, return_exceptions=True)
 
@@ -519,6 +524,7 @@
 
         async def run(owner, request):
             asked.append(request.target)
+            assert len(asked) < 1000, "members are asked all the time"
             return await host.executor.run(request)
 
         relay = SimpleNamespace(
@@ -532,18 +538,20 @@
             metrics=Metrics(),
             gate=host.gate,
         )
-        rule = RouteRule(database="d", group="g", freshness=Freshness.BOUNDED, max_age=9.0)
+        rule = RouteRule(
+            database="d", group="g", freshness=Freshness.BOUNDED, max_age=9.0, timeout=2.5
+        )
         context = StatementContext(rule=rule, team="t")
         read = BoundStatement(request_id="r", statement=Statement(verb=Verb.READ, text="READ x"))
         host.directory.samples("g").add(now(), Position(term=1, index=1))
-        results = [dispatcher.run_single(context, read) for _ in range(15)]
+        results = [dispatcher.run_single(context, read) for _ in range(40)]
         results = await asyncio.gather(*results)
         return results, asked
 
     results, asked = run_virtual(play(n=60.0))
     assert all(r.ok for r in results) and set(asked) >= {"n", "o"}, (results, asked)
     results, asked = run_virtual(play(m=60.0, n=60.0, o=60.0))
-    assert all(r.ok for r in results) and len(asked) < 100, (results, len(asked))
+    assert all(r.ok for r in results) and set(asked) == {"m", "n", "o"}, (results, asked)
 
 
 @then("it replaces it as planned unless all others are leaving or evacuated too")
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -188,6 +188,7 @@
             elif not choice.is_primary and not outcome.sent:
                 paced = (*paced, choice.target)
             if choice.is_primary or safe_to_repeat:
+                paced = ()
                 await asyncio.sleep(
                     min(retry_delay(attempt, self._rng), max(0.0, deadline - now()))
                 )
