--- a/standins/site.py
+++ b/standins/site.py
@@ -123,7 +123,8 @@
 class Site:
     """Run a store, groups and host processes until the context ends.
 
-    `rate` (statements per second) and `burst` are the limits of each team.
+    `rate` (statements per second) and `burst` are the limits of each team. `limits` are further
+    settings of each host's section of that name.
     """
 
     def __init__(
@@ -135,8 +136,10 @@
         burst: float = 1000,
         sync_replicas: int = 0,
         max_fds: int = 4000,
+        limits: Mapping[str, int] | None = None,
     ) -> None:
         self.max_fds = max_fds
+        self.limits = dict(limits or {})
         self.store = FakeObjectStore()
         self.groups = {
             name: FakeGroup(name=name, sync_replicas=sync_replicas)
@@ -149,6 +152,7 @@
         self.keys = {"one": [KEY], "two": [SECOND_KEY]}
         self.hosts: dict[str, Process] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
+        self.peer_addresses: dict[str, tuple[str, int]] = {}
         self.ready_urls: dict[str, str] = {}
         self._host_count = hosts
         self._is_running = False
@@ -210,6 +214,7 @@
         process.start()
         self.hosts[name] = process
         self.addresses[name] = (ip, self._ports["frontend"])
+        self.peer_addresses[name] = (ip, self._ports["peers"])
         self.ready_urls[name] = f"http://{ip}:{self._ports['ready']}/ready"
 
     def is_ready(self, name: str) -> bool:
@@ -296,6 +301,7 @@
     def _settings(self, name: str, ip: str, zone: str) -> str:
         peers = self._ports["peers"]
         bound_lines = "\n".join(f"{k} = {v}" for k, v in BOUNDS.items())
+        limit_lines = "\n".join(f"{k} = {v}" for k, v in self.limits.items())
         return f"""
 node_name = "{name}"
 ip = "{ip}"
@@ -310,6 +316,7 @@
 control = "{ip}:1"
 [limits]
 max_fds = {self.max_fds}
+{limit_lines}
 [bounds]
 {bound_lines}
 [platform]
