Bound what clients hold at a host, and close those that stop half-way

Answers were written without looking at how much the caller had taken, half messages and connections without STARTUP waited for ever, the threads of the HTTP servers waited for clients that do not read, and connections to the probes' and hosts' ports had no limit.

- HTTP: responses are sent without waiting in the pool's threads; 16 connections, bodies of 64 KiB
- hosts: frames received and responses not taken count against a budget of their own

The fake caller server of features/steps/supervision.py takes the new argument.

--- a/features/steps/supervision.py
+++ b/features/steps/supervision.py
@@ -126,7 +126,7 @@
         store=FakeStore(own),
         promotion_api=None,
         link_factory=None,
-        caller_server_factory=lambda open_session, max_callers: FakeCallerServer(),
+        caller_server_factory=lambda open_session, max_callers, closed_clients: FakeCallerServer(),
         reload=lambda: None,
         metrics_port=0,
     )
--- a/src/wagtailloft/adapters/server.py
+++ b/src/wagtailloft/adapters/server.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import sys
 import threading
 import time
 from collections import deque
@@ -14,18 +15,20 @@
 from absl import logging
 
 from wagtailloft.adapters.sockets import set_tcp_options
+from wagtailloft.closed_clients import ClosedClients
 from wagtailloft.errors import Kind
 from wagtailloft.supervision import Supervisor
 
 MAX_HEAD_BYTES = 32 * 1024  # the URL and all headers together
 MAX_BODY_BYTES = 16 * 1024 * 1024
-RECV_BYTES = 65_536
+RECV_BYTES = 16_384  # holds up to 500 pipelined requests
 LISTEN_BACKLOG = 512
 REQUEST_TIMEOUT_S = 10.0  # from the first byte of a request to its last
-SEND_TIMEOUT_S = 10.0
+SEND_TIMEOUT_S = 10.0  # that a client may take nothing of a response
 SWEEP_INTERVAL_S = 1.0  # between checks for requests over REQUEST_TIMEOUT_S
 # One-shot, so that a connection is not polled while its requests are handled.
 READABLE_ONESHOT = select.EPOLLIN | select.EPOLLONESHOT
+WRITABLE_ONESHOT = select.EPOLLOUT | select.EPOLLONESHOT
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -57,8 +60,12 @@
 class _Connection:
     """State and parser of one connection; ready holds the parsed requests not yet handled."""
 
-    def __init__(self, *, sock: socket.socket) -> None:
+    def __init__(self, *, sock: socket.socket, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self.sock = sock
+        self.unsent = memoryview(b"")  # of the present response
+        self.waits_to_send = False  # the reading thread sends the rest of the response
+        self.used_at = time.monotonic()  # when a request or a part of a response was last passed
+        self._max_body_bytes = max_body_bytes
         self.ready: deque[HttpRequest] = deque()
         self.busy = False
         self.running: HttpRequest | None = None
@@ -72,8 +79,12 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes and append each complete request to ready."""
         self.request_started_at = self.request_started_at or time.monotonic()
+        self._head_received += len(data)
         try:
             self._parser.feed_data(data)
+            # The parser keeps an incomplete header, of any length, to itself.
+            if self._head_received > MAX_HEAD_BYTES + 2 * RECV_BYTES and not self._head_complete:
+                self._reject(Kind.TOO_LARGE)
         except httptools.HttpParserUpgrade:
             self._reject(Kind.BAD_REQUEST)
         except httptools.HttpParserError:
@@ -91,6 +102,7 @@
 
     def on_headers_complete(self) -> None:
         """Send 100 Continue if the client waits for it before sending the body."""
+        self._head_complete = True
         if self._headers.get("expect", "").lower() == "100-continue":
             with suppress(OSError):
                 self.sock.send(CONTINUE_RESPONSE)
@@ -98,7 +110,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; raise ValueError over the limit."""
         self._body += body
-        if len(self._body) > MAX_BODY_BYTES:
+        if len(self._body) > self._max_body_bytes:
             self._parse_error = Kind.TOO_LARGE
             raise ValueError("the body exceeds the size limit")
 
@@ -116,8 +128,20 @@
                 body=bytes(self._body),
             )
         )
+        self.used_at = time.monotonic()
         self._reset()
 
+    def send_unsent(self) -> bool:
+        """Send what the socket takes of the response at once; return whether that was all."""
+        while self.unsent:
+            try:
+                sent = self.sock.send(self.unsent)
+            except BlockingIOError:
+                return False
+            self.unsent = self.unsent[sent:]
+            self.used_at = time.monotonic()
+        return True
+
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES:
@@ -132,13 +156,18 @@
         self._url = b""
         self._headers: dict[str, str] = {}
         self._body = bytearray()
-        self._head_bytes = 0
+        self._head_bytes = self._head_received = 0
+        self._head_complete = False
         self._parse_error: Kind | None = None
         self.request_started_at = 0.0
 
 
 class HttpServer:
-    """Serve a handler on a port; while closing is set, a connection closes after its response."""
+    """Serve a handler on a port; while closing is set, a connection closes after its response.
+
+    The handler's threads never wait for a client. With max_connections, the connection that was not
+    used for longest is closed for a new one above it.
+    """
 
     def __init__(
         self,
@@ -149,7 +178,13 @@
         threads: int,
         name: str,
         supervisor: Supervisor,
+        max_connections: int = sys.maxsize,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        closed_clients: ClosedClients | None = None,
     ) -> None:
+        self._max_connections = max_connections
+        self._max_body_bytes = max_body_bytes
+        self._closed_clients = closed_clients or ClosedClients()
         self._handler = handler
         self._name = name
         self._supervisor = supervisor
@@ -212,7 +247,10 @@
         if connection is None:
             return
         try:
-            self._receive(connection)
+            if connection.waits_to_send:
+                self._continue_response(connection)
+            else:
+                self._receive(connection)
         except OSError:
             self._close(connection)
         except Exception as exc:  # one connection must not end the service of the others
@@ -223,7 +261,11 @@
         sock, _ = self._listener.accept()
         set_tcp_options(sock)
         sock.setblocking(False)
-        self._connections[sock.fileno()] = _Connection(sock=sock)
+        if len(self._connections) >= self._max_connections:
+            self._close_surplus()
+        self._connections[sock.fileno()] = _Connection(
+            sock=sock, max_body_bytes=self._max_body_bytes
+        )
         self._epoll.register(sock, READABLE_ONESHOT)
 
     def _receive(self, connection: _Connection) -> None:
@@ -244,7 +286,6 @@
 
     def _respond(self, connection: _Connection) -> None:
         try:
-            connection.sock.settimeout(SEND_TIMEOUT_S)
             while connection.ready:
                 connection.running = connection.ready.popleft()
                 response = self._handler(connection.running)
@@ -254,11 +295,11 @@
                     if connection.given_up:
                         break
                     connection.running = None
-                    connection.sock.sendall(_encode_response(response, close_connection))
-            if not connection.close_after_response and not connection.given_up:
-                connection.sock.setblocking(False)
-                connection.busy = False
-                self._epoll.modify(connection.sock, READABLE_ONESHOT)
+                    connection.unsent = memoryview(_encode_response(response, close_connection))
+                    if not connection.send_unsent():
+                        self._await_writable(connection)
+                        return
+            if self._await_request(connection):
                 return
         except OSError:
             pass
@@ -266,6 +307,37 @@
             logging.exception("event=request_failed")
         self._close(connection)
 
+    def _continue_response(self, connection: _Connection) -> None:
+        """Send more of a response, and go on with the next request after its end."""
+        connection.waits_to_send = False
+        if not connection.send_unsent():
+            self._await_writable(connection)
+        elif connection.ready and not connection.given_up:
+            self._executor.submit(self._respond, connection)
+        elif not self._await_request(connection):
+            self._close(connection)
+
+    def _await_writable(self, connection: _Connection) -> None:
+        connection.waits_to_send = True
+        with suppress(ValueError):  # closed by the reading thread since the line above
+            self._epoll.modify(connection.sock, WRITABLE_ONESHOT)
+
+    def _await_request(self, connection: _Connection) -> bool:
+        """Wait for the next request, unless the connection is to be closed."""
+        if connection.close_after_response or connection.given_up:
+            return False
+        connection.busy = False
+        self._epoll.modify(connection.sock, READABLE_ONESHOT)
+        return True
+
+    def _close_surplus(self) -> None:
+        """Close the connection that was not used for longest, except those with a running one."""
+        waiting = [c for c in self._connections.values() if not c.busy or c.waits_to_send]
+        surplus = min(waiting, key=lambda c: c.used_at, default=None)
+        if surplus is not None:
+            self._closed_clients.record(self._name, "replaced")
+            self._close(surplus)
+
     def _close_overdue(self, now: float) -> None:
         for connection in list(self._connections.values()):
             overdue = (
@@ -273,6 +345,10 @@
                 and now - connection.request_started_at > REQUEST_TIMEOUT_S
             )
             if overdue and not connection.busy:
+                self._closed_clients.record(self._name, "message")
+                self._close(connection)
+            elif connection.waits_to_send and now - connection.used_at > SEND_TIMEOUT_S:
+                self._closed_clients.record(self._name, "unread")
                 self._close(connection)
 
     def _close(self, connection: _Connection) -> None:
--- a/src/wagtailloft/adapters/sockets.py
+++ b/src/wagtailloft/adapters/sockets.py
@@ -1,16 +1,20 @@
-"""TCP options that detect dead connections.
+"""TCP options that detect dead connections, and listening sockets.
 
 Keepalive probes cover idle connections; TCP_USER_TIMEOUT limits how long sent data may stay
 unacknowledged.
 """
 
+import asyncio
 import socket
 import struct
+from collections.abc import Callable
 
 USER_TIMEOUT_MS = 5_000
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_COUNT = 3
+LISTEN_BACKLOG = 512
+ACCEPT_BATCH = 16  # connections that may be over a limit on descriptors for a moment
 
 TCP_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -30,3 +34,20 @@
     """Apply TCP_OPTIONS to a connected socket."""
     for option in TCP_OPTIONS:
         sock.setsockopt(*option)
+
+
+async def start_listening(
+    factory: Callable[[], asyncio.Protocol], ip: str, port: int
+) -> asyncio.Server:
+    """Listen for connections that use protocols of a factory.
+
+    asyncio accepts as many connections at once as the backlog that it is given, before any of them
+    can be refused, so it gets a small one; the socket then gets the full one.
+    """
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    sock = socket.create_server((ip, port), family=family)
+    server = await asyncio.get_running_loop().create_server(
+        factory, sock=sock, backlog=ACCEPT_BATCH
+    )
+    sock.listen(LISTEN_BACKLOG)
+    return server
--- a/src/wagtailloft/fleet/mesh.py
+++ b/src/wagtailloft/fleet/mesh.py
@@ -3,13 +3,18 @@
 import asyncio
 import itertools
 import socket
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 import msgspec
 
 from wagtailloft import logs
-from wagtailloft.adapters.sockets import set_tcp_options
+from wagtailloft.adapters.client_guard import ClientGuard
+from wagtailloft.adapters.sockets import set_tcp_options, start_listening
+from wagtailloft.clock import now
+from wagtailloft.closed_clients import ClosedClients
+from wagtailloft.controllers.client_budget import ClientLimits, ClientUse
 from wagtailloft.errors import NoResponse, NotSent, Unsendable
 from wagtailloft.fleet.messages import DECODER, ENCODER, CallFailed, Frame, Message
 
@@ -18,6 +23,12 @@
 CONNECT_TIMEOUT_S = 0.4  # covers four round trips across zones, with one retransmission
 PING_AFTER_S = 0.25  # above the slowest usual response; a frozen host is silent for seconds
 PONG_TIMEOUT_S = 0.25  # covers a round trip across zones with one retransmission
+SWEEP_INTERVAL_S = 0.25  # between checks for hosts that do not finish a frame, or do not read
+# Above this amount not taken by the other host, reading from it pauses: an answer's largest size.
+MAX_UNSENT_BYTES = 4 << 20
+RESUME_UNSENT_BYTES = 1 << 20
+LARGE_RESPONSE_BYTES = 64 << 10  # is refused while memory is scarce and the host does not read
+DEFAULT_MAX_ACCEPTED = 1000
 
 Handler = Callable[["PeerConnection", Message], Awaitable[Message]]
 
@@ -45,8 +56,21 @@
 class PeerConnection(asyncio.Protocol):
     """A connection between two hosts that carries calls in both directions."""
 
-    def __init__(self, *, handler: Handler, on_lost: Callable[["PeerConnection"], None]) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        on_lost: Callable[["PeerConnection"], None],
+        guard: ClientGuard | None = None,
+    ) -> None:
         self.closed = False
+        self.name = ""
+        self.ip = ""
+        self.use = ClientUse(owner=self)
+        self.opened_at = now()
+        self.frame_began_at = 0.0  # of a frame that has not arrived completely
+        self.carried_frame = False
+        self._guard = guard  # of a connection that the other host opened
         self.on_close: list[Callable[[], None]] = []
         self._handler = handler
         self._on_lost = on_lost
@@ -60,6 +84,11 @@
         self._liveness_timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task] = set()
 
+    @property
+    def last_received(self) -> float:
+        """Return when the last bytes arrived, by the clock of the event loop; 0 before any."""
+        return self._last_received
+
     async def call(self, message: Message, timeout: float) -> Message:
         """Send a message and return its response; raise NotSent or NoResponse."""
         if self.closed or self._transport is None:
@@ -94,11 +123,51 @@
         """Start using an established transport."""
         self._transport = transport
         set_tcp_options(transport.get_extra_info("socket"))
+        if self._guard:
+            self.ip, port = transport.get_extra_info("peername")[:2]
+            self.name = f"{self.ip}:{port}"
+            transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES, low=RESUME_UNSENT_BYTES)
+            self._guard.opened(self)
+        if self.closed:  # given up for another one before it was established
+            transport.abort()
+
+    def pause_writing(self) -> None:
+        """Handle nothing more from a host that does not take the responses."""
+        if self._guard:
+            self._transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Handle requests again."""
+        if self._guard:
+            self.frame_began_at = now() if self._buffer else 0.0
+            self._transport.resume_reading()
+
+    def unsent_bytes(self) -> int:
+        """Return how much of what was written the other host has not taken."""
+        return self._transport.get_write_buffer_size()
+
+    def drop(self) -> None:
+        """Abort the connection, and forget what has arrived."""
+        self.closed = True
+        self._buffer.clear()
+        self.close()
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes and handle complete frames."""
+        if self.closed:
+            return
         self._last_received = self._loop.time()
+        buffered = len(self._buffer)
         self._buffer += data
+        self._handle_frames()
+        if self._guard and not self.closed:
+            if not self._buffer:
+                self.frame_began_at = 0.0
+            elif len(self._buffer) < buffered + len(data) or not buffered:
+                self.frame_began_at = now()
+            self._guard.charge(self, received=len(self._buffer))
+
+    def _handle_frames(self) -> None:
         while len(self._buffer) >= HEADER_BYTES:
             size = int.from_bytes(self._buffer[:HEADER_BYTES])
             if size > MAX_FRAME_BYTES:
@@ -112,10 +181,13 @@
             if not self._handle_frame(body):
                 self.close()
                 return
+            self.carried_frame = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail pending calls, and run the hooks that end work received over the connection."""
         self.closed = True
+        if self._guard:
+            self._guard.lost(self)
         if self._liveness_timer:
             self._liveness_timer.cancel()
         for future in self._calls.values():
@@ -159,11 +231,20 @@
             logs.warn("response_unsendable", message=name, why=str(exc))
             response = CallFailed(why=f"the response to {name} can't be sent")
             data = encode_frame(Frame(call_id=frame.call_id, is_response=True, body=response))
+        if self._guard and self._guard.scarce and self.use.unsent:
+            if len(data) > LARGE_RESPONSE_BYTES:
+                response = CallFailed(why=f"the response to {name} is too large at the moment")
+                data = encode_frame(Frame(call_id=frame.call_id, is_response=True, body=response))
         self._write(data)
 
     def _write(self, data: bytes) -> None:
-        if not self.closed and self._transport is not None:
-            self._transport.write(data)
+        if self.closed or self._transport is None:
+            return
+        self._transport.write(data)
+        if self._guard:
+            unsent = self.unsent_bytes()
+            if unsent or self.use.unsent:
+                self._guard.charge(self, unsent=unsent, added=len(data))
 
     def _start_liveness_check(self) -> None:
         """Check that the peer still sends while calls are pending; ping it if it is silent."""
@@ -190,9 +271,24 @@
 class Mesh:
     """Call other hosts by address over one connection each, and accept their calls."""
 
-    def __init__(self, *, ip: str, port: int) -> None:
+    def __init__(
+        self,
+        *,
+        ip: str,
+        port: int,
+        limits: ClientLimits | None = None,
+        max_accepted: int = DEFAULT_MAX_ACCEPTED,
+        closed_clients: ClosedClients | None = None,
+    ) -> None:
         self._ip = ip
         self._port = port
+        self._limits = limits or ClientLimits()
+        self._max_accepted = max_accepted
+        self._guard = ClientGuard(
+            port="hosts",
+            budget_bytes=self._limits.peers_bytes,
+            closed=closed_clients or ClosedClients(),
+        )
         self._conns: dict[tuple[str, int], PeerConnection] = {}
         self._connecting: dict[tuple[str, int], asyncio.Task] = {}
         self._handlers: dict[type, Handler] = {}
@@ -205,8 +301,19 @@
 
     async def start(self) -> None:
         """Listen for connections from other hosts."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._accept, self._ip, self._port)
+        self._server = await start_listening(self._accept, self._ip, self._port)
+
+    async def close_overdue(self) -> None:
+        """Close connections of hosts that owe a frame or do not read for long, until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            at = now()
+            for conn in list(self._accepted):
+                if not conn.carried_frame and at - conn.opened_at > self._limits.startup:
+                    self._guard.close(conn, "startup")
+                elif conn.frame_began_at and at - conn.frame_began_at > self._limits.message:
+                    self._guard.close(conn, "message")
+            self._guard.close_unread(self._limits.unread)
 
     def stop(self) -> None:
         """Stop listening and close every connection."""
@@ -264,10 +371,24 @@
         return conn
 
     def _accept(self) -> PeerConnection:
-        conn = PeerConnection(handler=self._dispatch, on_lost=self._accepted.discard)
+        if len(self._accepted) >= self._max_accepted:
+            self._close_surplus()
+        conn = PeerConnection(
+            handler=self._dispatch, on_lost=self._accepted.discard, guard=self._guard
+        )
         self._accepted.add(conn)
         return conn
 
+    def _close_surplus(self) -> None:
+        """Close the connection that was silent for longest, of the address with the most.
+
+        A host opens one connection, so an address with many is none or goes wrong.
+        """
+        counts = Counter(conn.ip for conn in self._accepted)
+        surplus = max(self._accepted, key=lambda c: (counts[c.ip], -c.last_received))
+        self._accepted.discard(surplus)
+        self._guard.close(surplus, "replaced")
+
     async def _dispatch(self, conn: PeerConnection, message: Message) -> Message:
         return await self._handlers[type(message)](conn, message)
 
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -13,6 +13,8 @@
 from wagtailloft import logs
 from wagtailloft.adapters.server import HttpRequest, HttpResponse, HttpServer
 from wagtailloft.clock import now
+from wagtailloft.closed_clients import ClosedClients
+from wagtailloft.controllers.client_budget import ClientLimits
 from wagtailloft.errors import FixSettings
 from wagtailloft.fleet.host_watch import HostWatch
 from wagtailloft.fleet.hosts import Hosts
@@ -60,6 +62,10 @@
 INCARNATION_RANDOM_RANGE = 1000
 RESERVED_FDS = 200  # file descriptors for uses other than sockets
 CALLER_FD_SHARE = 0.7  # share of the sockets; the rest is for hosts, targets and the store
+PEER_FD_SHARE = 0.1  # share of the sockets for connections that other hosts opened
+MIN_PEER_FDS = 32  # of the reserved ones
+MAX_PROBE_CONNECTIONS = 16  # to each HTTP port, of the reserved descriptors
+MAX_PROBE_BODY_BYTES = 64 << 10  # no probe has a body
 
 
 class Bounds(Record):
@@ -89,6 +95,7 @@
     bounds: Bounds
     seeds: tuple[str, ...] = ()
     max_fds: int = 1024
+    clients: ClientLimits = ClientLimits()
     starts_fleet: bool = False
 
 
@@ -125,7 +132,9 @@
         store: Store,
         promotion_api: PromotionApi,
         link_factory: LinkFactory,
-        caller_server_factory: Callable[[Callable[[str, str, str], Session], int], CallerServer],
+        caller_server_factory: Callable[
+            [Callable[[str, str, str], Session], int, ClosedClients], CallerServer
+        ],
         reload: Callable[[], HostSettings],
         metrics_port: int,
     ) -> None:
@@ -141,7 +150,17 @@
             end_process=self._end_after_failure,
         )
         logs.on_write_failure(partial(self._supervisor.report, "logs"))
-        self.mesh = Mesh(ip=own.ip, port=own.peer_port)
+        closed_clients = ClosedClients(
+            count=lambda port, reason: self.metrics.clients_closed.labels(port, reason).inc()
+        )
+        socket_fds = max(1, cfg.max_fds - RESERVED_FDS)
+        self.mesh = Mesh(
+            ip=own.ip,
+            port=own.peer_port,
+            limits=cfg.clients,
+            max_accepted=MIN_PEER_FDS + int(socket_fds * PEER_FD_SHARE),
+            closed_clients=closed_clients,
+        )
         self.hosts = Hosts(own=own, mesh=self.mesh)
         self.host_watch = HostWatch(hosts=self.hosts, key=COORDINATOR_KEY)
         max_age = cfg.bounds.key_withdrawal * MAX_AGE_SHARE
@@ -190,8 +209,8 @@
             ),
             count_failover=lambda group, why: self.metrics.failovers.labels(group, why).inc(),
         )
-        max_callers = max(1, int((cfg.max_fds - RESERVED_FDS) * CALLER_FD_SHARE))
-        self.caller_server = caller_server_factory(self._open_session, max_callers)
+        max_callers = max(1, int(socket_fds * CALLER_FD_SHARE))
+        self.caller_server = caller_server_factory(self._open_session, max_callers, closed_clients)
         self._ready_server = HttpServer(
             ip=own.ip,
             port=own.operator_port,
@@ -199,6 +218,9 @@
             threads=HTTP_THREADS,
             name="ready",
             supervisor=self._supervisor,
+            max_connections=MAX_PROBE_CONNECTIONS,
+            max_body_bytes=MAX_PROBE_BODY_BYTES,
+            closed_clients=closed_clients,
         )
         self._metrics_server = HttpServer(
             ip=own.ip,
@@ -207,6 +229,9 @@
             threads=HTTP_THREADS,
             name="metrics",
             supervisor=self._supervisor,
+            max_connections=MAX_PROBE_CONNECTIONS,
+            max_body_bytes=MAX_PROBE_BODY_BYTES,
+            closed_clients=closed_clients,
         )
 
     async def run(self) -> int:
@@ -241,6 +266,7 @@
         start("request_tokens", self.tokens.run)
         start("watch_groups", self.coordinator.watch)
         start("expire_transactions", self.caller_server.expire_transactions)
+        start("close_overdue_hosts", self.mesh.close_overdue)
         start("keep_registered", self._keep_registered)
         start("maintenance", self._run_maintenance)
         join = partial(self.cache.join_through_seeds, self._cfg.seeds)
--- a/src/wagtailloft/metrics.py
+++ b/src/wagtailloft/metrics.py
@@ -30,6 +30,9 @@
         self.reads = self._counter("reads", "Reads by the role that served them", "role")
         self.failovers = self._counter("elections", "Promotions started", "group", "reason")
         self.store_eras = self._counter("store_eras", "New eras of the store that were met")
+        self.clients_closed = self._counter(
+            "clients_closed", "Clients' connections closed or rejected", "port", "reason"
+        )
         self.task_failures = self._counter("task_failures", "Failures of background work", "task")
         self.latency = Histogram(
             "wagtailloft_latency_seconds",
--- a/src/wagtailloft/sessions/session.py
+++ b/src/wagtailloft/sessions/session.py
@@ -73,6 +73,11 @@
             return TransactionState.FAILED
         return TransactionState.OPEN if self._transaction else TransactionState.IDLE
 
+    @property
+    def kept_chars(self) -> int:
+        """Return the size of the session's variables and prepared statements."""
+        return self._kept_chars
+
     async def handle(self, request_id: str, statement: Statement) -> StatementResult:
         """Run one statement and return the result for the caller."""
         self.busy = True
