--- a/features/steps/untrusted.py
+++ b/features/steps/untrusted.py
@@ -65,6 +65,17 @@
     return url.host, url.port
 
 
+def stop_members(context, seconds):
+    """Let the members not respond for some seconds."""
+
+    def set_unresponsive(value):
+        for member in context.site.group.members.values():
+            member.unresponsive = value
+
+    set_unresponsive(True)
+    threading.Timer(seconds, set_unresponsive, (False,)).start()
+
+
 def usage(process):
     """Return a process's resident megabytes, and how many descriptors it has open."""
     status = Path(f"/proc/{process.handle.pid}/status").read_text()
@@ -106,17 +117,26 @@
     "{count:d} callers send {writes:d} writes of {size:d} bytes each while members do not respond"
 )
 def step_large_writes(context, count, writes, size):
-    for member in context.site.group.members.values():
-        member.unresponsive = True
+    stop_members(context, 1.0)
     text = b"x" * size + b"\r\n"
     data = startup() + b"".join(b"QUERY w%d WRITE a " % n + text for n in range(writes))
     open_crowd(context, [context.site.addresses["edge-0"]] * count, data)
 
-    def respond():
-        for member in context.site.group.members.values():
-            member.unresponsive = False
 
-    threading.Timer(1.0, respond).start()
+@when("{count:d} callers send {messages:d} empty messages each and read no answer")
+def step_empty_messages(context, count, messages):
+    data = startup() + b"\r\n" * messages
+    addresses = [context.site.addresses["edge-0"]] * count
+    open_crowd(context, addresses, data, receive_buffer=SMALL_BUFFER_BYTES)
+
+
+@when("{count:d} callers in turn prepare and run a statement of {size:d} bytes")
+def step_large_prepared(context, count, size):
+    for number in range(count):
+        caller = context.site.open_session("edge-0", "orders")
+        caller.query_ok(f"PREPARE p READ {number} {'x' * size}")
+        caller.query_ok("EXEC p item")
+        caller.close()
 
 
 @when("{count:d} connections to the {port} port are opened and not used")
--- a/features/untrusted.feature
+++ b/features/untrusted.feature
@@ -68,6 +68,16 @@
     When 4 connections to the hosts' port send 20000 pulls each and read no response
     Then each host lives within its limits for 6 s and serves an ordinary caller
 
+  Scenario: Callers pipeline empty messages
+    Given a site with 1 hosts of 100 MB and 600 file descriptors
+    When 60 callers send 500000 empty messages each and read no answer
+    Then each host lives within its limits for 6 s and serves an ordinary caller
+
+  Scenario: Callers prepare large statements, one after the other
+    Given a site with 1 hosts of 100 MB and 600 file descriptors
+    When 120 callers in turn prepare and run a statement of 900000 bytes
+    Then each host lives within its limits for 3 s and serves an ordinary caller
+
   Scenario: A caller that stays inside the limits is not closed
     Given a site with 1 hosts of 100 MB and 600 file descriptors
     When a caller keeps 1800000 bytes of variables, pipelines 64 reads and rests for 4 s
