--- a/features/untrusted_mix.py
+++ b/features/untrusted_mix.py
@@ -53,7 +53,7 @@
 )
 clients = st.tuples(
     crowds,
-    st.integers(1, 40),  # of them
+    st.integers(1, 120),  # of them
     st.sampled_from((0, SMALL_BUFFER_BYTES)),  # receive buffer
     st.sampled_from((0, 1, 1000, 100_000)),  # bytes at a time, 0 for all
 )
