--- a/features/steps/untrusted.py
+++ b/features/steps/untrusted.py
@@ -48,6 +48,16 @@
     open_crowd(context.stack, addresses, startup() + reads, receive_buffer=SMALL_BUFFER_BYTES)
 
 
+@when(
+    "{count:d} callers at each host request {answers:d} answers of {rows:d} rows of {size:d} bytes "
+    "and read none"
+)
+def step_largest_answers_unread(context, count, answers, rows, size):
+    for member in context.site.group.members.values():
+        member.rows_per_read = rows
+    step_answers_unread(context, count, answers, size)
+
+
 @when("{count:d} callers send {size:d} bytes of a message each and stop")
 def step_message_unfinished(context, count, size):
     data = startup() + b"QUERY q1 WRITE a " + b"x" * size
--- a/src/wagtailloft/adapters/server.py
+++ b/src/wagtailloft/adapters/server.py
@@ -273,14 +273,14 @@
         try:
             data = connection.sock.recv(RECV_BYTES)
         except BlockingIOError:
-            self._epoll.modify(connection.sock, READABLE_ONESHOT)
+            self._watch(connection, READABLE_ONESHOT)
             return
         if not data:
             self._close(connection)
             return
         connection.feed(data)
         if not connection.ready:
-            self._epoll.modify(connection.sock, READABLE_ONESHOT)
+            self._watch(connection, READABLE_ONESHOT)
             return
         connection.busy = True
         self._executor.submit(self._respond, connection)
@@ -320,17 +320,20 @@
 
     def _await_writable(self, connection: _Connection) -> None:
         connection.waits_to_send = True
-        with suppress(ValueError):  # closed by the reading thread since the line above
-            self._epoll.modify(connection.sock, WRITABLE_ONESHOT)
+        self._watch(connection, WRITABLE_ONESHOT)
 
     def _await_request(self, connection: _Connection) -> bool:
         """Wait for the next request, unless the connection is to be closed."""
         if connection.close_after_response or connection.given_up:
             return False
         connection.busy = False
-        self._epoll.modify(connection.sock, READABLE_ONESHOT)
+        self._watch(connection, READABLE_ONESHOT)
         return True
 
+    def _watch(self, connection: _Connection, events: int) -> None:
+        with suppress(ValueError):  # the reading thread may have closed it just now
+            self._epoll.modify(connection.sock, events)
+
     def _close_surplus(self) -> None:
         """Close the connection that was not used for longest, except those with a running one."""
         waiting = [c for c in self._connections.values() if not c.busy or c.waits_to_send]
--- a/src/wagtailloft/errors.py
+++ b/src/wagtailloft/errors.py
@@ -169,6 +169,10 @@
     """Raised for a message that can't be encoded, or that no receiver would accept."""
 
 
+class Unreadable(WagtailError):
+    """Raised for received bytes that are no message."""
+
+
 class NoResponse(WagtailError):
     """Raised by a transport when the request was sent but no complete response arrived."""
 
--- a/src/wagtailloft/fleet/mesh.py
+++ b/src/wagtailloft/fleet/mesh.py
@@ -7,19 +7,23 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
-import msgspec
-
 from wagtailloft import logs
 from wagtailloft.adapters.client_guard import ClientGuard
 from wagtailloft.adapters.sockets import set_tcp_options, start_listening
 from wagtailloft.clock import now
 from wagtailloft.closed_clients import ClosedClients
 from wagtailloft.controllers.client_budget import ClientLimits, ClientUse
-from wagtailloft.errors import NoResponse, NotSent, Unsendable
-from wagtailloft.fleet.messages import DECODER, ENCODER, CallFailed, Frame, Message
+from wagtailloft.errors import NoResponse, NotSent, Unreadable, Unsendable
+from wagtailloft.fleet.frames import (
+    HEADER_BYTES,
+    MAX_FRAME_BYTES,
+    PING,
+    PONG,
+    decode_frame,
+    encode_frame,
+)
+from wagtailloft.fleet.messages import CallFailed, Frame, Message
 
-HEADER_BYTES = 4
-MAX_FRAME_BYTES = 8 << 20  # a store object has at most 1 MiB; a pull may carry several
 CONNECT_TIMEOUT_S = 0.4  # covers four round trips across zones, with one retransmission
 PING_AFTER_S = 0.25  # above the slowest usual response; a frozen host is silent for seconds
 PONG_TIMEOUT_S = 0.25  # covers a round trip across zones with one retransmission
@@ -33,26 +37,6 @@
 Handler = Callable[["PeerConnection", Message], Awaitable[Message]]
 
 
-# What encoding raises for numbers over 64 bits, text that is no Unicode and unknown types.
-ENCODE_ERRORS = (OverflowError, ValueError, TypeError, RecursionError)
-
-
-def encode_frame(frame: Frame) -> bytes:
-    """Encode a frame with its length; raise Unsendable."""
-    name = type(frame.body).__name__
-    try:
-        body = ENCODER.encode(frame)
-    except ENCODE_ERRORS as exc:
-        raise Unsendable(f"the {name} can't be encoded: {exc!r}") from exc
-    if len(body) > MAX_FRAME_BYTES:
-        raise Unsendable(f"the {name} is larger than {MAX_FRAME_BYTES} bytes")
-    return len(body).to_bytes(HEADER_BYTES) + body
-
-
-PING = encode_frame(Frame(call_id=0, is_response=False))
-PONG = encode_frame(Frame(call_id=0, is_response=True))
-
-
 class PeerConnection(asyncio.Protocol):
     """A connection between two hosts that carries calls in both directions."""
 
@@ -172,17 +156,24 @@
             size = int.from_bytes(self._buffer[:HEADER_BYTES])
             if size > MAX_FRAME_BYTES:
                 logs.warn("frame_refused", bytes=size)
-                self.close()
+                self._refuse()
                 return
             if len(self._buffer) < HEADER_BYTES + size:
                 return
             body = bytes(self._buffer[HEADER_BYTES : HEADER_BYTES + size])
             del self._buffer[: HEADER_BYTES + size]
             if not self._handle_frame(body):
-                self.close()
+                self._refuse()
                 return
             self.carried_frame = True
 
+    def _refuse(self) -> None:
+        """Close the connection, on which no frame can follow."""
+        if self._guard:
+            self._guard.close(self, "frame")
+        else:
+            self.close()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail pending calls, and run the hooks that end work received over the connection."""
         self.closed = True
@@ -200,8 +191,8 @@
     def _handle_frame(self, body: bytes) -> bool:
         """Handle a frame; return whether it could be decoded."""
         try:
-            frame = DECODER.decode(body)
-        except (msgspec.MsgspecError, RecursionError) as exc:
+            frame = decode_frame(body)
+        except Unreadable as exc:
             logs.warn("frame_unreadable", why=str(exc))
             return False
         if frame.body is None:
--- a/standins/ledger_group.py
+++ b/standins/ledger_group.py
@@ -37,7 +37,7 @@
 
     Tests inject faults by setting `lag_s` (replication delay), `unresponsive` (requests wait and
     nothing is replicated), `replies_to_drop` (that many statements run without a reply) and
-    `max_connections`.
+    `max_connections`. `rows_per_read` is how often a read returns its row.
     """
 
     name: str
@@ -50,6 +50,7 @@
     unresponsive: bool = False
     replies_to_drop: int = 0
     max_connections: int = 16
+    rows_per_read: int = 1
     connections: set[int] = field(default_factory=set)
 
     @property
@@ -284,7 +285,7 @@
         rows = (
             []
             if command in ("BEGIN", "COMMIT", "ROLLBACK") or is_write
-            else [self._read_item(item)]
+            else [self._read_item(item)] * member.rows_per_read
         )
         return [*[f"ROW {row}" for row in rows], f"DONE 7.{member.name}.{request_id}"]
 
