--- a/standins/site.py
+++ b/standins/site.py
@@ -125,6 +125,7 @@
 
     `rate` (statements per second) and `burst` are the limits of each team. `bounds` and `service`
     add to the section of that name in the settings and to each group in the configuration.
+    `limits` are further settings of each host's section of that name.
     """
 
     def __init__(
@@ -138,10 +139,12 @@
         max_fds: int = 4000,
         bounds: Mapping[str, float] | None = None,
         service: Mapping[str, float] | None = None,
+        limits: Mapping[str, int] | None = None,
     ) -> None:
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.service = dict(service or {})
         self.max_fds = max_fds
+        self.limits = dict(limits or {})
         self.store = FakeObjectStore()
         self.groups = {
             name: FakeGroup(name=name, sync_replicas=sync_replicas)
@@ -154,6 +157,7 @@
         self.keys = {"one": [KEY], "two": [SECOND_KEY]}
         self.hosts: dict[str, Process] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
+        self.peer_addresses: dict[str, tuple[str, int]] = {}
         self.ready_urls: dict[str, str] = {}
         self._host_count = hosts
         self._is_running = False
@@ -215,6 +219,7 @@
         process.start()
         self.hosts[name] = process
         self.addresses[name] = (ip, self._ports["frontend"])
+        self.peer_addresses[name] = (ip, self._ports["peers"])
         self.ready_urls[name] = f"http://{ip}:{self._ports['ready']}/ready"
 
     def is_ready(self, name: str) -> bool:
@@ -302,6 +307,7 @@
     def _settings(self, name: str, ip: str, zone: str) -> str:
         peers = self._ports["peers"]
         bound_lines = "\n".join(f"{k} = {v}" for k, v in self.bounds.items())
+        limit_lines = "\n".join(f"{k} = {v}" for k, v in self.limits.items())
         return f"""
 node_name = "{name}"
 ip = "{ip}"
@@ -316,6 +322,7 @@
 control = "{ip}:1"
 [limits]
 max_fds = {self.max_fds}
+{limit_lines}
 [bounds]
 {bound_lines}
 [platform]
