--- a/features/steps/supervision.py
+++ b/features/steps/supervision.py
@@ -27,7 +27,8 @@
     Topic,
     host_record_name,
 )
-from wagtailloft.host_process import Bounds, HostProcess, HostSettings
+from wagtailloft.host_process import HostProcess
+from wagtailloft.host_settings import Bounds, HostSettings
 from wagtailloft.models import HostState
 from wagtailloft.rates.token_pool import Tolerance
 from wagtailloft.revisions import make_revision
--- a/src/wagtailloft/groups/pace_control.py
+++ b/src/wagtailloft/groups/pace_control.py
@@ -7,6 +7,7 @@
 from wagtailloft.fleet.records import Target
 from wagtailloft.groups.directory import GroupDirectory
 from wagtailloft.groups.link_pool import TURNS_IN_TRANSIT, LinkPool
+from wagtailloft.metrics import Metrics
 
 
 class PaceControl:
@@ -44,7 +45,25 @@
         pool.scheduler.limit.is_only_choice = True
 
 
-def log_pace_change(pool: LinkPool) -> None:
+def report_pools(pools: tuple[LinkPool, ...], metrics: Metrics) -> None:
+    """Set the gauges of the targets that this host owns, and log limits that moved."""
+    gauges = (metrics.queued, metrics.busy, metrics.links, metrics.pace_limit)
+    for gauge in gauges:
+        gauge.clear()  # of targets that are gone
+    for pool in pools:
+        scheduler = pool.scheduler
+        values = (
+            scheduler.queued,
+            scheduler.in_progress,
+            pool.link_count,
+            scheduler.limit.limit,
+        )
+        for gauge, value in zip(gauges, values, strict=True):
+            gauge.labels(pool.target.group, pool.target.name).set(value)
+        _log_pace_change(pool)
+
+
+def _log_pace_change(pool: LinkPool) -> None:
     """Log the limit of a pool's target if it moved since the last call."""
     limit = pool.scheduler.limit
     change = limit.take_change(now()) if isinstance(limit, PaceLimit) else None
--- a/src/wagtailloft/host_process.py
+++ b/src/wagtailloft/host_process.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Callable
 from functools import partial
-from typing import Protocol
 
 import msgspec
 
@@ -14,7 +13,6 @@
 from wagtailloft.adapters.server import HttpRequest, HttpResponse, HttpServer
 from wagtailloft.clock import now
 from wagtailloft.closed_clients import ClosedClients
-from wagtailloft.controllers.client_budget import ClientLimits
 from wagtailloft.errors import FixSettings
 from wagtailloft.fleet.host_watch import HostWatch
 from wagtailloft.fleet.hosts import Hosts
@@ -28,16 +26,16 @@
 from wagtailloft.groups.failover import COORDINATOR_KEY, FailoverCoordinator
 from wagtailloft.groups.local_executor import LocalExecutor
 from wagtailloft.groups.member_gate import MemberGate
-from wagtailloft.groups.pace_control import log_pace_change
+from wagtailloft.groups.pace_control import report_pools
 from wagtailloft.groups.ports import LinkFactory, PromotionApi
 from wagtailloft.groups.promotion_lease import PromotionLease
 from wagtailloft.groups.relay import Relay
 from wagtailloft.groups.route_explanation import RouteExplainer, call_on_loop
 from wagtailloft.groups.sample_exchange import SampleExchange
+from wagtailloft.host_settings import CallerServer, HostSettings
 from wagtailloft.metrics import Metrics
-from wagtailloft.models import Host, HostState, Record
+from wagtailloft.models import HostState
 from wagtailloft.rates.token_client import TokenClient
-from wagtailloft.rates.token_pool import Tolerance
 from wagtailloft.sessions.admission import Admission
 from wagtailloft.sessions.session import Session
 from wagtailloft.supervision import EXIT_TASK_FAILED, Supervisor
@@ -72,67 +70,6 @@
 MAX_PROBE_BODY_BYTES = 64 << 10  # no probe has a body
 
 
-class Bounds(Record):
-    """Time bounds of the deployment, in seconds, and the tolerance of rate limits.
-
-    key_withdrawal and config_apply are the times until withdrawn keys are refused and new
-    configurations are in force; stop_grace is the time for a graceful stop, member_drain that for
-    which a member goes on after it has reported that it is leaving. evacuation is the time until
-    members in an evacuated zone get nothing more, 0 if zones are not evacuated. In any second, a
-    cold member may get its group's cold_rate times cold_excess, plus cold_slack statements.
-    """
-
-    key_withdrawal: float
-    config_apply: float
-    stop_grace: float
-    member_drain: float
-    tolerance: Tolerance
-    evacuation: float = 0.0
-    cold_excess: float = 1.5
-    cold_slack: float = 5.0
-
-
-class HostSettings(Record):
-    """Settings of one host process; both addresses are IP:PORT, seeds are IP addresses of hosts.
-
-    starts_fleet tells that no process of the fleet has run before. Without adaptive_pace, the limit
-    on the statements at a target is fixed.
-    """
-
-    own: Host
-    store_address: str
-    promotion_address: str
-    bounds: Bounds
-    seeds: tuple[str, ...] = ()
-    max_fds: int = 1024
-    clients: ClientLimits = ClientLimits()
-    starts_fleet: bool = False
-    adaptive_pace: bool = True
-
-
-class CallerServer(Protocol):
-    """A server for the connections of callers."""
-
-    @property
-    def full(self) -> bool:
-        """Whether no descriptor is left for another caller."""
-
-    async def start(self) -> None:
-        """Start to accept callers."""
-
-    async def expire_transactions(self) -> None:
-        """End idle transactions as they expire, until cancelled."""
-
-    async def drain(self, until: float) -> None:
-        """Close sessions that are between requests, until the given time."""
-
-    async def stop(self, until: float, answer_until: float) -> None:
-        """End open transactions, and close callers' connections by the first of the given times.
-
-        Statements that run get their results until the second one.
-        """
-
-
 class HostProcess:
     """Build the components of one host process, and start and stop them in order."""
 
@@ -413,20 +350,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self.local_executor.close_stale()
             self._close_unowned_links()
-            self._report_pools()
-
-    def _report_pools(self) -> None:
-        metrics = self.metrics
-        gauges = (metrics.queued, metrics.busy, metrics.links, metrics.pace_limit)
-        for gauge in gauges:
-            gauge.clear()
-        for pool in self.local_executor.pools:
-            scheduler = pool.scheduler
-            limit = scheduler.limit.limit
-            values = (scheduler.queued, scheduler.in_progress, pool.link_count, limit)
-            for gauge, value in zip(gauges, values, strict=True):
-                gauge.labels(pool.target.group, pool.target.name).set(value)
-            log_pace_change(pool)
+            report_pools(self.local_executor.pools, self.metrics)
 
     def _hosts_changed(self) -> None:
         try:
