--- a/features/steps/route_explanation.py
+++ b/features/steps/route_explanation.py
@@ -255,7 +255,7 @@
 def step_report_has_all(context):
     report = context.host.explain("bounded", "READ x")
     members = {m.name: m for m in report.members}
-    assert (members["b"].why, members["c"].wait_ms, members["a"].wait_ms) == (
+    assert (members["b"].why, members["c"].queue_ms, members["a"].queue_ms) == (
         "is ejected",
         20,
         None,
--- a/src/wagtailloft/group_route_explanation.py
+++ b/src/wagtailloft/group_route_explanation.py
@@ -166,7 +166,7 @@
         slots=endpoint.slots,
         in_flight=endpoint.gate.busy,
         limit=endpoint.slots,
-        wait_ms=round(endpoint.gate.expected_wait() * 1000, 1),
+        queue_ms=round(endpoint.gate.expected_wait() * 1000, 1),
         rank=rank,
         why=why,
     )
--- a/src/wagtailloft/groups/route_explanation.py
+++ b/src/wagtailloft/groups/route_explanation.py
@@ -115,7 +115,7 @@
             slots=target.slots,
             in_flight=member.in_flight,
             limit=self._limit(target),
-            wait_ms=_expected_wait_ms(member.load, rule.priority),
+            queue_ms=_expected_wait_ms(member.load, rule.priority),
             rank=member.rank,
             why=self._member_reason(member, rule, verdict, question, is_primary=is_primary),
         )
--- a/src/wagtailloft/route_command.py
+++ b/src/wagtailloft/route_command.py
@@ -74,7 +74,7 @@
         "slots": shown["slots"],
         "in_flight": shown["in_flight"],
         "limit": shown["limit"],
-        "wait_ms": shown["wait_ms"],
+        "queue_ms": shown["queue_ms"],
         "rank": shown["rank"] or "",
         "why": shown["why"],
     }
--- a/src/wagtailloft/route_report.py
+++ b/src/wagtailloft/route_report.py
@@ -57,7 +57,7 @@
 
     rank orders the members that the statement and its retries would go to, 0 for none. in_flight
     counts the statements that the answering host has at the member. limit is the number of
-    statements that are sent to the member at a time, and wait_ms the expected wait before; both are
+    statements that are sent to the member at a time, and queue_ms the expected wait before; both are
     empty if the answering host does not know them.
     """
 
@@ -68,7 +68,7 @@
     slots: int
     in_flight: int
     limit: int | None
-    wait_ms: float | None
+    queue_ms: float | None
     rank: int
     why: str
 
