Refuse HTTP trailers and chunk extensions without end

The HTTP parser keeps an incomplete trailer, and skips a chunk extension, of any length: only the head was limited, so 16 probes' connections could fill memory for 10 s each. What a connection sends since its last part of the body is limited as the head is. The new scenario of fuzz.feature failed before: nothing was refused after 256 KiB.

--- a/features/fuzz.feature
+++ b/features/fuzz.feature
@@ -15,5 +15,8 @@
   Scenario: Any requests over HTTP
     Then any bytes over HTTP become requests or a refusal, and any request is parsed or refused
 
+  Scenario: An HTTP client sends a trailer or a chunk extension without end
+    Then it is refused as too large within 256 KiB, and a body in chunks of one byte is not
+
   Scenario: Any settings files
     Then any settings file is read or refused with its errors
--- a/features/steps/fuzz.py
+++ b/features/steps/fuzz.py
@@ -17,7 +17,7 @@
 from wagtailloft.adapters import server as http_server
 from wagtailloft.adapters.callers import CallerHandler
 from wagtailloft.adapters.server import HttpRequest
-from wagtailloft.errors import FixSettings, NoResponse
+from wagtailloft.errors import FixSettings, Kind, NoResponse
 from wagtailloft.fleet import mesh
 from wagtailloft.fleet.hosts import Hosts
 from wagtailloft.fleet.messages import ENCODER, Frame, Hello, HelloReply
@@ -230,6 +230,24 @@
         assert parsed.is_ok() or parsed.err_value.kind is not None
 
 
+@then("it is refused as too large within 256 KiB, and a body in chunks of one byte is not")
+def step_http_trailer(context):
+    head = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    for start in (b"2\r\n{}\r\n0\r\nX: ", b"2\r\n{}\r\n0;x="):
+        connection = http_server._Connection(sock=SimpleNamespace())
+        connection.feed(head + start)
+        for _ in range(16):
+            if not connection.ready:
+                connection.feed(b"a" * http_server.RECV_BYTES)
+        assert [r.parse_error for r in connection.ready] == [Kind.TOO_LARGE], start
+    connection = http_server._Connection(sock=SimpleNamespace())
+    connection.feed(head)
+    for _ in range(100):
+        connection.feed(b"1\r\na\r\n" * 1000)
+    connection.feed(b"0\r\n\r\n")
+    assert [len(r.body) for r in connection.ready] == [100_000]
+
+
 @then("any settings file is read or refused with its errors")
 def step_settings_files(context):
     lines = st.sampled_from(
--- a/src/wagtailloft/adapters/server.py
+++ b/src/wagtailloft/adapters/server.py
@@ -79,11 +79,11 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes and append each complete request to ready."""
         self.request_started_at = self.request_started_at or time.monotonic()
-        self._head_received += len(data)
+        self._unpassed += len(data)
         try:
             self._parser.feed_data(data)
-            # The parser keeps an incomplete header, of any length, to itself.
-            if self._head_received > MAX_HEAD_BYTES + 2 * RECV_BYTES and not self._head_complete:
+            # The parser keeps an incomplete header or trailer, of any length, to itself.
+            if self._unpassed > MAX_HEAD_BYTES + 2 * RECV_BYTES:
                 self._reject(Kind.TOO_LARGE)
         except httptools.HttpParserUpgrade:
             self._reject(Kind.BAD_REQUEST)
@@ -102,13 +102,14 @@
 
     def on_headers_complete(self) -> None:
         """Send 100 Continue if the client waits for it before sending the body."""
-        self._head_complete = True
+        self._unpassed = 0
         if self._headers.get("expect", "").lower() == "100-continue":
             with suppress(OSError):
                 self.sock.send(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; raise ValueError over the limit."""
+        self._unpassed = 0
         self._body += body
         if len(self._body) > self._max_body_bytes:
             self._parse_error = Kind.TOO_LARGE
@@ -156,8 +157,8 @@
         self._url = b""
         self._headers: dict[str, str] = {}
         self._body = bytearray()
-        self._head_bytes = self._head_received = 0
-        self._head_complete = False
+        self._head_bytes = 0
+        self._unpassed = 0  # bytes of the head, or since the last part of the body
         self._parse_error: Kind | None = None
         self.request_started_at = 0.0
 
