Limit an HTTP server's connections whose requests wait for the handler

Only connections without a request gave way to a new one, so a client that sends a request over each connection got all descriptors while the handler was slow, as explanations are on a busy event loop. Above twice max_connections a new connection is refused and counted as full.

--- a/features/client_budget.feature
+++ b/features/client_budget.feature
@@ -11,3 +11,8 @@
 
   Scenario: Large statements run at the same time
     Then at most the granted bytes run at once, in order, and one over the limit runs alone
+
+  Scenario: HTTP clients send requests over many connections while the handler is slow
+    Given an HTTP server of 4 connections whose handler waits
+    When 40 connections are opened that send a request each
+    Then it holds at most 8 connections, and serves a client once the handler goes on
--- a/features/steps/client_budget.py
+++ b/features/steps/client_budget.py
@@ -1,12 +1,17 @@
 """Steps for the budget of clients, without a network and with given times."""
 
 import asyncio
+import socket
+import threading
+import time
+from contextlib import suppress
 
-from behave import then
+from behave import step, then, when
 from hypothesis import given
 from hypothesis import strategies as st
 
 from wagtailloft.adapters.client_guard import SMALL_STATEMENT_BYTES, ClientGuard
+from wagtailloft.adapters.server import HttpResponse, HttpServer
 from wagtailloft.closed_clients import ClosedClients
 from wagtailloft.controllers.client_budget import (
     RUNNING_COPIES,
@@ -15,6 +20,7 @@
     ClientUse,
     limits_for_memory,
 )
+from wagtailloft.supervision import Supervisor
 
 FIELDS = ("received", "decoded", "unsent", "kept")
 
@@ -109,3 +115,57 @@
         assert len(started) == sum(s > SMALL_STATEMENT_BYTES for s in sizes)
 
     check()
+
+
+REQUEST = b"GET / HTTP/1.1\r\n\r\n"
+
+
+def start_server(context, handler):
+    """Start an HTTP server with one thread for at most 4 connections."""
+    context.server = HttpServer(
+        ip="127.0.0.1",
+        port=0,
+        handler=handler,
+        threads=1,
+        name="http",
+        supervisor=Supervisor(),
+        max_connections=4,
+    )
+    context.add_cleanup(context.server.stop)
+    context.address = context.server._listener.getsockname()
+    context.server.start()
+
+
+def connect(context):
+    """Return a connection that has sent a request."""
+    client = socket.create_connection(context.address, timeout=5.0)
+    context.add_cleanup(client.close)
+    with suppress(OSError):  # refused
+        client.sendall(REQUEST)
+    return client
+
+
+@step("an HTTP server of {count:d} connections whose handler waits")
+def step_slow_handler(context, count):
+    context.released = threading.Event()
+
+    def handle(request):
+        context.released.wait(5.0)
+        return HttpResponse(status=200, body=b"")
+
+    start_server(context, handle)
+
+
+@when("{count:d} connections are opened that send a request each")
+def step_many_requests(context, count):
+    for _ in range(count):
+        connect(context)
+        time.sleep(0.005)  # so that each request is received before the next connection
+
+
+@then("it holds at most {count:d} connections, and serves a client once the handler goes on")
+def step_few_connections(context, count):
+    held = context.server.connections
+    context.released.set()
+    assert held <= count, held
+    assert connect(context).recv(100).startswith(b"HTTP/1.1 200")
--- a/src/wagtailloft/adapters/server.py
+++ b/src/wagtailloft/adapters/server.py
@@ -25,6 +25,9 @@
 LISTEN_BACKLOG = 512
 REQUEST_TIMEOUT_S = 10.0  # from the first byte of a request to its last
 SEND_TIMEOUT_S = 10.0  # that a client may take nothing of a response
+# Times max_connections that may be open while all of them wait for the handler: a probe is still
+# served behind a few slow requests.
+BUSY_FACTOR = 2
 SWEEP_INTERVAL_S = 1.0  # between checks for requests over REQUEST_TIMEOUT_S
 # One-shot, so that a connection is not polled while its requests are handled.
 READABLE_ONESHOT = select.EPOLLIN | select.EPOLLONESHOT
@@ -265,6 +268,10 @@
         sock.setblocking(False)
         if len(self._connections) >= self._max_connections:
             self._close_surplus()
+        if len(self._connections) >= BUSY_FACTOR * self._max_connections:
+            self._closed_clients.record(self._name, "full")
+            sock.close()
+            return
         self._connections[sock.fileno()] = _Connection(
             sock=sock, max_body_bytes=self._max_body_bytes
         )
