Pause an HTTP server that has no descriptor for a connection

The listener stays readable when accept() fails for lack of descriptors, so the reading thread tried again at once and used a core. It waits 50 ms now.

--- a/features/client_budget.feature
+++ b/features/client_budget.feature
@@ -16,3 +16,7 @@
     Given an HTTP server of 4 connections whose handler waits
     When 40 connections are opened that send a request each
     Then it holds at most 8 connections, and serves a client once the handler goes on
+
+  Scenario: An HTTP server has no descriptor for a new connection
+    Given an HTTP server that can't accept connections for lack of descriptors
+    Then it tries at most 20 times in 0.5 s
--- a/features/steps/client_budget.py
+++ b/features/steps/client_budget.py
@@ -1,10 +1,12 @@
 """Steps for the budget of clients, without a network and with given times."""
 
 import asyncio
+import errno
 import socket
 import threading
 import time
 from contextlib import suppress
+from unittest.mock import patch
 
 from behave import step, then, when
 from hypothesis import given
@@ -169,3 +171,24 @@
     context.released.set()
     assert held <= count, held
     assert connect(context).recv(100).startswith(b"HTTP/1.1 200")
+
+
+@step("an HTTP server that can't accept connections for lack of descriptors")
+def step_no_descriptors(context):
+    context.tries = []
+
+    def accept(server):
+        context.tries.append(time.monotonic())
+        raise OSError(errno.EMFILE, "too many open files")
+
+    patched = patch.object(HttpServer, "_accept", accept)
+    patched.start()
+    context.add_cleanup(patched.stop)
+    start_server(context, handler=None)
+
+
+@then("it tries at most {count:d} times in {seconds:g} s")
+def step_few_tries(context, count, seconds):
+    connect(context)
+    time.sleep(seconds)
+    assert 1 <= len(context.tries) <= count, len(context.tries)
--- a/src/wagtailloft/adapters/server.py
+++ b/src/wagtailloft/adapters/server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server: one thread reads and parses requests, a thread pool runs the handler."""
 
+import errno
 import select
 import socket
 import sys
@@ -28,6 +29,9 @@
 # Times max_connections that may be open while all of them wait for the handler: a probe is still
 # served behind a few slow requests.
 BUSY_FACTOR = 2
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+# After one of them: the listener stays readable, so the thread would try again at once.
+ACCEPT_PAUSE_S = 0.05
 SWEEP_INTERVAL_S = 1.0  # between checks for requests over REQUEST_TIMEOUT_S
 # One-shot, so that a connection is not polled while its requests are handled.
 READABLE_ONESHOT = select.EPOLLIN | select.EPOLLONESHOT
@@ -244,8 +248,11 @@
 
     def _handle_event(self, fd: int) -> None:
         if fd == self._listener.fileno():
-            with suppress(OSError):
+            try:
                 self._accept()
+            except OSError as exc:
+                if exc.errno in NO_DESCRIPTORS:
+                    time.sleep(ACCEPT_PAUSE_S)
             return
         connection = self._connections.get(fd)
         if connection is None:
