Ignore load reports of a target's earlier owner

Transactions go on at the owner that opened them. Its reports replaced those of the owner that now gets the statements, so operations that the new owner could serve were refused at once. The new scenario of placement.feature failed before: the write was refused with a retry in 8 s.

--- a/features/steps/placement.py
+++ b/features/steps/placement.py
@@ -286,3 +286,35 @@
     context.model.at += 1.0
     assert context.model.choose().target == "r"
     step_place_transactions(context, count)
+
+
+@when(
+    "the replica in this zone fails {count:d} read-only transactions, and {seconds:d} s of others follow"
+)
+def step_fail_transactions(context, count, seconds):
+    model = context.model
+    for _ in range(count):
+        model.run("r", AttemptResult.FAILED)
+    assert model.review() == {"r"}
+    for _ in range(10 * seconds):
+        model.at += 0.1
+        model.run(model.choose(opens_transaction=True).target)
+        model.review()
+
+
+@when(
+    "the primary gets another owner, and an answer of the earlier one reports a wait of {seconds:d} s"
+)
+def step_late_report(context, seconds):
+    model = context.model
+    model.run("p", wait_ms=0)
+    model.owners["p"] = "h2"
+    model.run("p", wait_ms=0)
+    load = TargetLoad(waits_ms=(seconds * 1000,) * 3, service_ms=15)
+    model.loads.observe("p", result=AttemptResult.OK, load=load, at=model.at, owner="h1")
+
+
+@then("a write is placed at the primary")
+def step_write_placed(context):
+    choice = context.model.choose(writes=True, time_left=1.0)
+    assert getattr(choice, "target", "") == "p", choice
--- a/features/steps/placement_dispatch.py
+++ b/features/steps/placement_dispatch.py
@@ -372,3 +372,32 @@
 @then("at most {count:d} were sent to the replica in this zone")
 def step_few_at_replica(context, count):
     assert context.group.counts()["r"] <= count, context.group.counts()
+
+
+@given("there is no primary, and all members answer no_owner for {seconds:g} s")
+def step_no_primary_no_owner(context, seconds):
+    group = context.group
+    group.has_primary = False
+    group.kinds.update(dict.fromkeys("prs", Kind.NO_OWNER))
+    run = group.run
+
+    async def run_later(owner, request):
+        group.began = group.began or now()
+        if now() > group.began + seconds:
+            group.kinds.clear()
+        return await run(owner, request)
+
+    group.run = run_later
+
+
+@given("both replicas lag, and only s catches up after {seconds:g} s")
+def step_one_catches_up(context, seconds):
+    group = context.group
+    group.members["s"] = msgspec.structs.replace(group.members["s"], zone=OTHER_ZONE)
+    group.behind, lags = {"r", "s"}, group.lags
+    group.lags = lambda name: lags(name) and (name == "r" or now() < group.began + seconds)
+
+
+@then("s was sent at least {count:d} reads")
+def step_sent_to_s(context, count):
+    assert context.group.counts()["s"] >= count, context.group.counts()
--- a/src/wagtailloft/controllers/target_loads.py
+++ b/src/wagtailloft/controllers/target_loads.py
@@ -154,10 +154,22 @@
         self._targets[target].in_flight -= 1
 
     def observe(
-        self, target: str, *, result: AttemptResult, load: TargetLoad | None, at: float
+        self,
+        target: str,
+        *,
+        result: AttemptResult,
+        load: TargetLoad | None,
+        at: float,
+        owner: str = "",
     ) -> None:
-        """Take the result of a statement, and the load that was reported with it."""
+        """Take the result of a statement, and the load that was reported with it.
+
+        The queue of an earlier owner, which still runs its transactions, tells nothing about that
+        of the owner to which statements are sent now.
+        """
         state = self._targets.setdefault(target, _Target())
+        if owner and state.owner and owner != state.owner:
+            load = None
         if load is not None:
             state.waits = tuple(w / 1000 for w in load.waits_ms)
             state.service = max(1, load.service_ms) / 1000
--- a/src/wagtailloft/groups/dispatch.py
+++ b/src/wagtailloft/groups/dispatch.py
@@ -144,7 +144,7 @@
             priority=context.rule.priority,
         )
         response = await self._relay.run(transaction.owner, request)
-        self._observe(request, response, now())
+        self._observe(transaction.owner, request, response, now())
         self._record_position(transaction.group, transaction.is_primary, response.outcome, sent_at)
         choice = TargetChoice(
             target=transaction.target, is_primary=transaction.is_primary, reason="transaction"
@@ -345,7 +345,7 @@
         finally:
             self._loads.returned(choice.target)
         answered_at = now()
-        self._observe(request, response, answered_at)
+        self._observe(owner, request, response, answered_at)
         if response.outcome.kind is Kind.NO_ANSWER:
             attempts.unanswered += 1
             self._loads.observe_timeout(
@@ -437,10 +437,16 @@
         # The promotion may have been ordered since this host last heard of the assignments.
         return max(0.0, least - self._directory.cache.assignments_age())
 
-    def _observe(self, request: StatementRequest, response: StatementResponse, at: float) -> None:
+    def _observe(
+        self, owner: str, request: StatementRequest, response: StatementResponse, at: float
+    ) -> None:
         """Learn from a response how loaded its target is, and whether it fails."""
         self._loads.observe(
-            request.target, result=attempt_result(response), load=response.load, at=at
+            request.target,
+            result=attempt_result(response),
+            load=response.load,
+            at=at,
+            owner=owner,
         )
         members = tuple(t.name for t in self._directory.targets(request.group))
         for change in self._loads.review(members, at):
