Readmit ejected members that get no probes

Only reads at replicas are probes. A primary on a host that only reads, and a replica on one that only opens transactions, stayed ejected after their failures had decayed, since no probe could succeed. They are readmitted once nothing was heard of them for 10 s. The new scenario of placement.feature failed before: the replica was still ejected 20 s after its last failure.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -217,6 +217,11 @@
     When the replica r fails everything, and they send 200 reads a second for 10 s
     Then at most 20% of the reads go to the replica r
 
+  Scenario: A member that gets no probes does not stay ejected
+    Given a group whose primary is in this zone, with a replica in this zone and one in another
+    When the replica in this zone fails 5 read-only transactions, and 20 s of others follow
+    Then no member is ejected
+
   Scenario: A report of an earlier owner does not replace that of the present one
     Given a group whose primary is in this zone, with a replica in this zone and one in another
     When the primary gets another owner, and an answer of the earlier one reports a wait of 9 s
--- a/src/wagtailloft/controllers/target_loads.py
+++ b/src/wagtailloft/controllers/target_loads.py
@@ -33,6 +33,10 @@
 SERVICE_LIFETIME_S = 10.0  # an older service time is not compared with those of other members
 PROBE_INTERVAL_S = 0.5
 MAX_PROBE_INTERVAL_S = 4.0  # a host with few reads would send most of them as probes otherwise
+# Without an answer for this long, an ejected member that no longer counts as failing or slow is
+# readmitted. Only reads at replicas are probes, so a primary or a member that gets transactions only
+# would stay ejected.
+EJECTION_LIFETIME_S = 10.0
 UNKNOWN_ATTEMPT_TIMEOUT_S = 0.35  # covers a slow statement that is queued behind others
 MIN_ATTEMPT_TIMEOUT_S = 0.15
 MIN_ANSWERS = 8  # from which on answer times are taken as known
@@ -313,7 +317,8 @@
             reason = "failures" if score > MAX_FAILURE_SCORE else "slow" if is_slow else ""
             if bool(reason) == bool(state.ejected_for):
                 continue
-            if not reason and state.last_result is not AttemptResult.OK:
+            is_unproven = state.last_result is not AttemptResult.OK
+            if not reason and is_unproven and at - state.used_at < EJECTION_LIFETIME_S:
                 continue
             change = Ejection(
                 target=name,
