--- a/features/placement.feature
+++ b/features/placement.feature
@@ -217,6 +217,12 @@
     When the replica r fails everything, and they send 200 reads a second for 10 s
     Then at most 20% of the reads go to the replica r
 
+  Scenario: Replicas that refused a read are tried again while there is no primary
+    Given a played group
+    And there is no primary, and all members answer no_owner for 0.1 s
+    When 1 reads are sent, one every 0.05 s
+    Then all are answered within 0.3 s
+
   Scenario: A member that gets no probes does not stay ejected
     Given a group whose primary is in this zone, with a replica in this zone and one in another
     When the replica in this zone fails 5 read-only transactions, and 20 s of others follow
