Refuse a large statement that has waited for others for 4 s

Statements over 4 KiB wait in order for their share of memory, without a limit of time. While members do not answer, a few callers with large statements kept those of all others waiting for the sum of their deadlines, before the deadline of the waiting ones had begun. After 4 s, the longest usual deadline, they are refused as not run.

--- a/features/client_budget.feature
+++ b/features/client_budget.feature
@@ -20,3 +20,8 @@
   Scenario: An HTTP server has no descriptor for a new connection
     Given an HTTP server that can't accept connections for lack of descriptors
     Then it tries at most 20 times in 0.5 s
+
+  Scenario: A large statement waits for others that wait for a member
+    Given a caller whose large statement runs for 60 s, and no other may run beside it
+    When another caller sends a large statement and a small one
+    Then the large one is refused as busy within 4.5 s, and the small one is served
--- a/features/steps/client_budget.py
+++ b/features/steps/client_budget.py
@@ -3,17 +3,22 @@
 import asyncio
 import errno
 import socket
+import sys
 import threading
 import time
 from contextlib import suppress
+from pathlib import Path
+from types import SimpleNamespace
 from unittest.mock import patch
 
 from behave import step, then, when
 from hypothesis import given
 from hypothesis import strategies as st
 
+from features.virtual_time import run_virtual
 from wagtailloft.adapters.client_guard import SMALL_STATEMENT_BYTES, ClientGuard
 from wagtailloft.adapters.server import HttpResponse, HttpServer
+from wagtailloft.clock import now
 from wagtailloft.closed_clients import ClosedClients
 from wagtailloft.controllers.client_budget import (
     RUNNING_COPIES,
@@ -22,8 +27,13 @@
     ClientUse,
     limits_for_memory,
 )
+from wagtailloft.sessions.statements import StatementResult, TransactionState
 from wagtailloft.supervision import Supervisor
 
+sys.path.append(str(Path(__file__).resolve().parents[2] / "platform"))
+
+import front  # noqa: E402
+
 FIELDS = ("received", "decoded", "unsent", "kept")
 
 
@@ -192,3 +202,58 @@
     connect(context)
     time.sleep(seconds)
     assert 1 <= len(context.tries) <= count, len(context.tries)
+
+
+class PlayedCaller:
+    """A caller's connection whose session takes some time for each statement."""
+
+    def __init__(self, guard, seconds):
+        """Take the guard that is shared with others, and the time of a statement."""
+        self.written, self.seconds = [], seconds
+        self.state, self.transport = TransactionState.IDLE, self
+        self.conn = front.CallerConnection(
+            server=SimpleNamespace(closing=False), name="s", guard=guard
+        )
+        self.conn.session, self.conn._transport = self, self
+
+    async def handle(self, request_id, statement):
+        """Take the time of a statement."""
+        await asyncio.sleep(self.seconds)
+        return StatementResult(signature=request_id)
+
+    def is_closing(self):
+        """Stay open."""
+        return False
+
+    def write(self, data):
+        """Record an answer and its time."""
+        self.written.append((now(), data))
+
+
+@step("a caller whose large statement runs for {seconds:g} s, and no other may run beside it")
+def step_large_runs(context, seconds):
+    context.seconds = seconds
+
+
+@when("another caller sends a large statement and a small one")
+def step_large_waits(context):
+    large = b"QUERY q1 WRITE " + b"x" * (2 * SMALL_STATEMENT_BYTES) + b"\r\n"
+
+    async def run():
+        guard = ClientGuard(port="p", budget_bytes=1 << 20, running_bytes=1, closed=ClosedClients())
+        PlayedCaller(guard, context.seconds).conn.data_received(large)
+        await asyncio.sleep(0)
+        caller, began = PlayedCaller(guard, 0.01), now()
+        caller.conn.data_received(large + b"QUERY q2 READ x\r\n")
+        await asyncio.sleep(context.seconds / 2)
+        return [(at - began, data) for at, data in caller.written]
+
+    context.written = run_virtual(run())
+
+
+@then("the large one is refused as busy within {limit:g} s, and the small one is served")
+def step_large_refused(context, limit):
+    assert len(context.written) == 2, context.written
+    (at, refused), (_, served) = context.written
+    assert at <= limit and refused.startswith(b"ERR BUSY"), context.written
+    assert served.startswith(b"DONE q2"), context.written
--- a/src/wagtailloft/adapters/client_guard.py
+++ b/src/wagtailloft/adapters/client_guard.py
@@ -19,6 +19,8 @@
 
 # Read at once: bounds how many small messages are decoded before reading can be paused.
 RECEIVE_BYTES = 16 << 10
+# A large statement that waits for longer has passed the deadline of every usual route.
+RUNNING_WAIT_S = 4.0
 SMALL_STATEMENT_BYTES = 4096  # of a statement that need not wait for its share of the budget
 
 
@@ -119,19 +121,29 @@
         self._closed.record(self._port, reason, **fields)
 
     @asynccontextmanager
-    async def running(self, size: int) -> AsyncIterator[None]:
-        """Wait until a statement of a size may run, and count it while it does."""
+    async def running(self, size: int) -> AsyncIterator[bool]:
+        """Wait until a statement of a size may run, and count it while it does.
+
+        Yield whether it may; after RUNNING_WAIT_S it may not.
+        """
         if size <= SMALL_STATEMENT_BYTES:
-            yield
+            yield True
             return
         if self._waiting or not self._running.fits(size):
             started = asyncio.get_running_loop().create_future()
             self._waiting.append((size, started))
-            await started  # counted by _start_waiting
+            try:
+                await asyncio.wait([started], timeout=RUNNING_WAIT_S)
+            finally:
+                started.cancel()  # unless it was counted by _start_waiting
+            if started.cancelled():
+                self.refused("large", size=size)
+                yield False
+                return
         else:
             self._running.start(size)
         try:
-            yield
+            yield True
         finally:
             self._running.finish(size)
             self._start_waiting()
