--- a/src/wagtailloft/adapters/server.py
+++ b/src/wagtailloft/adapters/server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server: one thread reads and parses requests, a thread pool runs the handler."""
 
+import errno
 import select
 import socket
 import sys
@@ -25,6 +26,12 @@
 LISTEN_BACKLOG = 512
 REQUEST_TIMEOUT_S = 10.0  # from the first byte of a request to its last
 SEND_TIMEOUT_S = 10.0  # that a client may take nothing of a response
+# Times max_connections that may be open while all of them wait for the handler: a probe is still
+# served behind a few slow requests.
+BUSY_FACTOR = 2
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+# After one of them: the listener stays readable, so the thread would try again at once.
+ACCEPT_PAUSE_S = 0.05
 SWEEP_INTERVAL_S = 1.0  # between checks for requests over REQUEST_TIMEOUT_S
 # One-shot, so that a connection is not polled while its requests are handled.
 READABLE_ONESHOT = select.EPOLLIN | select.EPOLLONESHOT
@@ -79,11 +86,11 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes and append each complete request to ready."""
         self.request_started_at = self.request_started_at or time.monotonic()
-        self._head_received += len(data)
+        self._unpassed += len(data)
         try:
             self._parser.feed_data(data)
-            # The parser keeps an incomplete header, of any length, to itself.
-            if self._head_received > MAX_HEAD_BYTES + 2 * RECV_BYTES and not self._head_complete:
+            # The parser keeps an incomplete header or trailer, of any length, to itself.
+            if self._unpassed > MAX_HEAD_BYTES + 2 * RECV_BYTES:
                 self._reject(Kind.TOO_LARGE)
         except httptools.HttpParserUpgrade:
             self._reject(Kind.BAD_REQUEST)
@@ -102,13 +109,14 @@
 
     def on_headers_complete(self) -> None:
         """Send 100 Continue if the client waits for it before sending the body."""
-        self._head_complete = True
+        self._unpassed = 0
         if self._headers.get("expect", "").lower() == "100-continue":
             with suppress(OSError):
                 self.sock.send(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body; raise ValueError over the limit."""
+        self._unpassed = 0
         self._body += body
         if len(self._body) > self._max_body_bytes:
             self._parse_error = Kind.TOO_LARGE
@@ -156,8 +164,8 @@
         self._url = b""
         self._headers: dict[str, str] = {}
         self._body = bytearray()
-        self._head_bytes = self._head_received = 0
-        self._head_complete = False
+        self._head_bytes = 0
+        self._unpassed = 0  # bytes of the head, or since the last part of the body
         self._parse_error: Kind | None = None
         self.request_started_at = 0.0
 
@@ -240,8 +248,11 @@
 
     def _handle_event(self, fd: int) -> None:
         if fd == self._listener.fileno():
-            with suppress(OSError):
+            try:
                 self._accept()
+            except OSError as exc:
+                if exc.errno in NO_DESCRIPTORS:
+                    time.sleep(ACCEPT_PAUSE_S)
             return
         connection = self._connections.get(fd)
         if connection is None:
@@ -264,6 +275,10 @@
         sock.setblocking(False)
         if len(self._connections) >= self._max_connections:
             self._close_surplus()
+        if len(self._connections) >= BUSY_FACTOR * self._max_connections:
+            self._closed_clients.record(self._name, "full")
+            sock.close()
+            return
         self._connections[sock.fileno()] = _Connection(
             sock=sock, max_body_bytes=self._max_body_bytes
         )
--- a/src/wagtailloft/controllers/target_loads.py
+++ b/src/wagtailloft/controllers/target_loads.py
@@ -33,6 +33,10 @@
 SERVICE_LIFETIME_S = 10.0  # an older service time is not compared with those of other members
 PROBE_INTERVAL_S = 0.5
 MAX_PROBE_INTERVAL_S = 4.0  # a host with few reads would send most of them as probes otherwise
+# Without an answer for this long, an ejected member that no longer counts as failing or slow is
+# readmitted. Only reads at replicas are probes, so a primary, or a replica that gets transactions
+# only, would stay ejected.
+EJECTION_LIFETIME_S = 10.0
 UNKNOWN_ATTEMPT_TIMEOUT_S = 0.35  # covers a slow statement that is queued behind others
 MIN_ATTEMPT_TIMEOUT_S = 0.15
 MIN_ANSWERS = 8  # from which on answer times are taken as known
@@ -154,10 +158,22 @@
         self._targets[target].in_flight -= 1
 
     def observe(
-        self, target: str, *, result: AttemptResult, load: TargetLoad | None, at: float
+        self,
+        target: str,
+        *,
+        result: AttemptResult,
+        load: TargetLoad | None,
+        at: float,
+        owner: str = "",
     ) -> None:
-        """Take the result of a statement, and the load that was reported with it."""
+        """Take the result of a statement, and the load that was reported with it.
+
+        The queue of an earlier owner, which still runs its transactions, tells nothing about that
+        of the owner to which statements are sent now.
+        """
         state = self._targets.setdefault(target, _Target())
+        if owner and state.owner and owner != state.owner:
+            load = None
         if load is not None:
             state.waits = tuple(w / 1000 for w in load.waits_ms)
             state.service = max(1, load.service_ms) / 1000
@@ -301,7 +317,8 @@
             reason = "failures" if score > MAX_FAILURE_SCORE else "slow" if is_slow else ""
             if bool(reason) == bool(state.ejected_for):
                 continue
-            if not reason and state.last_result is not AttemptResult.OK:
+            is_unproven = state.last_result is not AttemptResult.OK
+            if not reason and is_unproven and at - state.used_at < EJECTION_LIFETIME_S:
                 continue
             change = Ejection(
                 target=name,
--- a/src/wagtailloft/groups/route_explanation.py
+++ b/src/wagtailloft/groups/route_explanation.py
@@ -115,7 +115,7 @@
             slots=target.slots,
             in_flight=member.in_flight,
             limit=self._limit(target),
-            queue_ms=_expected_wait_ms(member.load, rule.priority),
+            queue_ms=_expected_queue_ms(member.load, rule.priority),
             rank=member.rank,
             why=self._member_reason(member, rule, verdict, question, is_primary=is_primary),
         )
@@ -160,7 +160,7 @@
         return "not eligible"
 
 
-def _expected_wait_ms(load: TargetLoad | None, priority: int) -> int | None:
+def _expected_queue_ms(load: TargetLoad | None, priority: int) -> int | None:
     """Return the expected wait of a route's statement, of which the last one is for the rest."""
     return load.waits_ms[min(priority, len(load.waits_ms) - 1)] if load else None
 
