Admit the lowest priority by its share of the turns

The expected wait of the lowest waiting priority counted the whole queue of higher ones, though one of 8 turns is reserved for it. In a lasting overload, statements whose deadline is shorter than that queue were all refused.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -22,6 +22,14 @@
     And 10 statements a second of priority 2 come for 2 s, each with 1 s left
     Then 15 or more statements of priority 2 were run
 
+  # Guards against starvation by admission: a queue of higher priorities, longer than the deadline,
+  # must not refuse what the share of the lowest priority serves in time.
+  Scenario: The lowest priority keeps its share when its deadline is shorter than the queue
+    Given a target with 3 slots whose statements take 20 ms
+    When 200 statements a second of priority 0 come for 6 s, each with 1 s left
+    And 10 statements a second of priority 2 come for 6 s, each with 0.4 s left
+    Then 50 or more statements of priority 2 were run
+
   # Guards against priority inversion: an open transaction of a low priority keeps its link and
   # the rows that it has locked while new work of a high priority is run.
   Scenario: Open transactions go on before new work begins
--- a/src/wagtailloft/controllers/scheduling.py
+++ b/src/wagtailloft/controllers/scheduling.py
@@ -168,11 +168,17 @@
         self._wait_factors[key] = max(1.0, factor + WAIT_FACTOR_STEP * (ratio - factor))
 
     def _wait_ahead(self, priority_class: int, in_progress: int) -> float:
-        """Return the seconds that what ranks before a class needs."""
-        first = (in_progress + len(self._in_transactions)) * self._mean_cost / self._slots
-        return first + sum(
-            queue.drain_time(self._slots) for queue in self._classes[:priority_class]
-        )
+        """Return the seconds that what ranks before a class needs.
+
+        The lowest waiting class waits for its share of the turns at most.
+        """
+        turn = self._mean_cost / self._slots
+        higher = sum(queue.drain_time(self._slots) for queue in self._classes[:priority_class])
+        wait = (in_progress + len(self._in_transactions)) * turn + higher
+        if any(len(queue) for queue in self._classes[priority_class + 1 :]):
+            return wait
+        own_turns = len(self._classes[priority_class]) + 1
+        return min(wait, (in_progress + (TURNS_PER_LOWER_PRIORITY - 1) * own_turns) * turn)
 
     def _pop(self, new_work: bool) -> Ticket | None:
         waiting = [queue for queue in self._classes if len(queue)] if new_work else []
