Take the wait for a cold member's pace off its answer time

The time for which a statement waited in its turn for the pace of a cold member counted as the member's answer time, and the gate's own TARGET_BUSY as shed by the member. Both lowered the adaptive limit and raised the reported time.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -77,3 +77,8 @@
     Given a target with 2 slots whose statements take 20 ms
     When 100 statements with a text of 1 MiB come at once
     Then at most 8 MiB of texts waited at once
+
+  # Guards against a cold member that is taken for slow, and its pace for the member's own refusals:
+  # its limit would fall and its reported time of a statement rise, though it answers at once.
+  Scenario: The pace of a cold member is not its answer time
+    Then what waits for the pace of a cold member counts neither as slow nor as shed
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -332,10 +332,23 @@
     async def _send(
         self, link_use: LinkUse, turn: Turn | None, request: StatementRequest, budget: float
     ) -> StatementResult:
-        """Send a statement, and end its turn once it is answered or given up."""
-        sent_at = now()
+        """Send a statement when the gate admits it, and end its turn once it is answered or lost.
+
+        The wait for the gate is no part of the answer time, nor its refusal one by the target.
+        """
+        began, sent_at = now(), None
         turn_outcome = TurnOutcome.ABANDONED
+        at_primary = link_use.request.require_primary
         try:
+            refused = await self._gate.admit(
+                link_use.pool.target, request, as_primary=at_primary, budget=budget
+            )
+            if refused is not None:
+                if request.transaction_id:
+                    link_use.link.close()
+                return refused
+            sent_at = now()
+            budget -= sent_at - began
             outcome = await self._send_on_link(link_use, request, budget)
             if request.bound.statement.verb not in BEGIN_VERBS:  # these take no slot at the target
                 turn_outcome = turn_outcome_of(outcome)
@@ -344,23 +357,14 @@
             return outcome
         finally:
             if turn is not None:
-                turn.end(turn_outcome, now() - sent_at)
+                turn.end(turn_outcome, 0.0 if sent_at is None else now() - sent_at)
 
     async def _send_on_link(
         self, link_use: LinkUse, request: StatementRequest, budget: float
     ) -> StatementResult:
         link = link_use.link
         at_primary = link_use.request.require_primary
-        began = now()
-        refused = await self._gate.admit(
-            link_use.pool.target, request, as_primary=at_primary, budget=budget
-        )
-        if refused is not None:
-            if request.transaction_id:
-                link.close()
-            return refused
         sent_at = now()
-        budget -= sent_at - began
         limit = self.unresponsive_after(request.target)
         timer = asyncio.get_running_loop().call_later(
             limit, self._report_if_unresponsive, link_use.pool, limit, sent_at
