Refuse what waits for a fenced primary, and lost transactions, as such

Statements that waited for their turn at a primary when it was fenced waited on, up to their deadline, and opened links to the replaced member in their turns. A transaction that was rolled back while its statement waited sent it on the closed link, which was answered as a member that can't be reached.

Failed before: features/scheduling.feature, 'The primary is fenced while statements wait for it' (2.95 s instead of at once) and 'A transaction is rolled back while its statement waits'.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -82,3 +82,12 @@
   # its limit would fall and its reported time of a statement rise, though it answers at once.
   Scenario: The pace of a cold member is not its answer time
     Then what waits for the pace of a cold member counts neither as slow nor as shed
+
+  # Guards against statements that open links to a lost primary, one after the other in their turns,
+  # only to be refused then.
+  Scenario: The primary is fenced while statements wait for it
+    Then statements that wait for a fenced primary are refused at once, and no link is opened
+
+  # Guards against a lost transaction that is answered as a member that can't be reached.
+  Scenario: A transaction is rolled back while its statement waits
+    Then a statement whose transaction is rolled back while it waits learns that it is lost
--- a/features/steps/scheduler_review.py
+++ b/features/steps/scheduler_review.py
@@ -6,8 +6,10 @@
 
 from features.steps.evacuation import Host
 from features.virtual_time import run_virtual
+from wagtailloft.clock import now
 from wagtailloft.controllers.concurrency import TurnOutcome
 from wagtailloft.errors import Kind
+from wagtailloft.fleet.records import PrimaryAssignment
 from wagtailloft.sessions.statements import Verb
 
 
@@ -45,3 +47,59 @@
         assert max(s for _, s in limit.ended) < 0.05, limit.ended
 
     run_virtual(play())
+
+
+async def hold_turn(host, target, seconds):
+    """Let one statement run that long at a member that may run one at once; return its task."""
+    await host.run(target)
+    (pool,) = (p for p in host.executor.pools if p.target.name == target)
+    pool.scheduler.replace_limit(RecordingLimit(1))
+    pool._idle[-1].seconds = seconds
+    task = asyncio.create_task(host.run(target, budget=9.0))
+    await asyncio.sleep(0.01)
+    return task
+
+
+@then("statements that wait for a fenced primary are refused at once, and no link is opened")
+def step_fenced(context):
+    async def play():
+        host = Host(bound=0.0)
+        opened = await host.run("m", Verb.BEGIN_READ, opens_transaction=True)
+        running = await hold_turn(host, "m", 5.0)
+        (pool,) = host.executor.pools
+        links = pool.link_count
+        waiting = [asyncio.create_task(host.run("m", Verb.WRITE, budget=3.0)) for _ in range(3)]
+        inside = {"request_id": "t", "transaction_id": opened.transaction_id, "budget": 3.0}
+        waiting.append(asyncio.create_task(host.run("m", **inside)))
+        await asyncio.sleep(0.05)
+        claim = PrimaryAssignment(
+            group="g", epoch=1, settled=False, primary="", replaced="m", era=1
+        )
+        host.cache.accept_assignment(claim)
+        began = now()
+        fence = asyncio.create_task(host.executor.fence(claim, False))
+        kinds = [(await w).outcome.kind for w in waiting]
+        assert now() - began < 0.1, now() - began
+        assert kinds == [Kind.NO_PRIMARY] * 3 + [Kind.TRANSACTION_LOST], kinds
+        assert pool.link_count <= links and pool.scheduler.queued == 0
+        await asyncio.gather(fence, running)
+
+    run_virtual(play())
+
+
+@then("a statement whose transaction is rolled back while it waits learns that it is lost")
+def step_rolled_back(context):
+    async def play():
+        host = Host(bound=0.0)
+        opened = await host.run("n", Verb.BEGIN_READ, opens_transaction=True)
+        running = await hold_turn(host, "n", 0.3)
+        inside = {"request_id": "t", "transaction_id": opened.transaction_id}
+        waiting = asyncio.create_task(host.run("n", **inside))
+        await asyncio.sleep(0.05)
+        host.executor.rollback(opened.transaction_id)
+        outcome = (await waiting).outcome
+        assert outcome.kind is Kind.TRANSACTION_LOST and not outcome.sent, outcome
+        await running
+        assert host.executor.active == 0 and not host.executor._transactions
+
+    run_virtual(play())
--- a/src/wagtailloft/controllers/scheduling.py
+++ b/src/wagtailloft/controllers/scheduling.py
@@ -28,13 +28,14 @@
     """Describe a statement that needs a turn.
 
     deadline is a time in seconds, chars the size of its text and session variables. in_transaction
-    is set for a statement of an open transaction.
+    is set for a statement of an open transaction, as_primary for one that needs the primary.
     """
 
     team: str
     deadline: float
     priority: int = 1
     in_transaction: bool = False
+    as_primary: bool = False
     chars: int = 0
 
     @property
@@ -138,6 +139,10 @@
         """Tell whether a statement belongs to an open transaction."""
         return self._requests[ticket.number].in_transaction
 
+    def needs_primary(self, number: int) -> bool:
+        """Tell whether the statement with a ticket number may only run at the primary."""
+        return self._requests[number].as_primary
+
     def charge(self, ticket: Ticket, used: float) -> None:
         """Charge a team the seconds for which its statement had a turn."""
         request = self._requests.pop(ticket.number)
--- a/src/wagtailloft/groups/link_use.py
+++ b/src/wagtailloft/groups/link_use.py
@@ -39,7 +39,9 @@
         self.pool.release(self.link)
 
 
-def turn_request_for(request: StatementRequest, deadline: float) -> TurnRequest:
+def turn_request_for(
+    request: StatementRequest, deadline: float, *, as_primary: bool
+) -> TurnRequest:
     """Return the request for a statement's turn by a time of clock.now()."""
     bound = request.bound
     variables = sum(len(n) + len(v) for n, v in bound.session_variables.items())
@@ -48,6 +50,7 @@
         deadline=deadline,
         priority=request.priority,
         in_transaction=bool(request.transaction_id),
+        as_primary=as_primary,
         chars=len(bound.statement.text) + len(bound.statement.argument) + variables,
     )
 
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -124,6 +124,9 @@
         end before its links are closed.
         """
         pools = [p for p in self._pools.values() if p.target.name == assignment.replaced]
+        replaced = _not_sent(Kind.NO_PRIMARY, "the primary is being replaced")
+        for pool in pools:
+            pool.scheduler.reject_waiters(replaced, as_primary=True)
         if not immediate:
             await self._drain(assignment, pools)
         for pool in pools:
@@ -211,7 +214,9 @@
             request.budget if request.require_primary else min(request.budget, LINK_WAIT_LIMIT_S)
         )
         self._acquiring += 1
-        turn_request = turn_request_for(request, started_at + link_wait)
+        turn_request = turn_request_for(
+            request, started_at + link_wait, as_primary=request.require_primary
+        )
         try:
             link, turn = await pool.acquire(turn_request)
         except NotSent as exc:
@@ -313,16 +318,19 @@
         if request.bound.statement.verb is Verb.ROLLBACK:  # takes no slot at the target
             return await self._send(transaction, None, request, request.budget)
         started_at = now()
+        as_primary = transaction.request.require_primary
+        deadline = started_at + request.budget
         try:
             turn = await transaction.pool.scheduler.begin(
-                turn_request_for(request, started_at + request.budget)
+                turn_request_for(request, deadline, as_primary=as_primary)
             )
         except NotSent as exc:
             transaction.link.close()
             return not_executed(Kind.TRANSACTION_LOST, str(exc))
-        if transaction.request.require_primary and not self._directory.may_use_as_primary(
-            request.group, request.target
-        ):
+        if transaction.link.closed:
+            turn.end(TurnOutcome.ABANDONED)
+            return not_executed(Kind.TRANSACTION_LOST, "the transaction ended while it waited")
+        if as_primary and not self._directory.may_use_as_primary(request.group, request.target):
             turn.end(TurnOutcome.ABANDONED)
             transaction.link.close()
             return not_executed(Kind.TRANSACTION_LOST, "the primary is being replaced")
--- a/src/wagtailloft/groups/target_scheduler.py
+++ b/src/wagtailloft/groups/target_scheduler.py
@@ -132,9 +132,14 @@
         self.limit = limit
         self.wake()
 
-    def reject_waiters(self, exc: NotSent) -> None:
-        """End the wait of all statements that have no turn yet."""
-        for future in self._waiters.values():
+    def reject_waiters(self, exc: NotSent, *, as_primary: bool | None = None) -> None:
+        """End the wait of all statements that have no turn yet.
+
+        With as_primary, only of those that need the target as primary, or of those that don't.
+        """
+        for number, future in self._waiters.items():
+            if as_primary not in (None, self._schedule.needs_primary(number)):
+                continue
             if not future.done():
                 future.set_exception(exc)
 
