End waits at evacuated replicas when their transactions end

What waits for a turn was refused only once a member might not be used as primary any more, so a statement of a transaction at a replica waited up to 2 s, and up to its turn, instead of the 1 s that transactions get there.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -35,6 +35,7 @@
 
   Scenario: The owner of a replica's links learns of an evacuation
     Then open transactions there end within 1 s as lost, and new statements are refused as not sent
+    And a statement in it that waits for its turn is answered as lost within 1.1 s too
 
   Scenario: The owner of the links to an evacuated primary that nobody can replace
     Then what waits for a link is refused once its time is over, as is the open transaction
--- a/features/steps/scheduler_review.py
+++ b/features/steps/scheduler_review.py
@@ -9,7 +9,7 @@
 from wagtailloft.clock import now
 from wagtailloft.controllers.concurrency import TurnOutcome
 from wagtailloft.errors import Kind
-from wagtailloft.fleet.records import PrimaryAssignment
+from wagtailloft.fleet.records import PrimaryAssignment, Topic
 from wagtailloft.sessions.statements import Verb
 
 
@@ -103,3 +103,23 @@
         assert host.executor.active == 0 and not host.executor._transactions
 
     run_virtual(play())
+
+
+@then("a statement in it that waits for its turn is answered as lost within 1.1 s too")
+def step_evacuated_waiter(context):
+    async def play():
+        host = Host()
+        host.read(Topic.EVACUATIONS)
+        opened = await host.run("n", Verb.BEGIN_READ, opens_transaction=True)
+        running = await hold_turn(host, "n", 4.0)
+        current = asyncio.create_task(host.stay_current())
+        host.evacuate("b")
+        began = now()
+        inside = {"request_id": "t", "transaction_id": opened.transaction_id, "budget": 6.0}
+        outcome = (await host.run("n", **inside)).outcome
+        assert outcome.kind is Kind.TRANSACTION_LOST and now() - began < 1.2, (now(), outcome)
+        await running
+        current.cancel()
+        await asyncio.gather(current, return_exceptions=True)
+
+    run_virtual(play())
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -100,14 +100,13 @@
     def end_refused(self, may_continue: Callable[[Target, bool], bool]) -> int:
         """Roll back idle transactions at members that may not go on; return their number.
 
-        may_continue takes a member and whether it is used as primary. What waits for a link to a
-        member that may not go on either way is refused.
+        may_continue takes a member and whether it is used as primary. What waits for a turn at a
+        member that may not go on is refused.
         """
-        for pool in self._pools.values():
-            if not may_continue(pool.target, True):
-                pool.scheduler.reject_waiters(
-                    _not_sent(Kind.ZONE_EVACUATED, "the zone is evacuated")
-                )
+        evacuated = _not_sent(Kind.ZONE_EVACUATED, "the zone is evacuated")
+        for pool, as_primary in itertools.product(self._pools.values(), (True, False)):
+            if not may_continue(pool.target, as_primary):
+                pool.scheduler.reject_waiters(evacuated, as_primary=as_primary)
         ended = [
             transaction_id
             for transaction_id, use in self._transactions.items()
