Begin a promoted member's limit anew at whichever host owns it

Promotions were noted by group, when a host first used one of its members as primary. An owner that had not owned the earlier primary gave the new one its whole load at once, and a late request for the earlier one began both limits anew. A member that no longer leads kept the floor of half of its slots.

Failed before: features/pace.feature, 'Another member becomes the primary' (its first step; the second one with the first mended alone).

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -47,3 +47,9 @@
 
   Scenario: A wrong setting is refused instead of choosing a limit silently
     Then the setting pace is on, off, or refused
+
+  # Guards against a new primary that gets the whole load at once, as its owner had not owned the
+  # earlier one; against slow starts that begin again; and against a floor that outlasts its reason.
+  Scenario: Another member becomes the primary
+    Then a member that is promoted at another owner than the earlier primary's starts slowly, once
+    And one that leads no more may be held below half of its slots again
--- a/features/steps/scheduler_review.py
+++ b/features/steps/scheduler_review.py
@@ -1,15 +1,19 @@
 """Steps for links, turns and limits on the paths on which a statement is not simply answered."""
 
 import asyncio
+import math
+from types import SimpleNamespace
 
 from behave import then
 
-from features.steps.evacuation import Host
+from features.steps.evacuation import Host, member
 from features.virtual_time import run_virtual
 from wagtailloft.clock import now
 from wagtailloft.controllers.concurrency import TurnOutcome
 from wagtailloft.errors import Kind
 from wagtailloft.fleet.records import PrimaryAssignment, Topic
+from wagtailloft.groups.link_pool import LinkPool
+from wagtailloft.groups.pace_control import PaceControl
 from wagtailloft.sessions.statements import Verb
 
 
@@ -123,3 +127,43 @@
         await asyncio.gather(current, return_exceptions=True)
 
     run_virtual(play())
+
+
+@then("a member that is promoted at another owner than the earlier primary's starts slowly, once")
+def step_promoted_elsewhere(context):
+    directory, pace, pools = make_pace()
+    assert [p.scheduler.limit.limit for p in pools] == [8, 8]
+    directory.promoted = {"n": now() - 0.1}
+    for _ in range(2):
+        pace.note_use(pools[1], as_primary=True)
+        assert pools[1].scheduler.limit.reason == "promoted"
+        before = pools[1].scheduler.limit
+        pace.note_use(pools[0], as_primary=True)  # a late request for the earlier primary
+        assert pools[0].scheduler.limit.reason == "warm"
+        pace.note_use(pools[1], as_primary=True)
+        assert pools[1].scheduler.limit is before
+
+
+@then("one that leads no more may be held below half of its slots again")
+def step_leads_no_more(context):
+    directory, pace, pools = make_pace()
+    pace.note_use(pools[0], as_primary=True)
+    pace.note_use(pools[0], as_primary=False)
+    assert pools[0].scheduler.limit.is_only_choice
+    directory.leading = "n"
+    pace.note_use(pools[0], as_primary=False)
+    assert not pools[0].scheduler.limit.is_only_choice
+
+
+def make_pace():
+    """Return a directory whose primary is m, the pace of its members m and n, and their pools."""
+    directory = SimpleNamespace(promoted={}, leading="m", listed_for=lambda name: 99.0)
+    directory.promoted_at = lambda group, name: directory.promoted.get(name, -math.inf)
+    directory.primary = lambda group: member(directory.leading)
+    pace = PaceControl(directory=directory, adaptive=True)
+    targets = [member(name, slots=8) for name in "mn"]
+    pools = [
+        LinkPool(target=t, limit=32, link_factory=None, concurrency=pace.limit_for(t))
+        for t in targets
+    ]
+    return directory, pace, pools
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -206,8 +206,7 @@
         if refused is not None:
             return StatementResponse(outcome=refused)
         pool = self._pool(target)
-        if request.require_primary:
-            self._pace.use_as_primary(pool)
+        self._pace.note_use(pool, as_primary=request.require_primary)
         started_at = now()
         link_wait = (
             request.budget if request.require_primary else min(request.budget, LINK_WAIT_LIMIT_S)
--- a/src/wagtailloft/groups/pace_control.py
+++ b/src/wagtailloft/groups/pace_control.py
@@ -1,5 +1,7 @@
 """Choose the limit on the statements in progress at each target that this host owns."""
 
+import math
+
 from wagtailloft import logs
 from wagtailloft.clock import now
 from wagtailloft.controllers.concurrency import ConcurrencyLimit, FixedLimit
@@ -18,30 +20,36 @@
     def __init__(self, *, directory: GroupDirectory, adaptive: bool) -> None:
         self._directory = directory
         self._adaptive = adaptive
-        self._promotions: dict[str, float] = {}  # by group, those that a limit began anew for
+        # By group and member, the latest promotion when its limit began.
+        self._promotions: dict[tuple[str, str], float] = {}
 
     def limit_for(self, target: Target) -> ConcurrencyLimit:
         """Return the limit of a target that this host begins to use."""
         upper = target.slots + TURNS_IN_TRANSIT
         if not self._adaptive:
             return FixedLimit(limit=upper)
+        promoted_at = self._directory.promoted_at(target.group, target.name)
+        self._promotions[(target.group, target.name)] = promoted_at
         start = choose_start(
             cold_left=target.cold_left,
             age=self._directory.listed_for(target.name),
-            since_promotion=now() - self._directory.promoted_at(target.group, target.name),
+            since_promotion=now() - promoted_at,
         )
         return PaceLimit(upper=upper, slots=target.slots, start=start)
 
-    def use_as_primary(self, pool: LinkPool) -> None:
-        """Note that a target is used as primary: the only member that can run writes."""
+    def note_use(self, pool: LinkPool, *, as_primary: bool) -> None:
+        """Note a use of a target; the primary is the only member that can run writes."""
         if not self._adaptive:
             return
         target = pool.target
-        promoted_at = self._directory.promoted_at(target.group, target.name)
-        if self._promotions.get(target.group, promoted_at) != promoted_at:
-            pool.scheduler.replace_limit(self.limit_for(target))
-        self._promotions[target.group] = promoted_at
-        pool.scheduler.limit.is_only_choice = True
+        if as_primary:
+            promoted_at = self._directory.promoted_at(target.group, target.name)
+            if promoted_at > self._promotions.get((target.group, target.name), -math.inf):
+                pool.scheduler.replace_limit(self.limit_for(target))
+            pool.scheduler.limit.is_only_choice = True
+        elif pool.scheduler.limit.is_only_choice:
+            primary = self._directory.primary(target.group)
+            pool.scheduler.limit.is_only_choice = primary is None or primary.name == target.name
 
 
 def log_pace_change(pool: LinkPool) -> None:
