Withhold promotions whose zone is evacuated while they are prepared

The zone of the member was checked once, before the wait for the lease and the record of the order, which may take seconds; the order was sent after that, and repeated, whatever had been learned meanwhile.

Failed before: features/evacuation.feature, 'A coordinator finds the primary in an evacuated zone' (the order was recorded and sent).

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -49,6 +49,7 @@
   Scenario: A coordinator finds the primary in an evacuated zone
     Then it replaces it as planned unless all others are leaving or evacuated too
     And no member in an evacuated zone is ordered to lead, and no commit is given up for it
+    And an order that waits for its lease is not sent to a member whose zone is evacuated meanwhile
 
   Scenario: Replicas are evacuated and come back cold
     Given a site of 3 hosts whose bound for evacuations is 4 s and whose members start cold
--- a/features/steps/scheduler_review.py
+++ b/features/steps/scheduler_review.py
@@ -11,9 +11,12 @@
 from wagtailloft.clock import now
 from wagtailloft.controllers.concurrency import TurnOutcome
 from wagtailloft.errors import Kind
-from wagtailloft.fleet.records import PrimaryAssignment, Topic
+from wagtailloft.fleet.records import Entry, PrimaryAssignment, Topic
 from wagtailloft.groups.link_pool import LinkPool
+from wagtailloft.groups.member_promotion import MemberPromotion
 from wagtailloft.groups.pace_control import PaceControl
+from wagtailloft.groups.ports import TargetStatus
+from wagtailloft.models import Role
 from wagtailloft.sessions.statements import Verb
 
 
@@ -167,3 +170,72 @@
         for t in targets
     ]
     return directory, pace, pools
+
+
+@then("the pool of a restarted member is kept until its last link is closed")
+def step_stale_pool(context):
+    async def play():
+        host = Host(bound=0.0)
+        opening = asyncio.Event()
+        factory = host.executor._link_factory
+        open_link = factory.open
+
+        async def open_late(spec):
+            await opening.wait()
+            return await open_link(spec)
+
+        factory.open = open_late
+        running = asyncio.create_task(host.run("n"))
+        await asyncio.sleep(0.01)
+        (pool,) = host.executor.pools
+        value = member("n", "b", started=2)
+        host.read(Topic.TARGETS, Entry(name="n", revision=1, value=value))
+        host.executor.close_stale()
+        opening.set()
+        await running
+        host.executor.close_stale()
+        assert pool.link_count == 0 and not host.executor.pools, pool.link_count
+
+    run_virtual(play())
+
+
+@then("an order that waits for its lease is not sent to a member whose zone is evacuated meanwhile")
+def step_evacuated_before_order(context):
+    gone, ordered = set(), []
+    claim = PrimaryAssignment(group="g", epoch=1, settled=False, primary="", replaced="m")
+
+    async def acquire():
+        await asyncio.sleep(1.0)
+        gone.add("b")
+        return True
+
+    async def send(claim):
+        ordered.append(claim)
+        return False
+
+    async def record(claim, candidate):
+        ordered.append(candidate)
+        return claim
+
+    async def play():
+        held = iter((False,))
+        cache = SimpleNamespace(
+            read_now=lambda topic: asyncio.sleep(0),
+            era=SimpleNamespace(era=claim.era),
+            assignment=lambda group: claim,
+        )
+        promotion = MemberPromotion(
+            directory=SimpleNamespace(cache=cache, target=lambda group, name: member(name, "b")),
+            queries=None,
+            promotion_api=None,
+            lease=SimpleNamespace(is_held=lambda: next(held, True), acquire=acquire),
+            is_evacuated=gone.__contains__,
+        )
+        promotion.orders = SimpleNamespace(
+            is_recorded=lambda claim, target: len(ordered) > 0, record=record, send=send
+        )
+        candidate = TargetStatus(target="n", role=Role.REPLICA, term=0, received=None)
+        assert await promotion.promote_and_wait(claim, candidate) is None
+        assert not ordered, ordered
+
+    run_virtual(play())
--- a/src/wagtailloft/groups/member_promotion.py
+++ b/src/wagtailloft/groups/member_promotion.py
@@ -166,12 +166,9 @@
         target = self._directory.target(claim.group, candidate.target)
         if target is None:
             return None
-        if self._is_evacuated(target.zone):
-            logs.warn("promotion_withheld", group=claim.group, target=target.name, zone=target.zone)
-            return None
         deadline = now() + PROMOTION_TIMEOUT_S
         while now() < deadline:
-            ready = await self._prepare_order(claim, candidate)
+            ready = await self._prepare_order(claim, candidate, target)
             if ready is None:
                 return None
             claim = ready
@@ -196,10 +193,15 @@
         return None
 
     async def _prepare_order(
-        self, claim: PrimaryAssignment, candidate: TargetStatus
+        self, claim: PrimaryAssignment, candidate: TargetStatus, target: Target
     ) -> PrimaryAssignment | None:
-        """Store a record of the order; return None unless this process may send the order now."""
-        while await self._may_order(claim):
+        """Store a record of the order; return None unless this process may send the order now.
+
+        The zone may have been evacuated while this process waited for its lease or the store.
+        """
+        while not self._is_withheld(claim, target) and await self._may_order(claim):
+            if self._is_withheld(claim, target):
+                return None
             if self.orders.is_recorded(claim, candidate.target):
                 return claim
             recorded = await self.orders.record(claim, candidate)
@@ -208,6 +210,13 @@
             claim = recorded
         return None
 
+    def _is_withheld(self, claim: PrimaryAssignment, target: Target) -> bool:
+        """Tell whether a member must not be ordered to lead, as its zone is evacuated."""
+        if not self._is_evacuated(target.zone):
+            return False
+        logs.warn("promotion_withheld", group=claim.group, target=target.name, zone=target.zone)
+        return True
+
     async def _wait_for_effect(
         self, claim: PrimaryAssignment, target: Target, *, accepted: bool
     ) -> TargetStatus | None:
