Keep the pool of a member that left until its links are closed

A pool without links in use was dropped while statements waited or opened their first link. The link was then neither closed by a fence or a stop nor counted, and stayed open at the member, idle.

Failed before: features/scheduling.feature, 'A member restarts while the first link to it is opened'.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -91,3 +91,8 @@
   # Guards against a lost transaction that is answered as a member that can't be reached.
   Scenario: A transaction is rolled back while its statement waits
     Then a statement whose transaction is rolled back while it waits learns that it is lost
+
+  # Guards against links that stay open at a member, as the pool that counts them was dropped while
+  # the first of them was opened.
+  Scenario: A member restarts while the first link to it is opened
+    Then the pool of a restarted member is kept until its last link is closed
--- a/src/wagtailloft/groups/link_pool.py
+++ b/src/wagtailloft/groups/link_pool.py
@@ -64,6 +64,11 @@
         """Return the number of links that are open or being opened."""
         return self._open_count
 
+    @property
+    def is_unused(self) -> bool:
+        """Tell whether no link is open or being opened, and no statement waits or has a turn."""
+        return not (self._open_count or self.scheduler.queued or self.scheduler.in_progress)
+
     async def acquire(self, request: TurnRequest) -> tuple[Link, Turn]:
         """Return a link for a statement's team and its turn; raise NotSent with a kind."""
         turn = await self.scheduler.begin(request)
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -152,7 +152,7 @@
             listed = self._directory.target(key[0], key[1])
             if listed is None or listed.started != key[2]:
                 pool.close_idle()
-                if not pool.in_use:
+                if pool.is_unused:
                     del self._pools[key]
             pool.close_surplus()
 
