--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -22,6 +22,14 @@
     And 10 statements a second of priority 2 come for 2 s, each with 1 s left
     Then 15 or more statements of priority 2 were run
 
+  # Guards against starvation by admission: a queue of higher priorities, longer than the deadline,
+  # must not refuse what the share of the lowest priority serves in time.
+  Scenario: The lowest priority keeps its share when its deadline is shorter than the queue
+    Given a target with 3 slots whose statements take 20 ms
+    When 200 statements a second of priority 0 come for 6 s, each with 1 s left
+    And 10 statements a second of priority 2 come for 6 s, each with 0.4 s left
+    Then 50 or more statements of priority 2 were run
+
   # Guards against priority inversion: an open transaction of a low priority keeps its link and
   # the rows that it has locked while new work of a high priority is run.
   Scenario: Open transactions go on before new work begins
@@ -69,3 +77,22 @@
     Given a target with 2 slots whose statements take 20 ms
     When 100 statements with a text of 1 MiB come at once
     Then at most 8 MiB of texts waited at once
+
+  # Guards against a cold member that is taken for slow, and its pace for the member's own refusals:
+  # its limit would fall and its reported time of a statement rise, though it answers at once.
+  Scenario: The pace of a cold member is not its answer time
+    Then what waits for the pace of a cold member counts neither as slow nor as shed
+
+  # Guards against statements that open links to a lost primary, one after the other in their turns,
+  # only to be refused then.
+  Scenario: The primary is fenced while statements wait for it
+    Then statements that wait for a fenced primary are refused at once, and no link is opened
+
+  # Guards against a lost transaction that is answered as a member that can't be reached.
+  Scenario: A transaction is rolled back while its statement waits
+    Then a statement whose transaction is rolled back while it waits learns that it is lost
+
+  # Guards against links that stay open at a member, as the pool that counts them was dropped while
+  # the first of them was opened.
+  Scenario: A member restarts while the first link to it is opened
+    Then the pool of a restarted member is kept until its last link is closed
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -100,14 +100,13 @@
     def end_refused(self, may_continue: Callable[[Target, bool], bool]) -> int:
         """Roll back idle transactions at members that may not go on; return their number.
 
-        may_continue takes a member and whether it is used as primary. What waits for a link to a
-        member that may not go on either way is refused.
+        may_continue takes a member and whether it is used as primary. What waits for a turn at a
+        member that may not go on is refused.
         """
-        for pool in self._pools.values():
-            if not may_continue(pool.target, True):
-                pool.scheduler.reject_waiters(
-                    _not_sent(Kind.ZONE_EVACUATED, "the zone is evacuated")
-                )
+        evacuated = _not_sent(Kind.ZONE_EVACUATED, "the zone is evacuated")
+        for pool, as_primary in itertools.product(self._pools.values(), (True, False)):
+            if not may_continue(pool.target, as_primary):
+                pool.scheduler.reject_waiters(evacuated, as_primary=as_primary)
         ended = [
             transaction_id
             for transaction_id, use in self._transactions.items()
@@ -124,6 +123,9 @@
         end before its links are closed.
         """
         pools = [p for p in self._pools.values() if p.target.name == assignment.replaced]
+        replaced = _not_sent(Kind.NO_PRIMARY, "the primary is being replaced")
+        for pool in pools:
+            pool.scheduler.reject_waiters(replaced, as_primary=True)
         if not immediate:
             await self._drain(assignment, pools)
         for pool in pools:
@@ -150,7 +152,7 @@
             listed = self._directory.target(key[0], key[1])
             if listed is None or listed.started != key[2]:
                 pool.close_idle()
-                if not pool.in_use:
+                if pool.is_unused:
                     del self._pools[key]
             pool.close_surplus()
 
@@ -204,14 +206,15 @@
         if refused is not None:
             return StatementResponse(outcome=refused)
         pool = self._pool(target)
-        if request.require_primary:
-            self._pace.use_as_primary(pool)
+        self._pace.note_use(pool, as_primary=request.require_primary)
         started_at = now()
         link_wait = (
             request.budget if request.require_primary else min(request.budget, LINK_WAIT_LIMIT_S)
         )
         self._acquiring += 1
-        turn_request = turn_request_for(request, started_at + link_wait)
+        turn_request = turn_request_for(
+            request, started_at + link_wait, as_primary=request.require_primary
+        )
         try:
             link, turn = await pool.acquire(turn_request)
         except NotSent as exc:
@@ -313,16 +316,19 @@
         if request.bound.statement.verb is Verb.ROLLBACK:  # takes no slot at the target
             return await self._send(transaction, None, request, request.budget)
         started_at = now()
+        as_primary = transaction.request.require_primary
+        deadline = started_at + request.budget
         try:
             turn = await transaction.pool.scheduler.begin(
-                turn_request_for(request, started_at + request.budget)
+                turn_request_for(request, deadline, as_primary=as_primary)
             )
         except NotSent as exc:
             transaction.link.close()
             return not_executed(Kind.TRANSACTION_LOST, str(exc))
-        if transaction.request.require_primary and not self._directory.may_use_as_primary(
-            request.group, request.target
-        ):
+        if transaction.link.closed:
+            turn.end(TurnOutcome.ABANDONED)
+            return not_executed(Kind.TRANSACTION_LOST, "the transaction ended while it waited")
+        if as_primary and not self._directory.may_use_as_primary(request.group, request.target):
             turn.end(TurnOutcome.ABANDONED)
             transaction.link.close()
             return not_executed(Kind.TRANSACTION_LOST, "the primary is being replaced")
@@ -332,10 +338,23 @@
     async def _send(
         self, link_use: LinkUse, turn: Turn | None, request: StatementRequest, budget: float
     ) -> StatementResult:
-        """Send a statement, and end its turn once it is answered or given up."""
-        sent_at = now()
+        """Send a statement when the gate admits it, and end its turn once it is answered or lost.
+
+        The wait for the gate is no part of the answer time, nor its refusal one by the target.
+        """
+        began, sent_at = now(), None
         turn_outcome = TurnOutcome.ABANDONED
+        at_primary = link_use.request.require_primary
         try:
+            refused = await self._gate.admit(
+                link_use.pool.target, request, as_primary=at_primary, budget=budget
+            )
+            if refused is not None:
+                if request.transaction_id:
+                    link_use.link.close()
+                return refused
+            sent_at = now()
+            budget -= sent_at - began
             outcome = await self._send_on_link(link_use, request, budget)
             if request.bound.statement.verb not in BEGIN_VERBS:  # these take no slot at the target
                 turn_outcome = turn_outcome_of(outcome)
@@ -344,23 +363,14 @@
             return outcome
         finally:
             if turn is not None:
-                turn.end(turn_outcome, now() - sent_at)
+                turn.end(turn_outcome, 0.0 if sent_at is None else now() - sent_at)
 
     async def _send_on_link(
         self, link_use: LinkUse, request: StatementRequest, budget: float
     ) -> StatementResult:
         link = link_use.link
         at_primary = link_use.request.require_primary
-        began = now()
-        refused = await self._gate.admit(
-            link_use.pool.target, request, as_primary=at_primary, budget=budget
-        )
-        if refused is not None:
-            if request.transaction_id:
-                link.close()
-            return refused
         sent_at = now()
-        budget -= sent_at - began
         limit = self.unresponsive_after(request.target)
         timer = asyncio.get_running_loop().call_later(
             limit, self._report_if_unresponsive, link_use.pool, limit, sent_at
