Receive a few large answers of members at a time

All links of an owner could receive answers of up to 4 MiB at the same time. A link with over 128 KiB of an answer now waits for its turn, with reading paused, while as many others as the memory is for receive theirs; it does not make the member look unresponsive meanwhile.

--- a/features/client_budget.feature
+++ b/features/client_budget.feature
@@ -11,3 +11,6 @@
 
   Scenario: Large statements run at the same time
     Then at most the granted bytes run at once, in order, and one over the limit runs alone
+
+  Scenario: Links receive large answers at the same time
+    Then a few go on at once, the others are resumed in order, also when one that waits is lost
--- a/features/steps/client_budget.py
+++ b/features/steps/client_budget.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from wagtailloft.adapters.client_guard import SMALL_STATEMENT_BYTES, ClientGuard
+from wagtailloft.adapters.large_answers import LargeAnswers
 from wagtailloft.closed_clients import ClosedClients
 from wagtailloft.controllers.client_budget import (
     RUNNING_COPIES,
@@ -16,6 +17,19 @@
     limits_for_memory,
 )
 
+
+class Reader:
+    """A link that records when it is resumed."""
+
+    def __init__(self, number, resumed):
+        """Create a link with a number."""
+        self.number, self.resumed = number, resumed
+
+    def resume_reading(self):
+        """Record the number."""
+        self.resumed.append(self.number)
+
+
 FIELDS = ("received", "decoded", "unsent", "kept")
 
 
@@ -109,3 +123,16 @@
         assert len(started) == sum(s > SMALL_STATEMENT_BYTES for s in sizes)
 
     check()
+
+
+@then("a few go on at once, the others are resumed in order, also when one that waits is lost")
+def step_large_answers(context):
+    resumed = []
+    answers = LargeAnswers(limit=2)
+    readers = [Reader(number, resumed) for number in range(6)]
+    assert [answers.admit(r) for r in readers] == [True, True, False, False, False, False]
+    assert answers.admit(readers[0]) and not answers.admit(readers[2])
+    answers.release(readers[3])
+    answers.release(readers[1])
+    answers.release(readers[0])
+    assert resumed == [2, 4] and answers.admit(readers[4]) and not answers.admit(readers[5])
--- a/features/untrusted.feature
+++ b/features/untrusted.feature
@@ -9,7 +9,7 @@
     Then each host lives within its limits for 6 s and serves an ordinary caller
 
   Scenario: Callers do not read the largest answers
-    Given a site with 2 hosts of 200 MB and 600 file descriptors
+    Given a site with 2 hosts of 120 MB and 600 file descriptors
     When 40 callers at each host request 10 answers of 4 rows of 900000 bytes and read none
     Then each host lives within its limits for 6 s and serves an ordinary caller
 
--- a/src/wagtailloft/controllers/client_budget.py
+++ b/src/wagtailloft/controllers/client_budget.py
@@ -7,6 +7,8 @@
 CALLERS_SHARE = 0.2  # of the machine's memory, for what callers' connections hold
 RUNNING_SHARE = 0.1  # for the copies of large statements while they run
 PEERS_SHARE = 0.15  # for connections that other hosts opened
+ANSWERS_SHARE = 0.15  # for large answers that links to targets receive
+LARGEST_ANSWER_BYTES = 2 * (4 << 20)  # the rows, and the response that is made of them
 MIN_SHARE_BYTES = 16 << 20  # one caller inside the limits holds up to 11 MiB
 RUNNING_COPIES = 5  # of a statement's text: in the message, its fields, a frame and two buffers
 DECODED_COPIES = 2  # of a waiting message: the text, and the argument as a part of it
@@ -16,6 +18,8 @@
 class ClientLimits(Record):
     """Limits for clients: bytes held by all of them, and times in seconds for each.
 
+    large_answers is how many large answers of targets are received at a time.
+
     startup is the time from connecting to the first message, message that from the first byte of a
     message to its last, and unread that for which a client may take nothing of what is sent to it.
     """
@@ -23,6 +27,7 @@
     callers_bytes: int = 64 << 20
     running_bytes: int = 32 << 20
     peers_bytes: int = 48 << 20
+    large_answers: int = 4
     startup: float = 10.0
     message: float = 60.0
     unread: float = 30.0
@@ -32,14 +37,15 @@
     memory_bytes: float, *, startup: float, message: float, unread: float
 ) -> ClientLimits:
     """Return the limits for a machine's memory, at least what one client needs."""
-    callers, running, peers = (
+    callers, running, peers, answers = (
         max(MIN_SHARE_BYTES, int(memory_bytes * share))
-        for share in (CALLERS_SHARE, RUNNING_SHARE, PEERS_SHARE)
+        for share in (CALLERS_SHARE, RUNNING_SHARE, PEERS_SHARE, ANSWERS_SHARE)
     )
     return ClientLimits(
         callers_bytes=callers,
         running_bytes=running,
         peers_bytes=peers,
+        large_answers=answers // LARGEST_ANSWER_BYTES,
         startup=startup,
         message=message,
         unread=unread,
