--- a/features/client_budget.feature
+++ b/features/client_budget.feature
@@ -25,3 +25,6 @@
     Given a caller whose large statement runs for 60 s, and no other may run beside it
     When another caller sends a large statement and a small one
     Then the large one is refused as busy within 4.5 s, and the small one is served
+
+  Scenario: Links receive large answers at the same time
+    Then a few go on at once, the others are resumed in order, also when one that waits is lost
--- a/features/steps/client_budget.py
+++ b/features/steps/client_budget.py
@@ -17,6 +17,7 @@
 
 from features.virtual_time import run_virtual
 from wagtailloft.adapters.client_guard import SMALL_STATEMENT_BYTES, ClientGuard
+from wagtailloft.adapters.large_answers import LargeAnswers
 from wagtailloft.adapters.server import HttpResponse, HttpServer
 from wagtailloft.clock import now
 from wagtailloft.closed_clients import ClosedClients
@@ -34,6 +35,19 @@
 
 import front  # noqa: E402
 
+
+class Reader:
+    """A link that records when it is resumed."""
+
+    def __init__(self, number, resumed):
+        """Create a link with a number."""
+        self.number, self.resumed = number, resumed
+
+    def resume_reading(self):
+        """Record the number."""
+        self.resumed.append(self.number)
+
+
 FIELDS = ("received", "decoded", "unsent", "kept")
 
 
@@ -257,3 +271,16 @@
     (at, refused), (_, served) = context.written
     assert at <= limit and refused.startswith(b"ERR BUSY"), context.written
     assert served.startswith(b"DONE q2"), context.written
+
+
+@then("a few go on at once, the others are resumed in order, also when one that waits is lost")
+def step_large_answers(context):
+    resumed = []
+    answers = LargeAnswers(limit=2)
+    readers = [Reader(number, resumed) for number in range(6)]
+    assert [answers.admit(r) for r in readers] == [True, True, False, False, False, False]
+    assert answers.admit(readers[0]) and not answers.admit(readers[2])
+    answers.release(readers[3])
+    answers.release(readers[1])
+    answers.release(readers[0])
+    assert resumed == [2, 4] and answers.admit(readers[4]) and not answers.admit(readers[5])
--- a/src/wagtailloft/route_report.py
+++ b/src/wagtailloft/route_report.py
@@ -57,8 +57,8 @@
 
     rank orders the members that the statement and its retries would go to, 0 for none. in_flight
     counts the statements that the answering host has at the member. limit is the number of
-    statements that are sent to the member at a time, and queue_ms the expected wait before; both are
-    empty if the answering host does not know them.
+    statements that are sent to the member at a time, and queue_ms the expected wait before; both
+    are empty if the answering host does not know them.
     """
 
     name: str
