Wake what waits for a link when a pool's cap ends

After a member refused a link, the pool opened none for 1 s. The end of that time woke nobody, so with all links held by transactions, statements waited for the next release or up to their deadline.

Failed before: features/scheduling.feature, 'A member has refused a link, and the others are held by transactions' (refused after 3 s).

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -96,3 +96,7 @@
   # the first of them was opened.
   Scenario: A member restarts while the first link to it is opened
     Then the pool of a restarted member is kept until its last link is closed
+
+  # Guards against statements that wait until their deadline for a link that may be opened.
+  Scenario: A member has refused a link, and the others are held by transactions
+    Then what waits for a link gets one when the pool's cap ends, though no link is released
--- a/features/steps/scheduler_review.py
+++ b/features/steps/scheduler_review.py
@@ -10,7 +10,8 @@
 from features.virtual_time import run_virtual
 from wagtailloft.clock import now
 from wagtailloft.controllers.concurrency import TurnOutcome
-from wagtailloft.errors import Kind
+from wagtailloft.controllers.scheduling import TurnRequest
+from wagtailloft.errors import Kind, NotSent
 from wagtailloft.fleet.records import Entry, PrimaryAssignment, Topic
 from wagtailloft.groups.link_pool import LinkPool
 from wagtailloft.groups.member_promotion import MemberPromotion
@@ -239,3 +240,31 @@
         assert not ordered, ordered
 
     run_virtual(play())
+
+
+@then("what waits for a link gets one when the pool's cap ends, though no link is released")
+def step_cap_ends(context):
+    async def play():
+        opened = []
+
+        async def open_link(spec):
+            opened.append(SimpleNamespace(spec=spec, closed=False))
+            if len(opened) == 2:
+                exc = NotSent("too many links")
+                exc.kind = Kind.TOO_MANY_LINKS
+                raise exc
+            return opened[-1]
+
+        factory = SimpleNamespace(open=open_link)
+        pool = LinkPool(target=member("m", slots=4), limit=16, link_factory=factory)
+        began = now()
+        _, turn = await pool.acquire(TurnRequest(team="t", deadline=began + 3.0))
+        turn.end(TurnOutcome.OK)  # the link stays in a transaction
+        try:
+            await pool.acquire(TurnRequest(team="t", deadline=began + 3.0))
+        except NotSent as exc:
+            assert exc.kind is Kind.TOO_MANY_LINKS, exc
+        await pool.acquire(TurnRequest(team="t", deadline=began + 3.0))
+        assert now() - began < 1.1, now() - began
+
+    run_virtual(play())
--- a/src/wagtailloft/groups/link_pool.py
+++ b/src/wagtailloft/groups/link_pool.py
@@ -1,5 +1,6 @@
 """Pool of links to one target; a statement or transaction uses one, in its turn."""
 
+import asyncio
 import math
 
 from wagtailloft import logs
@@ -20,6 +21,7 @@
 CONTROL_LINKS = 1  # reserved for the coordinator's status queries, which count at the target too
 FULL_RETRY_S = 0.04  # between attempts to connect to a target with no connection left for this host
 CAP_DURATION_S = 1.0  # how long the pool stays capped after a target refused a connection
+WAKE_MARGIN_S = 0.001  # timers may fire early by the resolution of the clock
 UNREACHABLE_RETRY_S = 0.3  # between attempts to connect to an unreachable target
 
 
@@ -174,6 +176,8 @@
             if exc.kind is Kind.TOO_MANY_LINKS:
                 self._capped_until = now() + CAP_DURATION_S
                 self._refused_count = max(1, self._open_count)
+                loop = asyncio.get_running_loop()
+                loop.call_later(CAP_DURATION_S + WAKE_MARGIN_S, self.scheduler.wake)
                 if self._open_count == 0:
                     self._backoff = (now() + FULL_RETRY_S, exc)
             elif exc.kind is None:
