Count a cold member's statements across a lapse of its entry

Forgetting a member that left the list also dropped the window of what it had got, so that one whose entry was back within a second got its share twice.

Failed before: features/evacuation.feature, 'Statements to cold members, at any times' (20 statements within 0.5 s where 10 are allowed).

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -12,6 +12,7 @@
   Scenario: Statements to cold members, at any times
     Then two owners together send no more in any second than the group allows
     And a statement that must not wait is refused, and counts for nothing
+    And a member that leaves the list and returns within a second gets no more for it
     And members are paced only while they are cold, or just back, and the group has a rate
 
   Scenario: Candidates in evacuated zones
--- a/features/steps/evacuation.py
+++ b/features/steps/evacuation.py
@@ -149,6 +149,18 @@
     assert pace.reserve("m", RULE, at=1.0, max_wait=0.0) == 0.0
 
 
+@then("a member that leaves the list and returns within a second gets no more for it")
+def step_relisted(context):
+    pace = ColdPace(excess=1.5, slack=5)
+    sent = []
+    for at in (0.0, 0.5):
+        sent += [pace.reserve("m", RULE, at=at, max_wait=0.0) for _ in range(10)]
+        pace.forget("m", at=at)
+    assert sent == [0.0] * 10 + [None] * 10, sent
+    pace.forget("n", at=1.0)
+    assert not pace._sent
+
+
 @then("members are paced only while they are cold, or just back, and the group has a rate")
 def step_when_paced(context):
     pace, evacuations = ColdPace(excess=1.5, slack=5), evacuated("a")
--- a/src/wagtailloft/groups/evacuation.py
+++ b/src/wagtailloft/groups/evacuation.py
@@ -167,7 +167,10 @@
             sent.popleft()
         return wait
 
-    def forget(self, member: str) -> None:
-        """Drop what is known of a member that has left."""
+    def forget(self, member: str, *, at: float) -> None:
+        """Drop what is known of a member that has left.
+
+        What it got in the last window still counts, since its entry may be back at once.
+        """
         self._cold_until.pop(member, None)
-        self._sent.pop(member, None)
+        self._sent = {n: s for n, s in self._sent.items() if at < s[-1] + PACE_WINDOW_S}
--- a/src/wagtailloft/groups/member_gate.py
+++ b/src/wagtailloft/groups/member_gate.py
@@ -199,7 +199,7 @@
 
     def _handle_target(self, entry: Entry) -> None:
         if not isinstance(entry.value, Target):
-            self._pace.forget(entry.name)
+            self._pace.forget(entry.name, at=now())
             for reason in (EVACUATED, COLD):
                 self._logged_at.pop((entry.name, reason), None)
             return
