Forget connections to hosts when they are lost

The mesh kept the last connection to each address that it ever called, also to hosts that do not come back. The new scenario of robustness.feature failed before: the connection was still kept 5 s after its host ended.

--- a/features/robustness.feature
+++ b/features/robustness.feature
@@ -168,3 +168,6 @@
     Given a platform that comes back from an older copy before it does a write without a response
     When a daemon changes an object there
     Then the outcome is reported as unknown, and one that was never sent as not done
+
+  Scenario: A host ends and does not come back at its address
+    Then the hosts that called it keep nothing of the connection
--- a/features/steps/robustness.py
+++ b/features/steps/robustness.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 import time
+from contextlib import suppress
 from pathlib import Path
 from types import SimpleNamespace
 from unittest.mock import patch
@@ -569,6 +570,24 @@
         raise AssertionError(f"{message} was answered")
 
 
+@then("the hosts that called it keep nothing of the connection")
+def step_connection_forgotten(context):
+    async def run():
+        server, client = Mesh(ip=LOOPBACK, port=0), Mesh(ip=LOOPBACK, port=0)
+        await server.start()
+        address = server._server.sockets[0].getsockname()
+        with suppress(NoResponse):
+            await client.call(address, Ack(), 2.0)
+        assert client.connected(address)
+        server.stop()
+        until = time.monotonic() + 5.0
+        while client._conns and time.monotonic() < until:
+            await asyncio.sleep(0.01)
+        assert not client._conns and not client.connected(address)
+
+    asyncio.run(run())
+
+
 @when("one calls a handler that raises")
 def step_handler_raises(context):
     async def calls(call):
--- a/src/wagtailloft/fleet/mesh.py
+++ b/src/wagtailloft/fleet/mesh.py
@@ -356,11 +356,18 @@
             sock.close()
             raise NotSent(str(exc) or "connect timed out") from exc
         _, conn = await loop.create_connection(
-            lambda: PeerConnection(handler=self._dispatch, on_lost=lambda _: None), sock=sock
+            lambda: PeerConnection(
+                handler=self._dispatch, on_lost=lambda conn: self._forget(address, conn)
+            ),
+            sock=sock,
         )
         self._conns[address] = conn
         return conn
 
+    def _forget(self, address: tuple[str, int], conn: PeerConnection) -> None:
+        if self._conns.get(address) is conn:
+            del self._conns[address]
+
     def _accept(self) -> PeerConnection:
         if len(self._accepted) >= self._max_accepted:
             self._close_surplus()
