Refuse late commits as lost, and give back the share of callers that left

A COMMIT whose turn came a millisecond before its deadline was sent and timed out with an unknown outcome; it is refused as not run, as new writes are. A caller that left just as its large statement was counted kept its share of the budget for good. Both scenarios failed before: the commit was sent, and the next large statement waited 4 s and was refused.

--- a/features/client_budget.feature
+++ b/features/client_budget.feature
@@ -28,3 +28,7 @@
 
   Scenario: Links receive large answers at the same time
     Then a few go on at once, the others are resumed in order, also when one that waits is lost
+
+  # Guards against a share of the budget that nobody gives back, until no large statement runs.
+  Scenario: A caller leaves just as its large statement may run
+    Then the next large statement runs at once
--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -100,3 +100,7 @@
   # Guards against statements that wait until their deadline for a link that may be opened.
   Scenario: A member has refused a link, and the others are held by transactions
     Then what waits for a link gets one when the pool's cap ends, though no link is released
+
+  # Guards against commits of unknown outcome: one that is sent with a millisecond left times out.
+  Scenario: The turn of a commit comes just before its deadline
+    Then the commit is refused as lost and not sent, and its transaction is rolled back
--- a/features/steps/client_budget.py
+++ b/features/steps/client_budget.py
@@ -284,3 +284,28 @@
     answers.release(readers[1])
     answers.release(readers[0])
     assert resumed == [2, 4] and answers.admit(readers[4]) and not answers.admit(readers[5])
+
+
+@then("the next large statement runs at once")
+def step_left_caller(context):
+    size = 2 * SMALL_STATEMENT_BYTES
+
+    async def check():
+        guard = ClientGuard(port="p", budget_bytes=1, running_bytes=1, closed=ClosedClients())
+
+        async def hold(seconds):
+            async with guard.running(size) as may_run:
+                await asyncio.sleep(seconds)
+                return may_run
+
+        first = asyncio.create_task(hold(0.1))
+        await asyncio.sleep(0.05)
+        leaving = asyncio.create_task(hold(1.0))
+        await asyncio.sleep(0.01)
+        first.add_done_callback(lambda _: leaving.cancel())
+        await first
+        await asyncio.gather(leaving, return_exceptions=True)
+        began = now()
+        assert await hold(0.0) and now() - began < 0.1, now() - began
+
+    run_virtual(check())
--- a/features/steps/scheduler_review.py
+++ b/features/steps/scheduler_review.py
@@ -268,3 +268,20 @@
         assert now() - began < 1.1, now() - began
 
     run_virtual(play())
+
+
+@then("the commit is refused as lost and not sent, and its transaction is rolled back")
+def step_late_commit(context):
+    async def play():
+        host = Host(bound=0.0)
+        opened = await host.run("n", Verb.BEGIN_READ, opens_transaction=True)
+        running = await hold_turn(host, "n", 0.95)
+        count = len(host.sent)
+        inside = {"request_id": "t", "transaction_id": opened.transaction_id, "budget": 1.0}
+        outcome = (await host.run("n", Verb.COMMIT, **inside)).outcome
+        assert outcome.kind is Kind.TRANSACTION_LOST and not outcome.sent, outcome
+        assert len(host.sent) == count, host.sent
+        await running
+        assert host.executor.active == 0
+
+    run_virtual(play())
--- a/src/wagtailloft/adapters/client_guard.py
+++ b/src/wagtailloft/adapters/client_guard.py
@@ -134,6 +134,11 @@
             self._waiting.append((size, started))
             try:
                 await asyncio.wait([started], timeout=RUNNING_WAIT_S)
+            except BaseException:
+                if started.done():  # counted, but its caller has left
+                    self._running.finish(size)
+                    self._start_waiting()
+                raise
             finally:
                 started.cancel()  # unless it was counted by _start_waiting
             if started.cancelled():
--- a/src/wagtailloft/groups/local_executor.py
+++ b/src/wagtailloft/groups/local_executor.py
@@ -333,6 +333,12 @@
             transaction.link.close()
             return not_executed(Kind.TRANSACTION_LOST, "the primary is being replaced")
         remaining = request.budget - (now() - started_at)
+        least = min(MIN_WRITE_BUDGET_S, request.budget / 2)
+        if request.bound.statement.verb is Verb.COMMIT and remaining < least:
+            turn.end(TurnOutcome.ABANDONED)
+            transaction.link.close()
+            detail = f"{remaining:.3f} s left are too few for a commit"
+            return not_executed(Kind.TRANSACTION_LOST, detail)
         return await self._send(transaction, turn, request, remaining)
 
     async def _send(
