--- a/features/steps/client_budget.py
+++ b/features/steps/client_budget.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies as st
 
 from features.virtual_time import run_virtual
+from standins.fleet import wait_until
 from wagtailloft.adapters.client_guard import SMALL_STATEMENT_BYTES, ClientGuard
 from wagtailloft.adapters.large_answers import LargeAnswers
 from wagtailloft.adapters.server import HttpResponse, HttpServer
@@ -173,10 +174,10 @@
 
 @step("an HTTP server of {count:d} connections whose handler waits")
 def step_slow_handler(context, count):
-    context.released = threading.Event()
+    context.released = released = threading.Event()
 
     def handle(request):
-        context.released.wait(5.0)
+        released.wait(5.0)
         return HttpResponse(status=200, body=b"")
 
     start_server(context, handle)
@@ -194,7 +195,16 @@
     held = context.server.connections
     context.released.set()
     assert held <= count, held
-    assert connect(context).recv(100).startswith(b"HTTP/1.1 200")
+    # The connections that were held are closed one by one, and new ones refused until then.
+    wait_until(lambda: is_served(context), 5.0, "no client is served")
+
+
+def is_served(context):
+    """Tell whether a new client gets a response."""
+    try:
+        return connect(context).recv(100).startswith(b"HTTP/1.1 200")
+    except ConnectionError:
+        return False
 
 
 @step("an HTTP server that can't accept connections for lack of descriptors")
