Use plain terms in a comment and a name of the placement and the pace

The owner limits the rate of a cold member; the pace tells whether its limit is below the slots. Comments and names only; the code does what it did.

--- a/src/wagtailloft/controllers/pace.py
+++ b/src/wagtailloft/controllers/pace.py
@@ -142,8 +142,8 @@
         if outcome in (TurnOutcome.SHED, TurnOutcome.FAILED):
             self._in_slow_start = False
             self._failures.append(True)
-            is_in_trouble = self._limit < min(self._slots, self._upper)
-            if is_in_trouble or sum(self._failures) >= FAILURES_IN_WINDOW:
+            is_below_slots = self._limit < min(self._slots, self._upper)
+            if is_below_slots or sum(self._failures) >= FAILURES_IN_WINDOW:
                 self._failures.clear()
                 self._lower(FAILURE_FACTOR, 1, outcome.value)
         elif outcome is TurnOutcome.OK:
--- a/src/wagtailloft/groups/attempts.py
+++ b/src/wagtailloft/groups/attempts.py
@@ -84,7 +84,7 @@
     if outcome.ok:
         return AttemptResult.OK
     if outcome.kind is Kind.TARGET_BUSY and not outcome.sent:
-        return AttemptResult.NEUTRAL  # its owner spares a cold member
+        return AttemptResult.NEUTRAL  # its owner limits the rate of a cold member
     if outcome.kind in TARGET_FAULTS:
         return AttemptResult.FAILED
     # A transaction that is lost before it is sent has expired, or its owner ended it.
