--- a/features/steps/supervision.py
+++ b/features/steps/supervision.py
@@ -18,6 +18,7 @@
 from features.virtual_time import run_virtual
 from wagtailloft import logs
 from wagtailloft.clock import now
+from wagtailloft.controllers.client_budget import ClientLimits
 from wagtailloft.fleet.ports import StoreDown
 from wagtailloft.fleet.records import (
     Changes,
@@ -313,7 +314,10 @@
     program = module_from_spec(spec)
     spec.loader.exec_module(program)
     own = make_host(0, 1)
-    cfg = SimpleNamespace(own=own, store_address="127.0.0.1:1", promotion_address="127.0.0.1:1")
+    address = "127.0.0.1:1"
+    cfg = SimpleNamespace(
+        own=own, store_address=address, promotion_address=address, clients=ClientLimits()
+    )
     with (
         patch.object(program, "HostProcess", EndingProcess),
         patch.object(program.settings_file, "load", lambda path: cfg),
