Count the text of prepared statements against the bytes that may wait

Executions of a prepared statement carry its text, up to 1 MiB, but counted only their argument, so the 8 MiB bound on what waits for a target did not hold for them. Found by reading; the new scenario failed before with 4 characters counted instead of 1,048,580.

--- a/features/scheduling.feature
+++ b/features/scheduling.feature
@@ -104,3 +104,8 @@
   # Guards against commits of unknown outcome: one that is sent with a millisecond left times out.
   Scenario: The turn of a commit comes just before its deadline
     Then the commit is refused as lost and not sent, and its transaction is rolled back
+
+  # Guards against a queue that is not bounded in bytes: the text of a prepared statement goes along
+  # with each of its executions, which have no text of their own.
+  Scenario: Executions of large prepared statements wait for a target
+    Then an execution of a prepared statement of 1 MiB counts with its whole size
--- a/features/steps/scheduler_review.py
+++ b/features/steps/scheduler_review.py
@@ -12,13 +12,15 @@
 from wagtailloft.controllers.concurrency import TurnOutcome
 from wagtailloft.controllers.scheduling import TurnRequest
 from wagtailloft.errors import Kind, NotSent
+from wagtailloft.fleet.messages import StatementRequest
 from wagtailloft.fleet.records import Entry, PrimaryAssignment, Topic
 from wagtailloft.groups.link_pool import LinkPool
+from wagtailloft.groups.link_use import turn_request_for
 from wagtailloft.groups.member_promotion import MemberPromotion
 from wagtailloft.groups.pace_control import PaceControl
-from wagtailloft.groups.ports import TargetStatus
-from wagtailloft.models import Role
-from wagtailloft.sessions.statements import Verb
+from wagtailloft.groups.ports import BoundStatement, TargetStatus
+from wagtailloft.models import Mode, Role
+from wagtailloft.sessions.statements import PreparedStatement, Statement, Verb
 
 
 class RecordingLimit:
@@ -285,3 +287,13 @@
         assert host.executor.active == 0
 
     run_virtual(play())
+
+
+@then("an execution of a prepared statement of 1 MiB counts with its whole size")
+def step_prepared_size(context):
+    prepared = PreparedStatement(mode=Mode.READ, text="x" * (1 << 20))
+    statement = Statement(verb=Verb.EXECUTE, text="", name="s", argument="1", prepared=prepared)
+    bound = BoundStatement(request_id="r", statement=statement, session_variables={"a": "bc"})
+    request = StatementRequest(group="g", target="m", team="t", bound=bound, budget=1.0)
+    turn_request = turn_request_for(request, 1.0, as_primary=False)
+    assert turn_request.chars == (1 << 20) + 4, turn_request
--- a/src/wagtailloft/controllers/scheduling.py
+++ b/src/wagtailloft/controllers/scheduling.py
@@ -27,7 +27,7 @@
 class TurnRequest(Record):
     """Describe a statement that needs a turn.
 
-    deadline is a time in seconds, chars the size of its text and session variables. in_transaction
+    deadline is a time in seconds, chars the size of its texts and session variables. in_transaction
     is set for a statement of an open transaction, as_primary for one that needs the primary.
     """
 
--- a/src/wagtailloft/groups/link_use.py
+++ b/src/wagtailloft/groups/link_use.py
@@ -44,14 +44,17 @@
 ) -> TurnRequest:
     """Return the request for a statement's turn by a time of clock.now()."""
     bound = request.bound
-    variables = sum(len(n) + len(v) for n, v in bound.session_variables.items())
+    statement = bound.statement
+    chars = len(statement.text) + len(statement.argument)
+    chars += len(statement.prepared.text) if statement.prepared else 0
+    chars += sum(len(n) + len(v) for n, v in bound.session_variables.items())
     return TurnRequest(
         team=request.team,
         deadline=deadline,
         priority=request.priority,
         in_transaction=bool(request.transaction_id),
         as_primary=as_primary,
-        chars=len(bound.statement.text) + len(bound.statement.argument) + variables,
+        chars=chars,
     )
 
 
