--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -466,6 +466,11 @@
                 ["python3", "platform/run.py"], cwd=ROOT, env=env, stdout=log, stderr=log
             )
 
+    def change_settings(self, name: str) -> None:
+        """Change a field of a host's settings file."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(path.read_text().replace("memory_mb = 300", "memory_mb = 320"))
+
     def freeze(self, name: str, seconds: float) -> None:
         """Freeze a host's process and wake it again."""
         self.record(f"freeze {name} for {seconds} s")
