--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -466,6 +466,11 @@
                 ["python3", "platform/run.py"], cwd=ROOT, env=env, stdout=log, stderr=log
             )
 
+    def peer_of_most(self, member: Member) -> str:
+        """Return the host that has most connections to a member."""
+        ips = [c.client_address[0] for c in list(member.connections.values())]
+        return max(self.host_ip, key=lambda name: ips.count(self.host_ip[name]))
+
     def change_settings(self, name: str) -> None:
         """Change a field of a host's settings file."""
         path = self.folder / f"{name}.toml"
