--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -12,9 +12,11 @@
 import socket
 import socketserver
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -25,6 +27,11 @@
 KEY, TEAM = "key-of-team-one", "team-one"
 
 
+def end_on_sigterm() -> None:
+    """Let SIGTERM end the script like an error, so that the hosts end too."""
+    signal.signal(signal.SIGTERM, lambda *args: sys.exit(2))
+
+
 def free_port(ip: str) -> int:
     """Return a port that is free at a loopback address."""
     with socket.socket() as sock:
@@ -167,7 +174,9 @@
     def __init__(self, name: str, group: "Group", zone: str) -> None:
         self.name, self.group, self.zone = name, group, zone
         self.role, self.term = "replica", 1
-        self.log: list[tuple[int, str, str]] = []  # term, item and data of each commit
+        self.log: list[tuple[int, tuple[tuple[str, str], ...]]] = (
+            []
+        )  # term and writes of each commit
         self.paused_at = 0
         self.slots = threading.Semaphore(group.slots)
         self.connections: dict[int, "_MemberConnection"] = {}
@@ -198,6 +207,7 @@
         next(iter(self.members.values())).role = "primary"
         self.on_role = lambda member: None
         self.ids = itertools.count(1)
+        self.record: Callable[[str], None] = lambda text: None
 
     @property
     def primary(self) -> Member:
@@ -215,7 +225,7 @@
         with self.lock:
             if member.role != "primary":
                 return False
-            member.log.extend((member.term, item, data) for item, data in writes[-1:])
+            member.log.append((member.term, tuple(writes)))
         threading.Timer(self.lag_s, self._replicate, (member,)).start()
         return True
 
@@ -295,7 +305,10 @@
         if word != "QUERY":
             return False
         request_id, _, text = rest.partition(" ")
-        self._send(self._query(request_id, text))
+        answer = self._query(request_id, text)
+        if request_id != "-":
+            group.record(f"{member.name} ran {request_id} {text}: {answer[-1]}")
+        self._send(answer)
         return True
 
     def _query(self, request_id: str, text: str) -> list[str]:
@@ -346,7 +359,8 @@
             elif not group.commit(member, [(name, value)]):
                 return [f"ERR READONLY {member.name}"]
             return [done]
-        rows = [d for _, i, d in member.log if i == name][-1:]
+        writes = [w for _, commit in list(member.log) for w in commit] + (self.transaction or [])
+        rows = [data for item, data in writes if item == name][-1:]
         return [f"ROW {rows[0] if rows else 'none'}", done]
 
     def _control(self, command: str, rest: str) -> list[str]:
@@ -424,10 +438,17 @@
         self.version = 1
 
     def __enter__(self) -> "Deployment":
+        try:
+            return self._start_all()
+        except BaseException:
+            self.__exit__()
+            raise
+
+    def _start_all(self) -> "Deployment":
         self.store_address = serve_http(lambda m, p, h, b: self.store.handle(m, p, b), PLATFORM_IP)
         self.cloud_address = serve_http(self._promote, PLATFORM_IP)
         for group in self.groups.values():
-            group.on_role = self.register
+            group.on_role, group.record = self.register, self.record
             for member in group.members.values():
                 self._serve(member)
         self.store.put("config", "main", self.config())
